--- /dev/null
+++ b/cmd/fescuehub/scenario_commands_test.go
@@ -0,0 +1,202 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// site [entries=N] [engines=N] [services=N] [linger=S] [shutdown=S] [bare] [relays]
+//
+// Writes the settings of a deployment, starts its processes (not with bare)
+// and sets LOG, LIST, ENTRY1, ENTRY1_OP, ENGINE1, AGENT_ENGINE1, SERVICE1 and
+// so on. With relays, agents are reached through relays that cut breaks.
+func cmdSite(ts *testscript.TestScript, _ bool, args []string) {
+	size := siteSize{entries: 1, linger: 1, shutdown: 30}
+	numbers := map[string]*int{
+		"entries": &size.entries, "engines": &size.engines, "services": &size.services,
+		"linger": &size.linger, "shutdown": &size.shutdown,
+	}
+	for _, arg := range args {
+		name, value, _ := strings.Cut(arg, "=")
+		switch {
+		case name == "bare":
+			size.bare = true
+		case name == "relays":
+			size.relays = true
+		case numbers[name] != nil:
+			n, err := strconv.Atoi(value)
+			ts.Check(err)
+			*numbers[name] = n
+		default:
+			ts.Fatalf("site: unknown argument %s", arg)
+		}
+	}
+	ts.Check(siteOf(ts).build(ts, size))
+}
+
+// start NAME: starts a process of the site, again or for the first time.
+func cmdStart(ts *testscript.TestScript, _ bool, args []string) {
+	ts.Check(siteOf(ts).start(args[0]))
+}
+
+// signal SIGNAL NAME: sends TERM, KILL, STOP (freeze) or CONT (thaw).
+func cmdSignal(ts *testscript.TestScript, _ bool, args []string) {
+	signals := map[string]syscall.Signal{"TERM": syscall.SIGTERM, "KILL": syscall.SIGKILL, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT}
+	sig, ok := signals[args[0]]
+	if !ok {
+		ts.Fatalf("signal: unknown signal %s", args[0])
+	}
+	p, err := siteOf(ts).process(args[1])
+	ts.Check(err)
+	ts.Check(p.cmd.Process.Signal(sig))
+	if sig == syscall.SIGKILL {
+		<-p.exited
+	}
+}
+
+// exited NAME CODE: waits until the process has ended with the exit code.
+func cmdExited(ts *testscript.TestScript, _ bool, args []string) {
+	p, err := siteOf(ts).process(args[0])
+	ts.Check(err)
+	select {
+	case <-p.exited:
+	case <-time.After(awaitBound):
+		ts.Fatalf("%s has not ended", args[0])
+	}
+	if want := args[1]; want != strconv.Itoa(p.code) {
+		ts.Fatalf("%s ended with %d, not %s", args[0], p.code, want)
+	}
+}
+
+// fault URL JSON: replaces the faults of a stand-in.
+func cmdFault(ts *testscript.TestScript, _ bool, args []string) {
+	status, body, _, err := request(http.MethodPut, args[0]+"/faults", nil, strings.Join(args[1:], " "))
+	ts.Check(err)
+	if status != http.StatusOK {
+		ts.Fatalf("fault: %d %s", status, body)
+	}
+}
+
+// await URL TEXT: waits until a GET succeeds and its answer contains the text;
+// ! awaits that it no longer does.
+func cmdAwait(ts *testscript.TestScript, neg bool, args []string) {
+	deadline := time.Now().Add(awaitBound)
+	last := ""
+	for time.Now().Before(deadline) {
+		status, body, _, err := request(http.MethodGet, args[0], nil, "")
+		last = body
+		if err == nil && status < http.StatusBadRequest && strings.Contains(body, args[1]) != neg {
+			return
+		}
+		time.Sleep(awaitPause)
+	}
+	ts.Fatalf("await: %s still answers %q", args[0], last)
+}
+
+// call [&NAME] METHOD URL [HEADER:VALUE ...] [BODY]: sends a request and
+// prints the status line, the Fescue-Outcome header and the body to call.out.
+// With &NAME it runs in the background until sees NAME.
+func cmdCall(ts *testscript.TestScript, _ bool, args []string) {
+	name := ""
+	if strings.HasPrefix(args[0], "&") {
+		name, args = args[0][1:], args[1:]
+	}
+	headers := make(http.Header)
+	rest := args[2:]
+	for len(rest) > 0 && !strings.HasPrefix(rest[0], "{") && strings.Contains(rest[0], ":") {
+		k, v, _ := strings.Cut(rest[0], ":")
+		headers.Set(k, v)
+		rest = rest[1:]
+	}
+	run := func() string {
+		status, body, outcome, err := request(args[0], args[1], headers, strings.Join(rest, " "))
+		return fmt.Sprintf("status %d outcome %s error %v\n%s\n", status, outcome, err, body)
+	}
+	if name == "" {
+		ts.Check(os.WriteFile(ts.MkAbs("call.out"), []byte(run()), 0o644))
+		return
+	}
+	p := &pendingCall{done: make(chan struct{})}
+	siteOf(ts).calls[name] = p
+	go func() {
+		p.text = run()
+		close(p.done)
+	}()
+}
+
+// pendingCall is a call in the background.
+type pendingCall struct {
+	text string
+	done chan struct{}
+}
+
+// sees [NAME] TEXT: the answer of the last call, or of the background call,
+// contains the text; ! asserts that it does not.
+func cmdSees(ts *testscript.TestScript, neg bool, args []string) {
+	text := ""
+	if len(args) == 2 {
+		p, ok := siteOf(ts).calls[args[0]]
+		if !ok {
+			ts.Fatalf("sees: no call %s", args[0])
+		}
+		select {
+		case <-p.done:
+		case <-time.After(awaitBound):
+			ts.Fatalf("call %s has not ended", args[0])
+		}
+		text = p.text
+	} else {
+		text = ts.ReadFile("call.out")
+	}
+	want := args[len(args)-1]
+	if strings.Contains(text, want) == neg {
+		ts.Fatalf("answer is %q", text)
+	}
+}
+
+// cut NAME: breaks every connection to the agent and refuses new ones.
+func cmdCut(ts *testscript.TestScript, _ bool, args []string) { setRelays(ts, args[0], true) }
+
+// mend NAME: undoes cut.
+func cmdMend(ts *testscript.TestScript, _ bool, args []string) { setRelays(ts, args[0], false) }
+
+func setRelays(ts *testscript.TestScript, name string, cut bool) {
+	found := false
+	for key, r := range siteOf(ts).relays {
+		if strings.HasPrefix(key, name+"#") {
+			r.set(cut)
+			found = true
+		}
+	}
+	if !found {
+		ts.Fatalf("no relay to %s; use site relays", name)
+	}
+}
+
+func request(method, url string, headers http.Header, body string) (int, string, string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), awaitBound)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
+	if err != nil {
+		return 0, "", "", err
+	}
+	for k, v := range headers {
+		req.Header[k] = v
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, "", "", err
+	}
+	defer res.Body.Close()
+	data, err := io.ReadAll(res.Body)
+	return res.StatusCode, string(data), res.Header.Get("Fescue-Outcome"), err
+}
--- /dev/null
+++ b/cmd/fescuehub/scenario_test.go
@@ -0,0 +1,33 @@
+package main
+
+import (
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){"fescuehub": main})
+}
+
+// TestScenarios runs the scripts with every process of the system as a process
+// of its own. Their commands are described in scenario_commands_test.go.
+func TestScenarios(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:                 "../../testdata/scenarios",
+		RequireExplicitExec: true,
+		Setup:               setupSite,
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"site":   cmdSite,
+			"start":  cmdStart,
+			"signal": cmdSignal,
+			"exited": cmdExited,
+			"fault":  cmdFault,
+			"await":  cmdAwait,
+			"call":   cmdCall,
+			"sees":   cmdSees,
+			"cut":    cmdCut,
+			"mend":   cmdMend,
+		},
+	})
+}
--- /dev/null
+++ b/pkg/agent/agent.go
@@ -0,0 +1,123 @@
+// Package agent is the process in the slot of a backend server. It is the only
+// process that gives the backend server work and orders.
+package agent
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/fescuehub/fescuehub/pkg/drain"
+	"github.com/fescuehub/fescuehub/pkg/httpserver"
+	"github.com/fescuehub/fescuehub/pkg/ident"
+	"github.com/fescuehub/fescuehub/pkg/lifecycle"
+	"github.com/fescuehub/fescuehub/pkg/peer/agentlink"
+	"github.com/fescuehub/fescuehub/pkg/rpc"
+	"github.com/fescuehub/fescuehub/pkg/settings"
+	"github.com/fescuehub/fescuehub/pkg/telemetry"
+)
+
+// closeBound bounds the closing of listeners after the drain has ended.
+const closeBound = 2 * time.Second
+
+// Agent is the process.
+type Agent struct {
+	settings    settings.Agent
+	log         *zap.Logger
+	metrics     *telemetry.Metrics
+	scope       tally.Scope
+	incarnation ident.Incarnation
+	life        *lifecycle.Lifecycle
+	backend     Backend
+	attempts    *attempts
+
+	mu        sync.Mutex
+	links     map[*rpc.Conn]struct{}
+	part      agentlink.PoolPart
+	backendUp bool
+	load      loadReading
+}
+
+// New returns an agent that has opened nothing yet.
+func New(s settings.Agent, log *zap.Logger, metrics *telemetry.Metrics, backend Backend) *Agent {
+	plan := drain.Plan{Bound: time.Duration(s.ShutdownSeconds) * time.Second}
+	return &Agent{
+		settings:    s,
+		log:         log,
+		metrics:     metrics,
+		scope:       metrics.Scope.SubScope("agent"),
+		incarnation: ident.NewIncarnation(s.Name),
+		life:        lifecycle.New(log, plan),
+		backend:     backend,
+		attempts:    newAttempts(),
+		links:       make(map[*rpc.Conn]struct{}),
+		part:        agentlink.PoolPart{Offset: -1},
+	}
+}
+
+// Incarnation returns the incarnation of the agent.
+func (a *Agent) Incarnation() ident.Incarnation { return a.incarnation }
+
+// Drain begins to leave; a second call ends the agent at once.
+func (a *Agent) Drain() {
+	a.life.Drain()
+	a.broadcast()
+}
+
+// Run serves until ctx ends or the drain has ended.
+func (a *Agent) Run(ctx context.Context) error {
+	defer a.metrics.Close()
+	data, err := httpserver.Listen("dataAddress", a.settings.DataAddress)
+	if err != nil {
+		return err
+	}
+	control, err := httpserver.Listen("controlAddress", a.settings.ControlAddress)
+	if err != nil {
+		_ = data.Close()
+		return err
+	}
+	operator, err := httpserver.Listen("operatorAddress", a.settings.OperatorAddress)
+	if err != nil {
+		_ = data.Close()
+		_ = control.Close()
+		return err
+	}
+	dataServer := httpserver.New(data, a.scope.SubScope("data"), a.dataHandler())
+	operatorServer := httpserver.New(operator, a.scope.SubScope("operator"), a.operatorHandler())
+	controlServer := rpc.NewServer(control, a.controlMethods())
+
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(dataServer.Run)
+	group.Go(operatorServer.Run)
+	group.Go(func() error { return controlServer.Run(ctx) })
+	group.Go(func() error { return a.watchBackend(ctx) })
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+		case <-a.life.Ended():
+		}
+		stop()
+		closing, cancel := context.WithTimeout(context.Background(), closeBound)
+		defer cancel()
+		_ = dataServer.Shutdown(closing)
+		_ = operatorServer.Shutdown(closing)
+		return nil
+	})
+	a.log.Info("agent started", zap.String("incarnation", string(a.incarnation)), zap.String("pool", a.settings.Pool))
+	err = group.Wait()
+	a.log.Info("agent ended", zap.Error(err))
+	return err
+}
+
+func (a *Agent) dataHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+agentlink.AttemptsPath, a.serveAttempt)
+	return mux
+}
--- /dev/null
+++ b/pkg/agent/control.go
@@ -0,0 +1,84 @@
+package agent
+
+import (
+	"context"
+
+	"go.uber.org/zap"
+
+	"github.com/fescuehub/fescuehub/pkg/drain"
+	"github.com/fescuehub/fescuehub/pkg/peer/agentlink"
+	"github.com/fescuehub/fescuehub/pkg/problem"
+	"github.com/fescuehub/fescuehub/pkg/rpc"
+)
+
+func (a *Agent) controlMethods() rpc.Methods {
+	return rpc.Methods{
+		agentlink.MethodHello:     rpc.Typed(a.hello),
+		agentlink.MethodConfigure: rpc.Typed(a.configure),
+		agentlink.MethodRefuse:    rpc.Typed(a.refuse),
+	}
+}
+
+// hello registers the entry's connection for statuses.
+func (a *Agent) hello(_ context.Context, peer *rpc.Conn, _ agentlink.Hello) (any, error) {
+	a.mu.Lock()
+	a.links[peer] = struct{}{}
+	a.mu.Unlock()
+	go func() {
+		<-peer.Done()
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		delete(a.links, peer)
+	}()
+	return a.status(), nil
+}
+
+// configure takes the pool's part of the configuration. An older part than the
+// one in force is ignored.
+func (a *Agent) configure(_ context.Context, _ *rpc.Conn, part agentlink.PoolPart) (any, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if part.Offset > a.part.Offset {
+		a.part = part
+		a.log.Info("configuration in force", zap.Int64("offset", part.Offset), zap.Bool("poolKnown", part.Pool != nil))
+	}
+	return agentlink.PoolPart{Offset: a.part.Offset}, nil
+}
+
+// refuse certifies the outcome of an attempt.
+func (a *Agent) refuse(_ context.Context, _ *rpc.Conn, request agentlink.RefuseRequest) (any, error) {
+	if request.Incarnation != a.incarnation {
+		return nil, problem.New(problem.WrongIncarnation, "look the action up at the service",
+			"the agent has restarted since the attempt was sent").WithOutcome(problem.NotKnown)
+	}
+	return agentlink.RefuseReply{Outcome: a.attempts.refuse(request.Attempt)}, nil
+}
+
+func (a *Agent) status() agentlink.Status {
+	phase := a.life.Phase()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return agentlink.Status{
+		Name:         a.settings.Name,
+		Incarnation:  a.incarnation,
+		Pool:         a.settings.Pool,
+		Draining:     phase != drain.Serving,
+		BackendUp:    a.backendUp,
+		Load:         a.load.load,
+		ConfigOffset: a.part.Offset,
+	}
+}
+
+// broadcast tells every connected entry the status.
+func (a *Agent) broadcast() {
+	status := a.status()
+	a.mu.Lock()
+	links := make([]*rpc.Conn, 0, len(a.links))
+	for l := range a.links {
+		links = append(links, l)
+	}
+	a.mu.Unlock()
+	for _, l := range links {
+		_ = l.Notify(context.Background(), agentlink.MethodStatus, status)
+	}
+}
--- /dev/null
+++ b/pkg/cli/cli.go
@@ -0,0 +1,151 @@
+// Package cli is the command line of fescuehub. One file holds one command.
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/fescuehub/fescuehub/pkg/problem"
+)
+
+// Exit codes of the commands.
+const (
+	ExitOK       = 0
+	ExitFailure  = 1
+	ExitUsage    = 2
+	ExitRefused  = 3
+	ExitNotKnown = 4
+)
+
+// app holds what the commands share.
+type app struct {
+	out    io.Writer
+	errOut io.Writer
+	output string
+}
+
+// Main runs the command line and returns its exit code.
+func Main(args []string, out, errOut io.Writer) int {
+	a := &app{out: out, errOut: errOut}
+	root := a.rootCommand()
+	root.SetArgs(args)
+	root.SetOut(out)
+	root.SetErr(errOut)
+	err := root.ExecuteContext(context.Background())
+	if err == nil {
+		return ExitOK
+	}
+	fmt.Fprintf(errOut, "fescuehub: %v\n", err)
+	return exitCode(err)
+}
+
+func (a *app) rootCommand() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "fescuehub",
+		Short:         "Load balancer for expert-parallel model groups and the plain services beside them",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		Args:          cobra.NoArgs,
+		RunE:          func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
+	}
+	root.PersistentFlags().StringVar(&a.output, "output", "text", `form of the result: "text" or "json"`)
+	root.PersistentPreRunE = func(*cobra.Command, []string) error { return a.checkOutput() }
+	root.SetFlagErrorFunc(func(cmd *cobra.Command, err error) error {
+		return usage("run %q for the flags: %v", cmd.CommandPath()+" --help", err)
+	})
+	root.AddCommand(
+		a.entryCommand(), a.agentCommand(), a.configCommand(), a.statusCommand(),
+		a.standinCommand(), a.demoCommand(), a.versionCommand(),
+	)
+	return root
+}
+
+func (a *app) checkOutput() error {
+	if a.output != "text" && a.output != "json" {
+		return usage("--output is %q; write text or json", a.output)
+	}
+	return nil
+}
+
+// print writes a result in the form that --output names.
+func (a *app) print(result any, text func(io.Writer)) error {
+	if a.output == "json" {
+		enc := json.NewEncoder(a.out)
+		enc.SetIndent("", "  ")
+		return enc.Encode(result)
+	}
+	text(a.out)
+	return nil
+}
+
+// usageError is an error in how a command was called.
+type usageError struct{ text string }
+
+// Error implements the error interface.
+func (e *usageError) Error() string { return e.text }
+
+func usage(format string, args ...any) error {
+	return &usageError{fmt.Sprintf(format, args...)}
+}
+
+func exitCode(err error) int {
+	var u *usageError
+	if errors.As(err, &u) {
+		return ExitUsage
+	}
+	var p *problem.Error
+	if !errors.As(err, &p) {
+		return ExitFailure
+	}
+	switch {
+	case p.Kind == problem.BadSettings:
+		return ExitUsage
+	case p.Kind == problem.BadTables, p.Kind == problem.EditConflict:
+		return ExitRefused
+	case p.Outcome == problem.NotKnown:
+		return ExitNotKnown
+	}
+	return ExitFailure
+}
+
+// drainer is a process that leaves gracefully.
+type drainer interface {
+	// Drain begins to leave; a second call ends the process at once.
+	Drain()
+	// Run serves until the drain has ended.
+	Run(ctx context.Context) error
+}
+
+// runUntilSignal runs a process. SIGTERM and SIGINT begin its drain, and a
+// second signal ends it at once.
+func runUntilSignal(ctx context.Context, process drainer) error {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(signals)
+	ended := make(chan struct{})
+	defer close(ended)
+	go func() {
+		for {
+			select {
+			case <-signals:
+				process.Drain()
+			case <-ended:
+				return
+			}
+		}
+	}()
+	return process.Run(ctx)
+}
+
+// signalContext returns a context that ends at SIGTERM or SIGINT.
+func signalContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+}
--- /dev/null
+++ b/pkg/cli/daemons.go
@@ -0,0 +1,54 @@
+package cli
+
+import (
+	"github.com/spf13/cobra"
+
+	"github.com/fescuehub/fescuehub/pkg/agent"
+	"github.com/fescuehub/fescuehub/pkg/entry"
+	"github.com/fescuehub/fescuehub/pkg/settings"
+)
+
+func (a *app) entryCommand() *cobra.Command {
+	var path string
+	cmd := &cobra.Command{
+		Use:     "entry --settings FILE",
+		Short:   "Run an entry instance",
+		Long:    "Run an entry instance: it answers callers, routes requests to agents, and follows the configuration. SIGTERM drains it; a second SIGTERM ends it at once.",
+		Example: "  fescuehub entry --settings examples/arcos/entry-1.json",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			s, err := settings.LoadEntry(path)
+			if err != nil {
+				return err
+			}
+			return runUntilSignal(cmd.Context(), entry.Initialize(s, a.errOut))
+		},
+	}
+	settingsFlag(cmd, &path)
+	return cmd
+}
+
+func (a *app) agentCommand() *cobra.Command {
+	var path string
+	cmd := &cobra.Command{
+		Use:     "agent --settings FILE",
+		Short:   "Run the agent of a backend server instance",
+		Long:    "Run the agent of a backend server instance: the only process that gives the backend server work and orders. SIGTERM drains it; a second SIGTERM ends it at once.",
+		Example: "  fescuehub agent --settings examples/arcos/agent-asistente-1.json",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			s, err := settings.LoadAgent(path)
+			if err != nil {
+				return err
+			}
+			return runUntilSignal(cmd.Context(), agent.Initialize(s, a.errOut))
+		},
+	}
+	settingsFlag(cmd, &path)
+	return cmd
+}
+
+func settingsFlag(cmd *cobra.Command, path *string) {
+	cmd.Flags().StringVar(path, "settings", "", "the JSON file with the settings of the process (required)")
+	_ = cmd.MarkFlagRequired("settings")
+}
--- /dev/null
+++ b/pkg/cli/demo.go
@@ -0,0 +1,37 @@
+package cli
+
+import (
+	"io"
+
+	"github.com/spf13/cobra"
+
+	"github.com/fescuehub/fescuehub/pkg/demo"
+)
+
+func (a *app) demoCommand() *cobra.Command {
+	var deployment string
+	var verbose bool
+	cmd := &cobra.Command{
+		Use:     "demo",
+		Short:   "Run the whole path on loopback in one process",
+		Long:    "Run the whole path on loopback in one process: stand-ins, entries and agents on free ports. It ends by itself within 30 seconds.",
+		Example: "  fescuehub demo --deployment somes",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			d, ok := demo.Find(deployment)
+			if !ok {
+				return usage("--deployment is %q; write arcos or somes", deployment)
+			}
+			ctx, stop := signalContext(cmd.Context())
+			defer stop()
+			logs := io.Discard
+			if verbose {
+				logs = a.errOut
+			}
+			return demo.Run(ctx, d, a.out, logs)
+		},
+	}
+	cmd.Flags().StringVar(&deployment, "deployment", "arcos", "the deployment to show: arcos or somes")
+	cmd.Flags().BoolVar(&verbose, "verbose", false, "print the logs of the processes")
+	return cmd
+}
--- /dev/null
+++ b/pkg/cli/standin.go
@@ -0,0 +1,142 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/fescuehub/fescuehub/pkg/httpserver"
+	peerlist "github.com/fescuehub/fescuehub/pkg/peer/instancelist"
+	"github.com/fescuehub/fescuehub/pkg/standin/engine"
+	"github.com/fescuehub/fescuehub/pkg/standin/instancelist"
+	"github.com/fescuehub/fescuehub/pkg/standin/logservice"
+	"github.com/fescuehub/fescuehub/pkg/standin/plainservice"
+	"github.com/fescuehub/fescuehub/pkg/standin/weightstore"
+)
+
+const standinCloseBound = 2 * time.Second
+
+func (a *app) standinCommand() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   "standin",
+		Short: "Run a small stand-in of a system that fescuehub talks to, for tests",
+		Args:  cobra.NoArgs,
+		RunE:  func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
+	}
+	cmd.AddCommand(a.standinLog(), a.standinInstances(), a.standinWeights(), a.standinEngine(), a.standinService())
+	return cmd
+}
+
+func (a *app) standinLog() *cobra.Command {
+	options := logservice.Options{}
+	return standin("log", "the append-only log service", func(cmd *cobra.Command) {
+		cmd.Flags().IntVar(&options.AppendsPerSecond, "appends-per-second", 400, "limit of appends over all streams")
+		cmd.Flags().DurationVar(&options.Retention, "retention", 24*time.Hour, "how long a record is kept")
+	}, func(context.Context) (http.Handler, error) {
+		return logservice.New(options).Handler(), nil
+	})
+}
+
+func (a *app) standinInstances() *cobra.Command {
+	var path string
+	return standin("instances", "the lagging instance list", func(cmd *cobra.Command) {
+		cmd.Flags().StringVar(&path, "list", "", "JSON file with the instances at the start")
+	}, func(context.Context) (http.Handler, error) {
+		var list peerlist.List
+		if path != "" {
+			data, err := os.ReadFile(path)
+			if err != nil {
+				return nil, usage("%v", err)
+			}
+			if err := json.Unmarshal(data, &list); err != nil {
+				return nil, usage("%s: %v", path, err)
+			}
+		}
+		return instancelist.New(list.Instances).Handler(), nil
+	})
+}
+
+func (a *app) standinWeights() *cobra.Command {
+	var objectBytes, bytesPerSecond int
+	return standin("weights", "the rate-limited weight store", func(cmd *cobra.Command) {
+		cmd.Flags().IntVar(&objectBytes, "object-bytes", 1<<20, "size of each object")
+		cmd.Flags().IntVar(&bytesPerSecond, "bytes-per-second", 64<<20, "rate over all readers")
+	}, func(context.Context) (http.Handler, error) {
+		return weightstore.New(objectBytes, bytesPerSecond).Handler(), nil
+	})
+}
+
+func (a *app) standinEngine() *cobra.Command {
+	var o engine.Options
+	return standin("engine", "a model engine", func(cmd *cobra.Command) {
+		f := cmd.Flags()
+		f.StringVar(&o.Name, "name", "engine", "name in answers")
+		f.DurationVar(&o.StepTime, "step", 20*time.Millisecond, "time of one step")
+		f.DurationVar(&o.PrefillPerToken, "prefill-per-word", time.Millisecond, "time for each word of a prompt that the cache lacks")
+		f.IntVar(&o.MaxBatch, "max-batch", 16, "running requests")
+		f.IntVar(&o.CacheEntries, "cache-entries", 256, "prefixes in the cache")
+		f.BoolVar(&o.CheckFencing, "check-fencing", true, "refuse orders with an old fencing number")
+		f.BoolVar(&o.CanResume, "can-resume", true, "resume streams")
+	}, func(ctx context.Context) (http.Handler, error) {
+		e := engine.New(o)
+		go func() { _ = e.Run(ctx) }()
+		return e.Handler(), nil
+	})
+}
+
+func (a *app) standinService() *cobra.Command {
+	var name string
+	return standin("service", "a plain service", func(cmd *cobra.Command) {
+		cmd.Flags().StringVar(&name, "name", "service", "name in answers")
+	}, func(context.Context) (http.Handler, error) {
+		return plainservice.New(name).Handler(), nil
+	})
+}
+
+// standin returns the command of one stand-in, which serves until a signal.
+func standin(name, what string, flags func(*cobra.Command), build func(context.Context) (http.Handler, error)) *cobra.Command {
+	var address string
+	cmd := &cobra.Command{
+		Use:     name,
+		Short:   "Run a stand-in of " + what,
+		Long:    "Run a stand-in of " + what + ". GET and PUT /faults read and switch its faults.",
+		Example: "  fescuehub standin " + name + " --listen 127.0.0.1:7001",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			ctx, stop := signalContext(cmd.Context())
+			defer stop()
+			handler, err := build(ctx)
+			if err != nil {
+				return err
+			}
+			return serve(ctx, address, handler)
+		},
+	}
+	cmd.Flags().StringVar(&address, "listen", "127.0.0.1:0", "IP:port to serve on")
+	flags(cmd)
+	return cmd
+}
+
+func serve(ctx context.Context, address string, handler http.Handler) error {
+	listener, err := httpserver.Listen("--listen", address)
+	if err != nil {
+		return err
+	}
+	server := httpserver.New(listener, tally.NoopScope, handler)
+	var group errgroup.Group
+	group.Go(server.Run)
+	group.Go(func() error {
+		<-ctx.Done()
+		closing, cancel := context.WithTimeout(context.Background(), standinCloseBound)
+		defer cancel()
+		_ = server.Shutdown(closing)
+		return nil
+	})
+	return group.Wait()
+}
--- /dev/null
+++ b/pkg/cli/status.go
@@ -0,0 +1,64 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/fescuehub/fescuehub/pkg/entry"
+	"github.com/fescuehub/fescuehub/pkg/problem"
+)
+
+const operatorTimeout = 3 * time.Second
+
+func (a *app) statusCommand() *cobra.Command {
+	var addresses []string
+	cmd := &cobra.Command{
+		Use:     "status --operator ADDRESS",
+		Short:   "Show the state of entries",
+		Example: "  fescuehub status --operator 127.0.0.1:7101 --operator 127.0.0.1:7102",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			var list []entry.Status
+			for _, address := range addresses {
+				var s entry.Status
+				if err := getJSON(cmd.Context(), "http://"+address+"/v1/status", &s); err != nil {
+					return err
+				}
+				list = append(list, s)
+			}
+			return a.print(list, func(w io.Writer) {
+				for _, s := range list {
+					fmt.Fprintf(w, "%s %s phase=%s ready=%t version=%d offset=%d inFlight=%d\n",
+						s.Name, s.FailureDomain, s.Phase, s.Ready, s.ConfigVersion, s.ConfigOffset, s.InFlight)
+				}
+			})
+		},
+	}
+	cmd.Flags().StringSliceVar(&addresses, "operator", nil, "operator address of an entry; may be given many times (required)")
+	_ = cmd.MarkFlagRequired("operator")
+	return cmd
+}
+
+func getJSON(ctx context.Context, url string, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return usage("%v", err)
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return problem.New(problem.Unavailable, "check the address and that the process runs", "%v", err)
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return problem.New(problem.Unavailable, "check the address and that the process runs", "%s answered %s", url, res.Status)
+	}
+	return json.NewDecoder(res.Body).Decode(into)
+}
--- /dev/null
+++ b/pkg/drain/drain.go
@@ -0,0 +1,96 @@
+// Package drain decides how a process leaves: when it refuses new work, when
+// it closes its listeners, and when it ends. It has no clock of its own.
+package drain
+
+import "time"
+
+// Phase is a stage of leaving.
+type Phase int
+
+// The phases, in order.
+const (
+	// Serving processes take new work.
+	Serving Phase = iota
+	// Announced processes are no longer named to new callers, and still take
+	// work from callers that hold an old address answer.
+	Announced
+	// Refusing processes take no new work and finish what is in flight.
+	Refusing
+	// Ended processes have nothing in flight, or have met their bound.
+	Ended
+)
+
+// String returns the name of the phase.
+func (p Phase) String() string {
+	return [...]string{"serving", "announced", "refusing", "ended"}[p]
+}
+
+// Plan bounds the phases.
+type Plan struct {
+	// Linger is how long callers may hold an old address answer.
+	Linger time.Duration
+	// Bound ends the process whatever is in flight. It counts from the start
+	// of the drain.
+	Bound time.Duration
+}
+
+// Machine is the state of one process. It is not safe for concurrent use.
+type Machine struct {
+	plan    Plan
+	phase   Phase
+	started time.Time
+	// cut is the number of requests in flight when the bound was met.
+	cut int
+}
+
+// New returns a machine in the phase Serving.
+func New(plan Plan) *Machine { return &Machine{plan: plan} }
+
+// Start begins the drain. A second call ends it at once.
+func (m *Machine) Start(now time.Time, inFlight int) Phase {
+	if m.phase == Serving {
+		m.phase = Announced
+		m.started = now
+		return m.Advance(now, inFlight)
+	}
+	return m.end(inFlight)
+}
+
+// Advance moves to the phase that follows from the time and the number of
+// requests in flight.
+func (m *Machine) Advance(now time.Time, inFlight int) Phase {
+	if m.phase == Serving || m.phase == Ended {
+		return m.phase
+	}
+	elapsed := now.Sub(m.started)
+	if elapsed >= m.plan.Bound {
+		return m.end(inFlight)
+	}
+	if m.phase == Announced && elapsed >= m.plan.Linger {
+		m.phase = Refusing
+	}
+	if m.phase == Refusing && inFlight == 0 {
+		m.phase = Ended
+	}
+	return m.phase
+}
+
+// Phase returns the present phase.
+func (m *Machine) Phase() Phase { return m.phase }
+
+// TakesWork reports whether new work is taken.
+func (m *Machine) TakesWork() bool { return m.phase <= Announced }
+
+// Named reports whether the process is named to new callers.
+func (m *Machine) Named() bool { return m.phase == Serving }
+
+// Cut returns the number of requests that the bound cut off.
+func (m *Machine) Cut() int { return m.cut }
+
+func (m *Machine) end(inFlight int) Phase {
+	if m.phase != Ended {
+		m.cut = inFlight
+	}
+	m.phase = Ended
+	return m.phase
+}
--- /dev/null
+++ b/pkg/entry/entry.go
@@ -0,0 +1,152 @@
+// Package entry is the process that answers callers: it tells them which
+// addresses to use, takes their requests, chooses replicas, and relays whole
+// answers.
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/fescuehub/fescuehub/pkg/configuration"
+	"github.com/fescuehub/fescuehub/pkg/drain"
+	"github.com/fescuehub/fescuehub/pkg/httpserver"
+	"github.com/fescuehub/fescuehub/pkg/ident"
+	"github.com/fescuehub/fescuehub/pkg/lifecycle"
+	"github.com/fescuehub/fescuehub/pkg/peer/agentlink"
+	"github.com/fescuehub/fescuehub/pkg/peer/instancelist"
+	"github.com/fescuehub/fescuehub/pkg/peer/logservice"
+	"github.com/fescuehub/fescuehub/pkg/routing"
+	"github.com/fescuehub/fescuehub/pkg/settings"
+	"github.com/fescuehub/fescuehub/pkg/telemetry"
+)
+
+// closeBound bounds the closing of listeners after the drain has ended.
+const closeBound = 2 * time.Second
+
+// Entry is the process.
+type Entry struct {
+	settings    settings.Entry
+	log         *zap.Logger
+	metrics     *telemetry.Metrics
+	scope       tally.Scope
+	incarnation ident.Incarnation
+	life        *lifecycle.Lifecycle
+	config      *configuration.Store
+	follower    *configuration.Follower
+	members     *members
+	replicas    *replicas
+	attempts    *agentlink.Client
+	selector    routing.Selector
+}
+
+// New returns an entry that has opened nothing yet.
+func New(
+	s settings.Entry,
+	log *zap.Logger,
+	metrics *telemetry.Metrics,
+	logClient *logservice.Client,
+	instances *instancelist.Client,
+	selector routing.Selector,
+) *Entry {
+	store := configuration.NewStore()
+	incarnation := ident.NewIncarnation(s.Name)
+	scope := metrics.Scope.SubScope("entry")
+	replicas := newReplicas(log, s.Name, incarnation, store)
+	return &Entry{
+		settings:    s,
+		log:         log,
+		metrics:     metrics,
+		scope:       scope,
+		incarnation: incarnation,
+		life:        lifecycle.New(log, planOf(s)),
+		config:      store,
+		follower:    configuration.NewFollower(log, logClient, store),
+		members:     newMembers(log, instances, replicas),
+		replicas:    replicas,
+		attempts:    agentlink.NewClient(),
+		selector:    selector,
+	}
+}
+
+func planOf(s settings.Entry) drain.Plan {
+	return drain.Plan{
+		Linger: time.Duration(s.AddressLifetimeSeconds) * time.Second,
+		Bound:  time.Duration(s.ShutdownSeconds) * time.Second,
+	}
+}
+
+// Drain begins to leave; a second call ends the entry at once.
+func (e *Entry) Drain() { e.life.Drain() }
+
+// Run serves until ctx ends or the drain has ended.
+func (e *Entry) Run(ctx context.Context) error {
+	defer e.metrics.Close()
+	listeners, err := e.listen()
+	if err != nil {
+		return err
+	}
+	callers := httpserver.New(listeners[0], e.scope.SubScope("caller"), e.callerHandler())
+	operators := httpserver.New(listeners[1], e.scope.SubScope("operator"), e.operatorHandler())
+
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(callers.Run)
+	group.Go(operators.Run)
+	group.Go(func() error { return e.follower.Run(ctx) })
+	group.Go(func() error { return e.members.run(ctx) })
+	group.Go(func() error { return e.replicas.run(ctx) })
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+		case <-e.life.Ended():
+		}
+		stop()
+		closing, cancel := context.WithTimeout(context.Background(), closeBound)
+		defer cancel()
+		_ = callers.Shutdown(closing)
+		_ = operators.Shutdown(closing)
+		return nil
+	})
+	e.log.Info("entry started", zap.String("incarnation", string(e.incarnation)), zap.String("callerAddress", e.settings.CallerAddress))
+	err = group.Wait()
+	e.log.Info("entry ended", zap.Error(err))
+	return err
+}
+
+// listen opens the addresses of the settings, or none.
+func (e *Entry) listen() ([]net.Listener, error) {
+	var open []net.Listener
+	for _, a := range []struct{ setting, address string }{
+		{"callerAddress", e.settings.CallerAddress},
+		{"operatorAddress", e.settings.OperatorAddress},
+	} {
+		l, err := httpserver.Listen(a.setting, a.address)
+		if err != nil {
+			closeAll(open)
+			return nil, err
+		}
+		open = append(open, l)
+	}
+	return open, nil
+}
+
+func closeAll(listeners []net.Listener) {
+	for _, l := range listeners {
+		_ = l.Close()
+	}
+}
+
+func (e *Entry) callerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/addresses", e.serveAddresses)
+	mux.HandleFunc("POST /v1/chat/completions", e.serveModel)
+	mux.HandleFunc("/services/{route}/{path...}", e.serveService)
+	return mux
+}
--- /dev/null
+++ b/pkg/entry/exchange.go
@@ -0,0 +1,75 @@
+package entry
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/fescuehub/fescuehub/pkg/ident"
+	"github.com/fescuehub/fescuehub/pkg/problem"
+	"github.com/fescuehub/fescuehub/pkg/tables"
+)
+
+// exchange is one request of a caller and the state of its answer.
+type exchange struct {
+	route        tables.Route
+	pool         tables.Pool
+	organisation tables.Organisation
+	deadline     time.Time
+	method       string
+	path         string
+	header       http.Header
+	body         []byte
+	// stream is true where the answer is a stream of server-sent events.
+	stream bool
+	// idempotent requests may be sent again after an unknown outcome.
+	idempotent bool
+	// key is set on unrepeatable calls.
+	key string
+	// adapter and prefixHash describe a model request to routing.
+	adapter    string
+	prefixHash uint64
+	attempt    ident.AttemptID
+	out        *answerWriter
+}
+
+// readBody reads the body of a request. The error has the kind TooLarge.
+func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(e.settings.MaxBodyBytes)))
+	if err != nil {
+		return nil, problem.New(problem.TooLarge, "send a smaller body",
+			"the body could not be read within %d bytes: %v", e.settings.MaxBodyBytes, err).WithOutcome(problem.NotRun)
+	}
+	return body, nil
+}
+
+// open finds the route, its pool and the caller's organisation.
+func (e *Entry) open(r *http.Request, routeName string) (*exchange, error) {
+	route, pool, err := e.config.View().Route(routeName)
+	if err != nil {
+		return nil, err
+	}
+	name := r.Header.Get(OrganisationHeader)
+	organisation, ok := route.Find(name)
+	if !ok {
+		return nil, problem.New(problem.UnknownOrganisation,
+			"send the "+OrganisationHeader+" header with an organisation of the route, or add it to the route",
+			"route %q does not list organisation %q", routeName, name).WithOutcome(problem.NotRun)
+	}
+	return &exchange{
+		route:        route,
+		pool:         pool,
+		organisation: organisation,
+		deadline:     time.Now().Add(time.Duration(route.Deadline()) * time.Millisecond),
+		method:       r.Method,
+	}, nil
+}
+
+// notReady returns an error while the entry has no configuration.
+func (e *Entry) notReady() error {
+	if e.follower.CaughtUp() {
+		return nil
+	}
+	return problem.New(problem.Unavailable, "use another address, or come back",
+		"this entry has not read the configuration yet").WithOutcome(problem.NotRun).WithRetryAfter(time.Second)
+}
--- /dev/null
+++ b/pkg/entry/service.go
@@ -0,0 +1,85 @@
+package entry
+
+import (
+	"net/http"
+	"strings"
+
+	"github.com/fescuehub/fescuehub/pkg/ident"
+	"github.com/fescuehub/fescuehub/pkg/peer/plainservice"
+	"github.com/fescuehub/fescuehub/pkg/tables"
+)
+
+// hopHeaders belong to one connection and are not passed on (RFC 9110, 7.6.1).
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
+}
+
+func (e *Entry) serveService(w http.ResponseWriter, r *http.Request) {
+	x, err := e.openService(w, r)
+	if err != nil {
+		e.refuse(w, err)
+		return
+	}
+	x.out = newAnswerWriter(w, false)
+	e.serve(r.Context(), x)
+}
+
+func (e *Entry) openService(w http.ResponseWriter, r *http.Request) (*exchange, error) {
+	if err := e.notReady(); err != nil {
+		return nil, err
+	}
+	x, err := e.open(r, r.PathValue("route"))
+	if err != nil {
+		return nil, err
+	}
+	if x.pool.Kind != tables.Service {
+		return nil, wrongKind(x, "/v1/chat/completions")
+	}
+	if x.body, err = e.readBody(w, r); err != nil {
+		return nil, err
+	}
+	x.path = "/" + r.PathValue("path")
+	if r.URL.RawQuery != "" {
+		x.path += "?" + r.URL.RawQuery
+	}
+	x.header = forwarded(r.Header)
+	if x.route.RunsAtMostOnce(r.Method) {
+		x.key = r.Header.Get(plainservice.KeyHeader)
+		if x.key == "" {
+			x.key = ident.NewKey()
+		}
+		return x, nil
+	}
+	x.idempotent = isIdempotent(r.Method)
+	return x, nil
+}
+
+// isIdempotent follows RFC 9110, 9.2.2.
+func isIdempotent(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodPut, http.MethodDelete:
+		return true
+	}
+	return false
+}
+
+// forwarded returns the header without what belongs to the connection or to
+// this system.
+func forwarded(in http.Header) http.Header {
+	out := in.Clone()
+	for _, list := range in.Values("Connection") {
+		for name := range strings.SplitSeq(list, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		out.Del(name)
+	}
+	for name := range out {
+		if strings.HasPrefix(name, "Fescue-") {
+			delete(out, name)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/entry/wire.go
@@ -0,0 +1,27 @@
+//go:build wireinject
+
+package entry
+
+import (
+	"io"
+
+	"github.com/google/wire"
+
+	"github.com/fescuehub/fescuehub/pkg/routing"
+	"github.com/fescuehub/fescuehub/pkg/settings"
+	"github.com/fescuehub/fescuehub/pkg/telemetry"
+)
+
+// Initialize returns an entry with all that it needs. Logs go to logs.
+func Initialize(s settings.Entry, logs io.Writer) *Entry {
+	wire.Build(
+		New,
+		telemetry.NewMetrics,
+		provideLogger,
+		provideLogClient,
+		provideInstances,
+		wire.Value(routing.LeastInFlight{}),
+		wire.Bind(new(routing.Selector), new(routing.LeastInFlight)),
+	)
+	return nil
+}
--- /dev/null
+++ b/pkg/faultmatrix/matrix.go
@@ -0,0 +1,169 @@
+package faultmatrix
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+)
+
+// Scenario is one protocol with the properties that must hold.
+type Scenario struct {
+	// Protocol names the protocol, such as "write".
+	Protocol string
+	// Build adds the nodes and starts the protocol.
+	Build func(w *World)
+	// Check returns the violations found after the world has come to rest.
+	Check func(w *World) []string
+	// Inapplicable lists the faults that mean nothing to the protocol.
+	Inapplicable []Fault
+}
+
+// Options choose the cells of a matrix.
+type Options struct {
+	Seeds []uint64
+	// Pairs is the number of random pairs of faults tried with each seed.
+	Pairs int
+}
+
+// Cell is one run.
+type Cell struct {
+	Seed       uint64
+	Injections []Injection
+	Step       string
+	Violations []string
+}
+
+// Replay returns the arguments that run the cell again.
+func (c Cell) Replay() string {
+	parts := make([]string, len(c.Injections))
+	for i, in := range c.Injections {
+		parts[i] = fmt.Sprintf("%s@%d", in.Fault, in.Step)
+	}
+	return fmt.Sprintf("FESCUE_MATRIX_SEED=%d FESCUE_MATRIX_CELL=%s", c.Seed, strings.Join(parts, ","))
+}
+
+// Report is the outcome of a matrix.
+type Report struct {
+	Protocol string
+	Runs     int
+	Failed   []Cell
+	// counts maps a fault and a step's name to runs and failures.
+	counts map[row]*count
+}
+
+type row struct {
+	fault Fault
+	step  string
+}
+
+type count struct{ runs, failed int }
+
+// Run runs every fault at every step, then pairs of faults.
+func Run(s Scenario, o Options) (Report, error) {
+	report := Report{Protocol: s.Protocol, counts: make(map[row]*count)}
+	for _, seed := range o.Seeds {
+		steps, violations, err := runOnce(s, seed, nil)
+		if err != nil {
+			return report, err
+		}
+		report.add(Cell{Seed: seed, Step: "none", Violations: violations}, "none")
+		for _, f := range All {
+			if slices.Contains(s.Inapplicable, f) {
+				continue
+			}
+			for _, step := range steps {
+				if err := report.runCell(s, seed, step.Name, []Injection{{f, step.Index}}); err != nil {
+					return report, err
+				}
+			}
+		}
+		if err := report.runPairs(s, seed, steps, o.Pairs); err != nil {
+			return report, err
+		}
+	}
+	return report, nil
+}
+
+func (r *Report) runPairs(s Scenario, seed uint64, steps []Step, pairs int) error {
+	w := newWorld(seed, nil)
+	for range pairs {
+		a := Injection{All[w.random.IntN(len(All))], w.random.IntN(len(steps))}
+		b := Injection{All[w.random.IntN(len(All))], w.random.IntN(len(steps) + len(steps)/2)}
+		if slices.Contains(s.Inapplicable, a.Fault) || slices.Contains(s.Inapplicable, b.Fault) {
+			continue
+		}
+		if err := r.runCell(s, seed, "pair", []Injection{a, b}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *Report) runCell(s Scenario, seed uint64, step string, inject []Injection) error {
+	_, violations, err := runOnce(s, seed, inject)
+	cell := Cell{Seed: seed, Injections: inject, Step: step, Violations: violations}
+	if err != nil {
+		return fmt.Errorf("%s: %w", cell.Replay(), err)
+	}
+	r.add(cell, inject[0].Fault)
+	return nil
+}
+
+func (r *Report) add(c Cell, f Fault) {
+	r.Runs++
+	key := row{f, c.Step}
+	if r.counts[key] == nil {
+		r.counts[key] = &count{}
+	}
+	r.counts[key].runs++
+	if len(c.Violations) > 0 {
+		r.counts[key].failed++
+		r.Failed = append(r.Failed, c)
+	}
+}
+
+// Replay runs one cell, given as FAULT@STEP joined by commas.
+func Replay(s Scenario, seed uint64, cell string) (Cell, []Step, error) {
+	var inject []Injection
+	for part := range strings.SplitSeq(cell, ",") {
+		var i Injection
+		fault, step, ok := strings.Cut(part, "@")
+		if !ok {
+			continue
+		}
+		i.Fault = Fault(fault)
+		if _, err := fmt.Sscan(step, &i.Step); err != nil {
+			return Cell{}, nil, err
+		}
+		inject = append(inject, i)
+	}
+	steps, violations, err := runOnce(s, seed, inject)
+	return Cell{Seed: seed, Injections: inject, Violations: violations}, steps, err
+}
+
+func runOnce(s Scenario, seed uint64, inject []Injection) ([]Step, []string, error) {
+	w := newWorld(seed, inject)
+	w.Add(wakeNode, func(int) Node { return waker{w} })
+	s.Build(w)
+	if err := w.run(); err != nil {
+		return w.steps, nil, err
+	}
+	return w.steps, s.Check(w), nil
+}
+
+// Write prints the counts of runs and failures of each fault at each step.
+func (r Report) Write(out io.Writer) {
+	keys := make([]row, 0, len(r.counts))
+	for k := range r.counts {
+		keys = append(keys, k)
+	}
+	slices.SortFunc(keys, func(a, b row) int {
+		return strings.Compare(string(a.fault)+"\x00"+a.step, string(b.fault)+"\x00"+b.step)
+	})
+	fmt.Fprintf(out, "protocol %s: %d runs, %d failed\n", r.Protocol, r.Runs, len(r.Failed))
+	for _, k := range keys {
+		c := r.counts[k]
+		fmt.Fprintf(out, "  %-14s %-48s runs %4d failed %4d\n", k.fault, k.step, c.runs, c.failed)
+	}
+}
--- /dev/null
+++ b/pkg/frame/frame.go
@@ -0,0 +1,64 @@
+// Package frame carries the answer to one attempt from an agent to an entry as
+// numbered frames, and decides which frames belong to the answer. An answer
+// without its last frame is not an answer.
+package frame
+
+import (
+	"net/http"
+
+	"github.com/fescuehub/fescuehub/pkg/ident"
+	"github.com/fescuehub/fescuehub/pkg/problem"
+)
+
+// Frame is one piece of an answer. Frame 0 carries the status and the header,
+// later frames carry data, and the last one is marked.
+type Frame struct {
+	Attempt ident.AttemptID `json:"attempt"`
+	Seq     int             `json:"seq"`
+	Status  int             `json:"status,omitempty"`
+	Header  http.Header     `json:"header,omitempty"`
+	Data    []byte          `json:"data,omitempty"`
+	Last    bool            `json:"last,omitempty"`
+	// Failure is set on a last frame that ends the answer with an error.
+	Failure *problem.Error `json:"failure,omitempty"`
+}
+
+// Sequencer accepts the frames of one attempt in order. It is not safe for
+// concurrent use.
+type Sequencer struct {
+	attempt ident.AttemptID
+	next    int
+	done    bool
+	dropped int
+}
+
+// NewSequencer returns a Sequencer for the attempt.
+func NewSequencer(attempt ident.AttemptID) *Sequencer {
+	return &Sequencer{attempt: attempt}
+}
+
+// Accept decides about one frame. It returns false for a frame that must be
+// dropped: another attempt's, a duplicate, or one after the last. The error
+// kind is BrokenFrame where a frame is missing.
+func (s *Sequencer) Accept(f Frame) (bool, error) {
+	if f.Attempt != s.attempt || s.done || f.Seq < s.next {
+		s.dropped++
+		return false, nil
+	}
+	if f.Seq > s.next {
+		return false, problem.New(problem.BrokenFrame, "send the request again if it is idempotent",
+			"frame %d is missing from the answer", s.next).WithOutcome(problem.NotKnown)
+	}
+	s.next++
+	s.done = f.Last
+	return true, nil
+}
+
+// Complete reports whether the last frame has been accepted.
+func (s *Sequencer) Complete() bool { return s.done }
+
+// Dropped returns the number of frames dropped.
+func (s *Sequencer) Dropped() int { return s.dropped }
+
+// Next returns the sequence number of the next frame.
+func (s *Sequencer) Next() int { return s.next }
--- /dev/null
+++ b/pkg/lifecycle/lifecycle.go
@@ -0,0 +1,104 @@
+// Package lifecycle drives the drain of a process: it counts the requests in
+// flight, advances the decision of package drain, and tells when to end.
+package lifecycle
+
+import (
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/fescuehub/fescuehub/pkg/drain"
+	"github.com/fescuehub/fescuehub/pkg/problem"
+)
+
+const advanceInterval = 20 * time.Millisecond
+
+// Lifecycle is the drain of one process. It is safe for concurrent use.
+type Lifecycle struct {
+	log      *zap.Logger
+	mu       sync.Mutex
+	machine  *drain.Machine
+	inFlight int
+	started  bool
+	ended    chan struct{}
+}
+
+// New returns a lifecycle in the phase Serving.
+func New(log *zap.Logger, plan drain.Plan) *Lifecycle {
+	return &Lifecycle{log: log, machine: drain.New(plan), ended: make(chan struct{})}
+}
+
+// Begin admits one request. The error has the kind Draining and the outcome
+// NotRun. Every admitted request must be ended by Done.
+func (l *Lifecycle) Begin() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.machine.TakesWork() {
+		return problem.New(problem.Draining, "ask for addresses again and send the request there",
+			"this instance is leaving").WithOutcome(problem.NotRun).WithRetryAfter(time.Second)
+	}
+	l.inFlight++
+	return nil
+}
+
+// Done ends one admitted request.
+func (l *Lifecycle) Done() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.inFlight--
+}
+
+// InFlight returns the number of admitted requests that have not ended.
+func (l *Lifecycle) InFlight() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.inFlight
+}
+
+// Phase returns the present phase.
+func (l *Lifecycle) Phase() drain.Phase {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.machine.Phase()
+}
+
+// Drain begins to leave. A second call ends the process at once.
+func (l *Lifecycle) Drain() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.note(l.machine.Start(time.Now(), l.inFlight))
+	if !l.started {
+		l.started = true
+		go l.advance()
+	}
+}
+
+// Ended is closed when the process may end.
+func (l *Lifecycle) Ended() <-chan struct{} { return l.ended }
+
+func (l *Lifecycle) advance() {
+	ticker := time.NewTicker(advanceInterval)
+	defer ticker.Stop()
+	defer close(l.ended)
+	for range ticker.C {
+		if l.step() == drain.Ended {
+			return
+		}
+	}
+}
+
+func (l *Lifecycle) step() drain.Phase {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	before := l.machine.Phase()
+	after := l.machine.Advance(time.Now(), l.inFlight)
+	if before != after {
+		l.note(after)
+	}
+	return after
+}
+
+func (l *Lifecycle) note(p drain.Phase) {
+	l.log.Info("drain phase", zap.Stringer("phase", p), zap.Int("inFlight", l.inFlight), zap.Int("cut", l.machine.Cut()))
+}
--- /dev/null
+++ b/pkg/peer/agentlink/client.go
@@ -0,0 +1,109 @@
+package agentlink
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fescuehub/fescuehub/pkg/frame"
+	"github.com/fescuehub/fescuehub/pkg/problem"
+)
+
+const (
+	dialTimeout = 2 * time.Second
+	// maxFrameBytes bounds one encoded frame.
+	maxFrameBytes       = 8 << 20
+	idleConnsPerAgent   = 64
+	frameReaderBufBytes = 32 << 10
+)
+
+// Client sends attempts to agents. It is safe for concurrent use.
+type Client struct {
+	http *http.Client
+}
+
+// NewClient returns a client that never sends an attempt twice by itself.
+func NewClient() *Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &Client{http: &http.Client{Transport: &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: idleConnsPerAgent,
+		IdleConnTimeout:     time.Minute,
+		DisableCompression:  true,
+	}}}
+}
+
+// Start sends an attempt and returns the reader of its frames. An error has
+// the outcome NotRun only where the agent was never reached.
+func (c *Client) Start(ctx context.Context, address string, request AttemptRequest, body []byte) (*FrameReader, error) {
+	meta, err := json.Marshal(request)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode attempt")
+	}
+	content := make([]byte, 0, len(meta)+1+len(body))
+	content = append(content, meta...)
+	content = append(content, '\n')
+	content = append(content, body...)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+AttemptsPath, bytes.NewReader(content))
+	if err != nil {
+		return nil, errors.Wrap(err, "make attempt")
+	}
+	// Without GetBody net/http cannot send the attempt again on a connection
+	// that broke.
+	req.GetBody = nil
+	res, err := c.http.Do(req)
+	if err != nil {
+		return nil, unreachable(err)
+	}
+	return newFrameReader(res.Body), nil
+}
+
+// FrameReader reads the frames of one answer.
+type FrameReader struct {
+	body io.ReadCloser
+	scan *bufio.Scanner
+}
+
+func newFrameReader(body io.ReadCloser) *FrameReader {
+	scan := bufio.NewScanner(body)
+	scan.Buffer(make([]byte, 0, frameReaderBufBytes), maxFrameBytes)
+	return &FrameReader{body: body, scan: scan}
+}
+
+// Next returns the next frame. The error has the kind TruncatedAnswer at the
+// end of the connection, and BrokenFrame where the frame cannot be read.
+func (r *FrameReader) Next() (frame.Frame, error) {
+	if !r.scan.Scan() {
+		return frame.Frame{}, problem.New(problem.TruncatedAnswer, "send the request again if it is idempotent",
+			"the connection to the agent ended before the last frame: %v", r.scan.Err()).WithOutcome(problem.NotKnown)
+	}
+	return DecodeFrame(r.scan.Bytes())
+}
+
+// Close ends the reading. An attempt that is still running is cancelled.
+func (r *FrameReader) Close() { _ = r.body.Close() }
+
+// DecodeFrame reads one frame. The error has the kind BrokenFrame.
+func DecodeFrame(line []byte) (frame.Frame, error) {
+	var f frame.Frame
+	if err := json.Unmarshal(line, &f); err != nil {
+		return f, problem.New(problem.BrokenFrame, "run the same release on every instance", "frame: %v", err).WithOutcome(problem.NotKnown)
+	}
+	return f, nil
+}
+
+func unreachable(err error) error {
+	p := problem.New(problem.BackendUnreachable, "send the request again if it is idempotent", "the agent did not answer: %v", err)
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return p.WithOutcome(problem.NotRun)
+	}
+	return p.WithOutcome(problem.NotKnown)
+}
--- /dev/null
+++ b/pkg/peer/logservice/logservice.go
@@ -0,0 +1,124 @@
+// Package logservice is the client of the platform's append-only log service.
+// The service keeps named streams of records with offsets, for a limited time.
+package logservice
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/fescuehub/fescuehub/pkg/problem"
+)
+
+// Record is one record of a stream.
+type Record struct {
+	Offset int64 `json:"offset"`
+	// TimeMS is when the service took the record, in Unix milliseconds.
+	TimeMS int64  `json:"timeMS"`
+	Data   []byte `json:"data"`
+}
+
+// Page is a run of records.
+type Page struct {
+	// First is the offset of the oldest record held.
+	First int64 `json:"first"`
+	// Next is the offset that the next append will get.
+	Next    int64    `json:"next"`
+	Records []Record `json:"records"`
+}
+
+// Appended is the reply to an append.
+type Appended struct {
+	Offset int64 `json:"offset"`
+}
+
+// MaxRecordBytes bounds one record.
+const MaxRecordBytes = 1 << 20
+
+const (
+	// AppendTimeout bounds one append.
+	AppendTimeout = 3 * time.Second
+	// readGrace is added to the wait of a read to bound it.
+	readGrace    = 3 * time.Second
+	maxPageBytes = 64 << 20
+)
+
+// Client talks to one log service. It is safe for concurrent use.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// New returns a client of the service at the base URL.
+func New(base string) *Client {
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.Proxy = nil
+	return &Client{base: base, http: &http.Client{Transport: transport}}
+}
+
+// Append adds a record to the stream and returns its offset. The error has
+// the kind LogUnavailable. Its outcome is NotRun where the service refused the
+// record, and NotKnown where the reply was lost.
+func (c *Client) Append(ctx context.Context, stream string, data []byte) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, AppendTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.recordsURL(stream), bytes.NewReader(data))
+	if err != nil {
+		return 0, unavailable(problem.NotRun, err)
+	}
+	res, err := c.http.Do(req)
+	if err != nil {
+		return 0, unavailable(problem.NotKnown, err)
+	}
+	defer res.Body.Close()
+	if res.StatusCode == http.StatusServiceUnavailable || res.StatusCode == http.StatusTooManyRequests {
+		return 0, unavailable(problem.NotRun, fmt.Errorf("status %d", res.StatusCode))
+	}
+	if res.StatusCode != http.StatusOK {
+		return 0, unavailable(problem.NotKnown, fmt.Errorf("status %d", res.StatusCode))
+	}
+	var reply Appended
+	if err := json.NewDecoder(io.LimitReader(res.Body, maxPageBytes)).Decode(&reply); err != nil {
+		return 0, unavailable(problem.NotKnown, err)
+	}
+	return reply.Offset, nil
+}
+
+// Read returns up to limit records from the offset on. It waits up to wait for
+// the first one. A page whose First is above from has lost records.
+func (c *Client) Read(ctx context.Context, stream string, from int64, limit int, wait time.Duration) (Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+readGrace)
+	defer cancel()
+	target := fmt.Sprintf("%s?from=%d&max=%d&waitMS=%d", c.recordsURL(stream), from, limit, wait.Milliseconds())
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return Page{}, unavailable(problem.NotRun, err)
+	}
+	res, err := c.http.Do(req)
+	if err != nil {
+		return Page{}, unavailable(problem.NotRun, err)
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return Page{}, unavailable(problem.NotRun, fmt.Errorf("status %d", res.StatusCode))
+	}
+	var page Page
+	if err := json.NewDecoder(io.LimitReader(res.Body, maxPageBytes)).Decode(&page); err != nil {
+		return Page{}, unavailable(problem.NotRun, err)
+	}
+	return page, nil
+}
+
+func (c *Client) recordsURL(stream string) string {
+	return c.base + "/streams/" + url.PathEscape(stream) + "/records"
+}
+
+func unavailable(outcome problem.Outcome, cause error) error {
+	return problem.New(problem.LogUnavailable, "wait until the log service is back; nothing needs to be done here",
+		"the log service did not answer: %v", cause).WithOutcome(outcome)
+}
--- /dev/null
+++ b/pkg/peer/plainservice/plainservice.go
@@ -0,0 +1,63 @@
+// Package plainservice is the client of a plain service beside the engines.
+package plainservice
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+
+	"github.com/fescuehub/fescuehub/pkg/problem"
+)
+
+// KeyHeader carries the idempotency key of a call.
+const KeyHeader = "Idempotency-Key"
+
+// Call is one call of a plain service.
+type Call struct {
+	Method string
+	// Path with its query, beginning with a slash.
+	Path   string
+	Header http.Header
+	Body   []byte
+}
+
+// Client calls one plain service. It is safe for concurrent use.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// New returns a client of the service at the base URL. It never sends a call
+// again by itself.
+func New(base string) *Client {
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.Proxy = nil
+	// A kept connection that the service closes makes net/http send some calls
+	// again; a fresh connection for each call rules that out.
+	transport.DisableKeepAlives = true
+	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &Client{base: base, http: &http.Client{Transport: transport, CheckRedirect: noRedirect}}
+}
+
+// Do sends the call once. The caller closes the body of the response. The
+// error has the kind BackendUnreachable and the outcome NotKnown.
+func (c *Client) Do(ctx context.Context, call Call) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, call.Method, c.base+call.Path, bytes.NewReader(call.Body))
+	if err != nil {
+		return nil, unreachable(err).WithOutcome(problem.NotRun)
+	}
+	req.Header = call.Header.Clone()
+	if req.Header == nil {
+		req.Header = make(http.Header)
+	}
+	res, err := c.http.Do(req)
+	if err != nil {
+		return nil, unreachable(err)
+	}
+	return res, nil
+}
+
+func unreachable(cause error) *problem.Error {
+	return problem.New(problem.BackendUnreachable, "look the action up at the service before sending it under a new key",
+		"the service did not answer: %v", cause).WithOutcome(problem.NotKnown)
+}
--- /dev/null
+++ b/pkg/peer/weightstore/weightstore.go
@@ -0,0 +1,54 @@
+// Package weightstore is the client of the platform's rate-limited store of
+// model weights.
+package weightstore
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+
+	"github.com/fescuehub/fescuehub/pkg/problem"
+)
+
+// Client reads weights. It is safe for concurrent use.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// New returns a client of the store at the base URL.
+func New(base string) *Client {
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.Proxy = nil
+	return &Client{base: base, http: &http.Client{Transport: transport}}
+}
+
+// Fetch reads one object to its end and returns its size in bytes. An object
+// that ends early is an error of kind Unavailable.
+func (c *Client) Fetch(ctx context.Context, model, object string) (int64, error) {
+	target := c.base + "/weights/" + url.PathEscape(model) + "/" + url.PathEscape(object)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return 0, unavailable(err)
+	}
+	res, err := c.http.Do(req)
+	if err != nil {
+		return 0, unavailable(err)
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return 0, unavailable(fmt.Errorf("status %d", res.StatusCode))
+	}
+	n, err := io.Copy(io.Discard, res.Body)
+	if err != nil {
+		return n, unavailable(err)
+	}
+	return n, nil
+}
+
+func unavailable(cause error) error {
+	return problem.New(problem.Unavailable, "fetch again after a pause; the map in use stays in use",
+		"the weight store did not deliver: %v", cause)
+}
--- /dev/null
+++ b/pkg/rpc/rpc.go
@@ -0,0 +1,179 @@
+// Package rpc runs JSON-RPC 2.0 connections over TCP between the processes of
+// fescuehub. Errors keep their kind, outcome and remedy across a connection.
+package rpc
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/fescuehub/fescuehub/pkg/problem"
+)
+
+const (
+	dialTimeout = 2 * time.Second
+	// CallTimeout bounds one call.
+	CallTimeout = 3 * time.Second
+	// problemCode is the JSON-RPC error code of an error with a kind.
+	problemCode = -32050
+)
+
+// Method answers one call or notification.
+type Method func(ctx context.Context, peer *Conn, params json.RawMessage) (any, error)
+
+// Methods maps method names to their implementation.
+type Methods map[string]Method
+
+// Typed wraps a method whose parameters have type P. Malformed parameters are
+// an error of kind BadRequest.
+func Typed[P any](method func(ctx context.Context, peer *Conn, params P) (any, error)) Method {
+	return func(ctx context.Context, peer *Conn, raw json.RawMessage) (any, error) {
+		var params P
+		if err := json.Unmarshal(raw, &params); err != nil {
+			return nil, problem.New(problem.BadRequest, "run the same release on every instance", "malformed parameters: %v", err)
+		}
+		return method(ctx, peer, params)
+	}
+}
+
+// Conn is one connection.
+type Conn struct {
+	rpc *jsonrpc2.Conn
+}
+
+// Dial connects to an address and serves methods to the other side. The error
+// has the kind Unavailable.
+func Dial(ctx context.Context, address string, methods Methods) (*Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout}
+	nc, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, unavailable(address, err)
+	}
+	return newConn(ctx, nc, methods), nil
+}
+
+func newConn(ctx context.Context, nc net.Conn, methods Methods) *Conn {
+	c := &Conn{}
+	ready := make(chan struct{})
+	handler := jsonrpc2.HandlerWithError(func(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
+		<-ready
+		return c.handle(ctx, methods, req)
+	})
+	c.rpc = jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(nc), jsonrpc2.AsyncHandler(handler))
+	close(ready)
+	return c
+}
+
+func (c *Conn) handle(ctx context.Context, methods Methods, req *jsonrpc2.Request) (any, error) {
+	method, ok := methods[req.Method]
+	if !ok {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method " + req.Method}
+	}
+	params := json.RawMessage("null")
+	if req.Params != nil {
+		params = *req.Params
+	}
+	result, err := method(ctx, c, params)
+	if err != nil {
+		return nil, encodeError(err)
+	}
+	return result, nil
+}
+
+// Call calls a method and decodes its result into result.
+func (c *Conn) Call(ctx context.Context, method string, params, result any) error {
+	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
+	defer cancel()
+	if err := c.rpc.Call(ctx, method, params, result); err != nil {
+		return decodeError(method, err)
+	}
+	return nil
+}
+
+// Notify sends a notification, which has no reply.
+func (c *Conn) Notify(ctx context.Context, method string, params any) error {
+	return c.rpc.Notify(ctx, method, params)
+}
+
+// Done is closed when the connection has ended.
+func (c *Conn) Done() <-chan struct{} { return c.rpc.DisconnectNotify() }
+
+// Close ends the connection.
+func (c *Conn) Close() { _ = c.rpc.Close() }
+
+// Server serves methods on a listener.
+type Server struct {
+	listener net.Listener
+	methods  Methods
+	mu       sync.Mutex
+	conns    map[*Conn]struct{}
+}
+
+// NewServer returns a server on an open listener.
+func NewServer(listener net.Listener, methods Methods) *Server {
+	return &Server{listener: listener, methods: methods, conns: make(map[*Conn]struct{})}
+}
+
+// Run accepts connections until ctx ends.
+func (s *Server) Run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = s.listener.Close() })
+	defer stop()
+	defer s.closeAll()
+	for {
+		nc, err := s.listener.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		s.add(newConn(ctx, nc, s.methods))
+	}
+}
+
+func (s *Server) add(c *Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns[c] = struct{}{}
+	go func() {
+		<-c.Done()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.conns, c)
+	}()
+}
+
+func (s *Server) closeAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		go c.Close()
+	}
+}
+
+func encodeError(err error) error {
+	p := problem.Of(err)
+	e := &jsonrpc2.Error{Code: problemCode, Message: p.Detail}
+	e.SetError(p)
+	return e
+}
+
+func decodeError(method string, err error) error {
+	e, ok := err.(*jsonrpc2.Error)
+	if !ok || e.Code != problemCode || e.Data == nil {
+		return unavailable(method, err)
+	}
+	var p problem.Error
+	if json.Unmarshal(*e.Data, &p) != nil {
+		return unavailable(method, err)
+	}
+	return &p
+}
+
+func unavailable(what string, cause error) error {
+	return problem.New(problem.Unavailable, "nothing needs to be done; the connection is made again", "%s: %v", what, cause)
+}
--- /dev/null
+++ b/pkg/settings/settings.go
@@ -0,0 +1,228 @@
+// Package settings holds the settings of each process. They are written in
+// JSON, read once at the start, and checked before any socket opens.
+package settings
+
+import (
+	"fmt"
+	"net"
+	"net/url"
+	"os"
+	"strconv"
+
+	"github.com/fescuehub/fescuehub/pkg/problem"
+	"github.com/fescuehub/fescuehub/pkg/strictjson"
+)
+
+// Entry is the settings of an entry instance.
+type Entry struct {
+	// Name of the instance, unique in the deployment.
+	Name string `json:"name"`
+	// FailureDomain that the instance is in.
+	FailureDomain string `json:"failureDomain"`
+	// CallerAddress is the IP:port for callers.
+	CallerAddress string `json:"callerAddress"`
+	// PeerAddress is the IP:port for other entries.
+	PeerAddress string `json:"peerAddress"`
+	// OperatorAddress is the IP:port for health, metrics and status.
+	OperatorAddress string `json:"operatorAddress"`
+	// LogURL is the base URL of the log service.
+	LogURL string `json:"logURL"`
+	// InstancesURL is the base URL of the instance list.
+	InstancesURL string `json:"instancesURL"`
+	// AddressLifetimeSeconds is how long callers keep an address answer.
+	// 0 stands for DefaultAddressLifetimeSeconds.
+	AddressLifetimeSeconds int `json:"addressLifetimeSeconds,omitempty"`
+	// ShutdownSeconds bounds a graceful shutdown. 0 stands for
+	// DefaultShutdownSeconds.
+	ShutdownSeconds int `json:"shutdownSeconds,omitempty"`
+	// MaxBodyBytes bounds the body of a request. 0 stands for
+	// DefaultMaxBodyBytes.
+	MaxBodyBytes int `json:"maxBodyBytes,omitempty"`
+}
+
+// Backend is the part of an agent's settings about its backend server.
+type Backend struct {
+	// Kind is "engine" or "service".
+	Kind string `json:"kind"`
+	// URL is the base URL of the backend server.
+	URL string `json:"url"`
+}
+
+// Agent is the settings of an agent.
+type Agent struct {
+	// Name of the instance, unique in the deployment.
+	Name string `json:"name"`
+	// FailureDomain that the instance is in.
+	FailureDomain string `json:"failureDomain"`
+	// Pool that the backend server belongs to.
+	Pool string `json:"pool"`
+	// DataAddress is the IP:port for attempts.
+	DataAddress string `json:"dataAddress"`
+	// ControlAddress is the IP:port for control by entries.
+	ControlAddress string `json:"controlAddress"`
+	// OperatorAddress is the IP:port for health, metrics and status.
+	OperatorAddress string `json:"operatorAddress"`
+	// LogURL is the base URL of the log service.
+	LogURL string `json:"logURL"`
+	// Backend is the backend server in whose slot the agent runs.
+	Backend Backend `json:"backend"`
+	// ShutdownSeconds bounds a graceful shutdown. 0 stands for
+	// DefaultShutdownSeconds.
+	ShutdownSeconds int `json:"shutdownSeconds,omitempty"`
+}
+
+// The kinds of backend server.
+const (
+	EngineBackend  = "engine"
+	ServiceBackend = "service"
+)
+
+// Defaults and bounds.
+const (
+	DefaultAddressLifetimeSeconds = 30
+	MaxAddressLifetimeSeconds     = 3600
+	DefaultShutdownSeconds        = 120
+	MaxShutdownSeconds            = 3600
+	DefaultMaxBodyBytes           = 4 << 20
+	MaxMaxBodyBytes               = 64 << 20
+)
+
+// LoadEntry reads and checks the settings of an entry. The error has the kind
+// BadSettings and lists every fault.
+func LoadEntry(path string) (Entry, error) {
+	var s Entry
+	if err := load(path, &s); err != nil {
+		return Entry{}, err
+	}
+	return s.withDefaults(), report(path, s.check())
+}
+
+// LoadAgent reads and checks the settings of an agent. The error has the kind
+// BadSettings and lists every fault.
+func LoadAgent(path string) (Agent, error) {
+	var s Agent
+	if err := load(path, &s); err != nil {
+		return Agent{}, err
+	}
+	return s.withDefaults(), report(path, s.check())
+}
+
+func (s Entry) withDefaults() Entry {
+	s.AddressLifetimeSeconds = orDefault(s.AddressLifetimeSeconds, DefaultAddressLifetimeSeconds)
+	s.ShutdownSeconds = orDefault(s.ShutdownSeconds, DefaultShutdownSeconds)
+	s.MaxBodyBytes = orDefault(s.MaxBodyBytes, DefaultMaxBodyBytes)
+	return s
+}
+
+func (s Agent) withDefaults() Agent {
+	s.ShutdownSeconds = orDefault(s.ShutdownSeconds, DefaultShutdownSeconds)
+	return s
+}
+
+func (s Entry) check() []strictjson.Fault {
+	var c checker
+	c.text("name", s.Name)
+	c.text("failureDomain", s.FailureDomain)
+	c.address("callerAddress", s.CallerAddress)
+	c.address("peerAddress", s.PeerAddress)
+	c.address("operatorAddress", s.OperatorAddress)
+	c.distinct([]string{"callerAddress", "peerAddress", "operatorAddress"}, []string{s.CallerAddress, s.PeerAddress, s.OperatorAddress})
+	c.url("logURL", s.LogURL)
+	c.url("instancesURL", s.InstancesURL)
+	c.within("addressLifetimeSeconds", s.AddressLifetimeSeconds, MaxAddressLifetimeSeconds)
+	c.within("shutdownSeconds", s.ShutdownSeconds, MaxShutdownSeconds)
+	c.within("maxBodyBytes", s.MaxBodyBytes, MaxMaxBodyBytes)
+	return c.faults
+}
+
+func (s Agent) check() []strictjson.Fault {
+	var c checker
+	c.text("name", s.Name)
+	c.text("failureDomain", s.FailureDomain)
+	c.text("pool", s.Pool)
+	c.address("dataAddress", s.DataAddress)
+	c.address("controlAddress", s.ControlAddress)
+	c.address("operatorAddress", s.OperatorAddress)
+	c.distinct([]string{"dataAddress", "controlAddress", "operatorAddress"}, []string{s.DataAddress, s.ControlAddress, s.OperatorAddress})
+	c.url("logURL", s.LogURL)
+	c.url("backend.url", s.Backend.URL)
+	if s.Backend.Kind != EngineBackend && s.Backend.Kind != ServiceBackend {
+		c.add("backend.kind", fmt.Sprintf("unknown kind %q", s.Backend.Kind), `write "engine" or "service"`)
+	}
+	c.within("shutdownSeconds", s.ShutdownSeconds, MaxShutdownSeconds)
+	return c.faults
+}
+
+func load(path string, into any) error {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return problem.New(problem.BadSettings, "name a settings file that can be read", "%s: %v", path, err)
+	}
+	return report(path, strictjson.Decode(data, into))
+}
+
+func report(path string, faults []strictjson.Fault) error {
+	if len(faults) == 0 {
+		return nil
+	}
+	return problem.New(problem.BadSettings, "correct the file and start again", "%s:\n%s", path, strictjson.Join(faults))
+}
+
+func orDefault(value, standard int) int {
+	if value == 0 {
+		return standard
+	}
+	return value
+}
+
+// checker gathers the faults of one file.
+type checker struct {
+	faults []strictjson.Fault
+}
+
+func (c *checker) add(place, detail, remedy string) {
+	c.faults = append(c.faults, strictjson.Fault{Place: place, Detail: detail, Remedy: remedy})
+}
+
+func (c *checker) text(place, value string) {
+	if value == "" {
+		c.add(place, "it is missing", "write a name")
+	}
+}
+
+func (c *checker) address(place, value string) {
+	host, port, err := net.SplitHostPort(value)
+	if err == nil && net.ParseIP(host) != nil && validPort(port) {
+		return
+	}
+	c.add(place, fmt.Sprintf("%q is not an address", value), "write IP:port, such as 127.0.0.1:8080")
+}
+
+func (c *checker) distinct(places, values []string) {
+	for i := range values {
+		for j := range i {
+			if values[i] == values[j] && values[i] != "" {
+				c.add(places[i], "it is the same address as "+places[j], "give each its own port")
+			}
+		}
+	}
+}
+
+func (c *checker) url(place, value string) {
+	u, err := url.Parse(value)
+	if err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != "" {
+		return
+	}
+	c.add(place, fmt.Sprintf("%q is not a base URL", value), "write a URL such as http://127.0.0.1:9000")
+}
+
+func (c *checker) within(place string, value, high int) {
+	if value < 0 || value > high {
+		c.add(place, fmt.Sprintf("%d is out of range", value), fmt.Sprintf("write a number from 1 to %d, or leave it out", high))
+	}
+}
+
+func validPort(text string) bool {
+	n, err := strconv.Atoi(text)
+	return err == nil && n > 0 && n <= 65535
+}
--- /dev/null
+++ b/pkg/shard/map.go
@@ -0,0 +1,107 @@
+// Package shard provides a map split into shards, each under its own lock.
+package shard
+
+import (
+	"hash/maphash"
+	"sync"
+)
+
+// Count is the number of shards of a Map.
+const Count = 32
+
+// Map is a concurrent map whose entries are spread over shards by key.
+type Map[K comparable, V any] struct {
+	seed   maphash.Seed
+	shards [Count]part[K, V]
+}
+
+type part[K comparable, V any] struct {
+	mu      sync.Mutex
+	entries map[K]V
+}
+
+// NewMap returns an empty Map.
+func NewMap[K comparable, V any]() *Map[K, V] {
+	m := &Map[K, V]{seed: maphash.MakeSeed()}
+	for i := range m.shards {
+		m.shards[i].entries = make(map[K]V)
+	}
+	return m
+}
+
+// Get returns the value of key.
+func (m *Map[K, V]) Get(key K) (V, bool) {
+	p := m.part(key)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	v, ok := p.entries[key]
+	return v, ok
+}
+
+// Set stores the value of key.
+func (m *Map[K, V]) Set(key K, value V) {
+	p := m.part(key)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.entries[key] = value
+}
+
+// Delete removes key.
+func (m *Map[K, V]) Delete(key K) {
+	p := m.part(key)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.entries, key)
+}
+
+// Update replaces the value of key by what change returns, under the lock of
+// the shard. The entry is removed when change returns false.
+func (m *Map[K, V]) Update(key K, change func(old V, found bool) (V, bool)) {
+	p := m.part(key)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	old, found := p.entries[key]
+	next, keep := change(old, found)
+	if !keep {
+		delete(p.entries, key)
+		return
+	}
+	p.entries[key] = next
+}
+
+// Range calls visit for every entry, one locked shard at a time, until visit
+// returns false. visit must not call methods of the Map.
+func (m *Map[K, V]) Range(visit func(K, V) bool) {
+	for i := range m.shards {
+		if !m.shards[i].visitAll(visit) {
+			return
+		}
+	}
+}
+
+// Len returns the number of entries.
+func (m *Map[K, V]) Len() int {
+	n := 0
+	for i := range m.shards {
+		p := &m.shards[i]
+		p.mu.Lock()
+		n += len(p.entries)
+		p.mu.Unlock()
+	}
+	return n
+}
+
+func (p *part[K, V]) visitAll(visit func(K, V) bool) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for k, v := range p.entries {
+		if !visit(k, v) {
+			return false
+		}
+	}
+	return true
+}
+
+func (m *Map[K, V]) part(key K) *part[K, V] {
+	return &m.shards[maphash.Comparable(m.seed, key)%Count]
+}
--- /dev/null
+++ b/pkg/standin/engine/engine.go
@@ -0,0 +1,307 @@
+// Package engine is a stand-in for a model engine: continuous batching with
+// priorities, a prefix cache with late and gapped events, lagging load
+// reports, cancellation, resumption and orders.
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"hash/fnv"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	peer "github.com/fescuehub/fescuehub/pkg/peer/engine"
+	"github.com/fescuehub/fescuehub/pkg/problem"
+	"github.com/fescuehub/fescuehub/pkg/standin/faults"
+)
+
+// Faults are the switchable faults of the engine.
+type Faults struct {
+	// StallMS is added to every step, in milliseconds.
+	StallMS int `json:"stallMS,omitempty"`
+	// RefuseNew answers 503 to new requests.
+	RefuseNew bool `json:"refuseNew,omitempty"`
+	// TruncateStreams is the number of answers cut in the middle.
+	TruncateStreams int `json:"truncateStreams,omitempty"`
+	// LoadLagMS is the age of load reports, in milliseconds.
+	LoadLagMS int `json:"loadLagMS,omitempty"`
+	// DropCacheEvents drops every second cache event.
+	DropCacheEvents bool `json:"dropCacheEvents,omitempty"`
+}
+
+// Options size the engine.
+type Options struct {
+	Name string
+	// StepTime is the time of one step, which gives one token to each running
+	// request.
+	StepTime time.Duration
+	// PrefillPerToken is added to a request's first token for each word of the
+	// prompt that the cache lacks.
+	PrefillPerToken time.Duration
+	// MaxBatch bounds the running requests.
+	MaxBatch int
+	// CacheEntries bounds the prefix cache.
+	CacheEntries int
+	// CheckFencing refuses orders with an old fencing number.
+	CheckFencing bool
+	// CanResume says that streams resume from a token.
+	CanResume bool
+}
+
+const (
+	maxBodyBytes     = 4 << 20
+	defaultMaxTokens = 16
+	maxTokens        = 4096
+	prefixWords      = 16
+)
+
+// Counters are what a test reads of the engine.
+type Counters struct {
+	Started   int   `json:"started"`
+	Finished  int   `json:"finished"`
+	Cancelled int   `json:"cancelled"`
+	Tokens    int64 `json:"tokens"`
+	CacheHits int   `json:"cacheHits"`
+	Orders    int   `json:"orders"`
+}
+
+// Engine is the stand-in.
+type Engine struct {
+	Faults *faults.Switch[Faults]
+
+	options Options
+	mu      sync.Mutex
+	batch   batch
+	cache   *prefixCache
+	count   Counters
+	loads   []timedLoad
+	fencing int64
+}
+
+type timedLoad struct {
+	at     time.Time
+	report peer.LoadReport
+}
+
+// New returns an idle engine. Run drives it.
+func New(options Options) *Engine {
+	return &Engine{
+		Faults:  faults.NewSwitch[Faults](),
+		options: options,
+		cache:   newPrefixCache(options.CacheEntries),
+	}
+}
+
+// Run steps the engine until ctx ends.
+func (e *Engine) Run(ctx context.Context) error {
+	timer := time.NewTimer(e.stepTime())
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-timer.C:
+			e.step()
+			timer.Reset(e.stepTime())
+		}
+	}
+}
+
+// Handler serves chat completions, cancellation, load reports, cache events,
+// orders, counters and faults.
+func (e *Engine) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/chat/completions", e.serveChat)
+	mux.HandleFunc("POST /v1/cancel/{id}", e.serveCancel)
+	mux.HandleFunc("GET /load", e.serveLoad)
+	mux.HandleFunc("GET /cache/events", e.serveCacheEvents)
+	mux.HandleFunc("POST /orders", e.serveOrder)
+	mux.HandleFunc("GET /counters", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.Counters()) })
+	mux.Handle(faults.Path, e.Faults)
+	return mux
+}
+
+// Counters returns a copy of the counters.
+func (e *Engine) Counters() Counters {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.count
+}
+
+func (e *Engine) stepTime() time.Duration {
+	return e.options.StepTime + time.Duration(e.Faults.Get().StallMS)*time.Millisecond
+}
+
+func (e *Engine) step() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.batch.admit(e.options.MaxBatch)
+	produced, finished := e.batch.advance(time.Now())
+	e.count.Tokens += int64(produced)
+	e.count.Finished += finished
+	e.recordLoad()
+}
+
+func (e *Engine) recordLoad() {
+	report := peer.LoadReport{
+		Running:   len(e.batch.running),
+		Waiting:   len(e.batch.waiting),
+		StepMS:    float64(e.stepTime()) / float64(time.Millisecond),
+		CanResume: e.options.CanResume,
+	}
+	const kept = 4096
+	if len(e.loads) >= kept {
+		e.loads = append(e.loads[:0], e.loads[kept/2:]...)
+	}
+	e.loads = append(e.loads, timedLoad{time.Now(), report})
+}
+
+func (e *Engine) serveChat(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		problem.Write(w, problem.New(problem.TooLarge, "send a smaller body", "%v", err))
+		return
+	}
+	var request peer.ChatRequest
+	if err := json.Unmarshal(body, &request); err != nil {
+		problem.Write(w, problem.New(problem.BadRequest, "send a chat completion request", "%v", err))
+		return
+	}
+	if e.Faults.Get().RefuseNew {
+		problem.Write(w, problem.New(problem.Overloaded, "try again later", "refused"))
+		return
+	}
+	priority, _ := strconv.Atoi(r.Header.Get(peer.PriorityHeader))
+	seq := e.start(r.Header.Get(peer.RequestIDHeader), priority, request)
+	defer e.end(seq)
+	e.answer(w, r.Context(), request, seq)
+}
+
+func (e *Engine) start(id string, priority int, request peer.ChatRequest) *sequence {
+	prompt := promptOf(request)
+	tokens := request.MaxTokens
+	if tokens <= 0 {
+		tokens = defaultMaxTokens
+	}
+	tokens = min(tokens, maxTokens)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	hit := e.cache.use(prefixOf(prompt), e.Faults.Get().DropCacheEvents)
+	words := countWords(prompt)
+	if hit {
+		e.count.CacheHits++
+		words = max(0, words-prefixWords)
+	}
+	e.count.Started++
+	seq := &sequence{
+		id:       id,
+		priority: priority,
+		ready:    time.Now().Add(time.Duration(words) * e.options.PrefillPerToken),
+		next:     request.ResumeFrom,
+		end:      tokens,
+		marker:   Marker(request),
+		tokens:   make(chan string, tokens),
+	}
+	e.batch.waiting = append(e.batch.waiting, seq)
+	return seq
+}
+
+func (e *Engine) end(seq *sequence) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.batch.remove(seq) {
+		e.count.Cancelled++
+	}
+}
+
+func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, seq := range e.batch.all() {
+		if seq.id == r.PathValue("id") && e.batch.remove(seq) {
+			close(seq.tokens)
+			e.count.Cancelled++
+		}
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	horizon := time.Now().Add(-time.Duration(e.Faults.Get().LoadLagMS) * time.Millisecond)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	report := peer.LoadReport{CanResume: e.options.CanResume}
+	for i := len(e.loads) - 1; i >= 0; i-- {
+		if !e.loads[i].at.After(horizon) {
+			report = e.loads[i].report
+			break
+		}
+	}
+	writeJSON(w, report)
+}
+
+func (e *Engine) serveCacheEvents(w http.ResponseWriter, r *http.Request) {
+	from, _ := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	writeJSON(w, e.cache.eventsFrom(from))
+}
+
+func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
+	var order peer.Order
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&order); err != nil {
+		problem.Write(w, problem.New(problem.BadRequest, "send an order", "%v", err))
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.options.CheckFencing && order.Fencing < e.fencing {
+		problem.Write(w, problem.New(problem.FencedOff, "stop giving orders", "fencing number %d is older than %d", order.Fencing, e.fencing))
+		return
+	}
+	e.fencing = max(e.fencing, order.Fencing)
+	e.count.Orders++
+	writeJSON(w, order)
+}
+
+// Marker returns the word that every token of the answer to the request
+// begins with. It depends on the whole prompt, so that a test can tell whose
+// answer a token belongs to.
+func Marker(request peer.ChatRequest) string {
+	h := fnv.New64a()
+	_, _ = io.WriteString(h, promptOf(request))
+	return strconv.FormatUint(h.Sum64(), 36)
+}
+
+// WholeAnswer returns the text of a complete answer to the request.
+func WholeAnswer(request peer.ChatRequest) string {
+	tokens := request.MaxTokens
+	if tokens <= 0 {
+		tokens = defaultMaxTokens
+	}
+	text := ""
+	for i := range min(tokens, maxTokens) {
+		text += token(Marker(request), i)
+	}
+	return text
+}
+
+func token(marker string, i int) string {
+	return marker + "-" + strconv.Itoa(i) + " "
+}
+
+func promptOf(request peer.ChatRequest) string {
+	text := ""
+	for _, m := range request.Messages {
+		text += m.Content + "\n"
+	}
+	return text
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/pkg/standin/logservice/logservice.go
@@ -0,0 +1,258 @@
+// Package logservice is a stand-in for the platform's append-only log service.
+// It keeps its streams in memory.
+package logservice
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	peer "github.com/fescuehub/fescuehub/pkg/peer/logservice"
+	"github.com/fescuehub/fescuehub/pkg/problem"
+	"github.com/fescuehub/fescuehub/pkg/standin/faults"
+)
+
+// Faults are the switchable faults of the service.
+type Faults struct {
+	// Outage refuses every call.
+	Outage bool `json:"outage,omitempty"`
+	// SlowMS delays every call, in milliseconds.
+	SlowMS int `json:"slowMS,omitempty"`
+	// LoseReplies is the number of appends that take effect without a reply.
+	LoseReplies int `json:"loseReplies,omitempty"`
+	// OldReplicaRecords hides this many of the newest records from readers.
+	OldReplicaRecords int `json:"oldReplicaRecords,omitempty"`
+}
+
+// Options bound the service.
+type Options struct {
+	// AppendsPerSecond is the limit of appends over all streams.
+	AppendsPerSecond int
+	// Retention is how long a record is kept.
+	Retention time.Duration
+}
+
+const (
+	defaultPageRecords = 1000
+	maxPageRecords     = 10_000
+	maxWait            = 30 * time.Second
+)
+
+// Service is the stand-in.
+type Service struct {
+	Faults *faults.Switch[Faults]
+
+	options Options
+	limiter *rate.Limiter
+	mu      sync.Mutex
+	streams map[string]*stream
+}
+
+type stream struct {
+	first   int64
+	records []peer.Record
+	grown   chan struct{}
+}
+
+// New returns a service without records.
+func New(options Options) *Service {
+	return &Service{
+		Faults:  faults.NewSwitch[Faults](),
+		options: options,
+		limiter: rate.NewLimiter(rate.Limit(options.AppendsPerSecond), options.AppendsPerSecond),
+		streams: make(map[string]*stream),
+	}
+}
+
+// Handler serves the published protocol, the faults, and resets:
+// POST /reset forgets every stream, as a service that starts again does;
+// POST /expire?stream=S drops all records of S but the newest.
+func (s *Service) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /streams/{stream}/records", s.guard(s.serveAppend))
+	mux.HandleFunc("GET /streams/{stream}/records", s.guard(s.serveRead))
+	mux.HandleFunc("POST /reset", s.serveReset)
+	mux.HandleFunc("POST /expire", s.serveExpire)
+	mux.Handle(faults.Path, s.Faults)
+	return mux
+}
+
+func (s *Service) guard(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		f := s.Faults.Get()
+		sleep(r.Context(), time.Duration(f.SlowMS)*time.Millisecond)
+		if f.Outage {
+			problem.Write(w, problem.New(problem.LogUnavailable, "wait for the end of the outage", "outage"))
+			return
+		}
+		next(w, r)
+	}
+}
+
+func (s *Service) serveAppend(w http.ResponseWriter, r *http.Request) {
+	if !s.limiter.Allow() {
+		problem.Write(w, problem.New(problem.Overloaded, "append less often", "over %d appends a second", s.options.AppendsPerSecond))
+		return
+	}
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, peer.MaxRecordBytes))
+	if err != nil {
+		problem.Write(w, problem.New(problem.TooLarge, "append a smaller record", "%v", err))
+		return
+	}
+	offset := s.append(r.PathValue("stream"), data)
+	if s.loseReply() {
+		panic(http.ErrAbortHandler)
+	}
+	writeJSON(w, peer.Appended{Offset: offset})
+}
+
+func (s *Service) loseReply() bool {
+	lost := false
+	s.Faults.Update(func(f *Faults) {
+		if f.LoseReplies > 0 {
+			f.LoseReplies--
+			lost = true
+		}
+	})
+	return lost
+}
+
+func (s *Service) append(name string, data []byte) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := s.stream(name)
+	offset := st.first + int64(len(st.records))
+	st.records = append(st.records, peer.Record{Offset: offset, TimeMS: time.Now().UnixMilli(), Data: data})
+	close(st.grown)
+	st.grown = make(chan struct{})
+	return offset
+}
+
+func (s *Service) serveRead(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	from, err := strconv.ParseInt(q.Get("from"), 10, 64)
+	if err != nil {
+		problem.Write(w, problem.New(problem.BadRequest, "pass from=OFFSET", "%v", err))
+		return
+	}
+	limit := parseLimit(q.Get("max"))
+	waitMS, _ := strconv.Atoi(q.Get("waitMS"))
+	deadline := time.Now().Add(min(time.Duration(waitMS)*time.Millisecond, maxWait))
+	for {
+		page, grown := s.page(r.PathValue("stream"), from, limit)
+		left := time.Until(deadline)
+		if len(page.Records) > 0 || left <= 0 {
+			writeJSON(w, page)
+			return
+		}
+		if s.Faults.Get().Outage {
+			problem.Write(w, problem.New(problem.LogUnavailable, "wait for the end of the outage", "outage"))
+			return
+		}
+		s.await(r.Context(), grown, left)
+		if r.Context().Err() != nil {
+			return
+		}
+	}
+}
+
+func (s *Service) await(ctx context.Context, grown <-chan struct{}, left time.Duration) {
+	timer := time.NewTimer(left)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-grown:
+	case <-s.Faults.Changed():
+	case <-timer.C:
+	}
+}
+
+func (s *Service) page(name string, from int64, limit int) (peer.Page, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := s.stream(name)
+	s.expire(st)
+	visible := max(0, len(st.records)-s.Faults.Get().OldReplicaRecords)
+	records := st.records[:visible]
+	page := peer.Page{First: st.first, Next: st.first + int64(visible)}
+	start := min(max(from-st.first, 0), int64(visible))
+	end := min(start+int64(limit), int64(visible))
+	page.Records = records[start:end:end]
+	return page, st.grown
+}
+
+func (s *Service) expire(st *stream) {
+	horizon := time.Now().Add(-s.options.Retention).UnixMilli()
+	n := 0
+	for n < len(st.records) && st.records[n].TimeMS < horizon {
+		n++
+	}
+	st.drop(n)
+}
+
+func (st *stream) drop(n int) {
+	st.first += int64(n)
+	st.records = st.records[n:]
+}
+
+func (s *Service) serveReset(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, st := range s.streams {
+		close(st.grown)
+		s.streams[name] = newStream()
+	}
+	writeJSON(w, struct{}{})
+}
+
+func (s *Service) serveExpire(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := s.stream(r.URL.Query().Get("stream"))
+	st.drop(max(0, len(st.records)-1))
+	writeJSON(w, struct{}{})
+}
+
+func (s *Service) stream(name string) *stream {
+	st, ok := s.streams[name]
+	if !ok {
+		st = newStream()
+		s.streams[name] = st
+	}
+	return st
+}
+
+func newStream() *stream {
+	return &stream{grown: make(chan struct{})}
+}
+
+func parseLimit(text string) int {
+	n, err := strconv.Atoi(text)
+	if err != nil || n < 1 {
+		return defaultPageRecords
+	}
+	return min(n, maxPageRecords)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/pkg/standin/weightstore/weightstore.go
@@ -0,0 +1,83 @@
+// Package weightstore is a stand-in for the platform's rate-limited store of
+// model weights.
+package weightstore
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/fescuehub/fescuehub/pkg/problem"
+	"github.com/fescuehub/fescuehub/pkg/standin/faults"
+)
+
+// Faults are the switchable faults of the store.
+type Faults struct {
+	// Outage refuses every call.
+	Outage bool `json:"outage,omitempty"`
+	// SlowMS delays every call, in milliseconds.
+	SlowMS int `json:"slowMS,omitempty"`
+	// TruncateReads is the number of reads cut in the middle.
+	TruncateReads int `json:"truncateReads,omitempty"`
+}
+
+const chunkBytes = 64 << 10
+
+// Service is the stand-in.
+type Service struct {
+	Faults *faults.Switch[Faults]
+
+	objectBytes int
+	limiter     *rate.Limiter
+}
+
+// New returns a store whose objects have objectBytes bytes each and which
+// hands out bytesPerSecond over all readers.
+func New(objectBytes, bytesPerSecond int) *Service {
+	return &Service{
+		Faults:      faults.NewSwitch[Faults](),
+		objectBytes: objectBytes,
+		limiter:     rate.NewLimiter(rate.Limit(bytesPerSecond), max(bytesPerSecond/10, chunkBytes)),
+	}
+}
+
+// Handler serves GET /weights/{model}/{object} and the faults.
+func (s *Service) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /weights/{model}/{object}", s.serveRead)
+	mux.Handle(faults.Path, s.Faults)
+	return mux
+}
+
+func (s *Service) serveRead(w http.ResponseWriter, r *http.Request) {
+	f := s.Faults.Get()
+	time.Sleep(time.Duration(f.SlowMS) * time.Millisecond)
+	if f.Outage {
+		problem.Write(w, problem.New(problem.Unavailable, "wait for the end of the outage", "outage"))
+		return
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(s.objectBytes))
+	left := s.objectBytes
+	if f.TruncateReads > 0 {
+		s.Faults.Update(func(f *Faults) { f.TruncateReads-- })
+		left /= 2
+	}
+	s.send(r.Context(), w, left)
+}
+
+func (s *Service) send(ctx context.Context, w http.ResponseWriter, left int) {
+	chunk := make([]byte, chunkBytes)
+	for left > 0 {
+		n := min(left, chunkBytes)
+		if err := s.limiter.WaitN(ctx, n); err != nil {
+			return
+		}
+		if _, err := w.Write(chunk[:n]); err != nil {
+			return
+		}
+		left -= n
+	}
+}
