--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -63,7 +63,7 @@
 	})
 	root.AddCommand(
 		a.entryCommand(), a.agentCommand(), a.configCommand(), a.statusCommand(),
-		a.standinCommand(), a.demoCommand(), a.versionCommand(),
+		a.standinCommand(), a.demoCommand(), a.measureCommand(), a.versionCommand(),
 	)
 	return root
 }
--- /dev/null
+++ b/pkg/cli/measure.go
@@ -0,0 +1,15 @@
+package cli
+
+import "github.com/spf13/cobra"
+
+// measureCommand groups the seeded programs that give the tables of
+// docs/MEASUREMENTS.md again.
+func (a *app) measureCommand() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   "measure",
+		Short: "Give a table of docs/MEASUREMENTS.md again",
+		Args:  cobra.NoArgs,
+		RunE:  func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
+	}
+	return cmd
+}
--- /dev/null
+++ b/pkg/faultmatrix/testing.go
@@ -0,0 +1,91 @@
+package faultmatrix
+
+import (
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+// Environment variables of a run.
+const (
+	// SeedsVariable is the number of seeds of a longer run.
+	SeedsVariable = "FESCUE_MATRIX_SEEDS"
+	// SeedVariable and CellVariable replay one cell.
+	SeedVariable = "FESCUE_MATRIX_SEED"
+	CellVariable = "FESCUE_MATRIX_CELL"
+)
+
+const (
+	defaultSeeds = 3
+	defaultPairs = 300
+	shownCells   = 5
+)
+
+// Test runs the matrix of the scenario, prints its table, and fails the test
+// for every cell with a violation, with the command that replays it.
+func Test(t *testing.T, s Scenario) {
+	t.Helper()
+	if cell := os.Getenv(CellVariable); cell != "" {
+		replay(t, s, cell)
+		return
+	}
+	report := mustRun(t, s)
+	var table strings.Builder
+	report.Write(&table)
+	t.Log("\n" + table.String())
+	for i, cell := range report.Failed {
+		if i == shownCells {
+			t.Errorf("and %d more cells", len(report.Failed)-shownCells)
+			return
+		}
+		t.Errorf("step %q: %s\nreplay: %s go test -run '^%s$' .", cell.Step, strings.Join(cell.Violations, "; "), cell.Replay(), t.Name())
+	}
+}
+
+// MustFail runs the matrix of a scenario whose mechanism is off, and fails the
+// test if no cell has a violation.
+func MustFail(t *testing.T, s Scenario) {
+	t.Helper()
+	report := mustRun(t, s)
+	if len(report.Failed) == 0 {
+		t.Fatalf("protocol %s without its mechanism: %d runs and no violation found", s.Protocol, report.Runs)
+	}
+	first := report.Failed[0]
+	t.Logf("%d of %d runs violate; first: step %q: %s (%s)", len(report.Failed), report.Runs, first.Step, strings.Join(first.Violations, "; "), first.Replay())
+}
+
+func mustRun(t *testing.T, s Scenario) Report {
+	t.Helper()
+	n := defaultSeeds
+	if v, err := strconv.Atoi(os.Getenv(SeedsVariable)); err == nil && v > 0 {
+		n = v
+	}
+	seeds := make([]uint64, n)
+	for i := range seeds {
+		seeds[i] = uint64(i + 1)
+	}
+	report, err := Run(s, Options{Seeds: seeds, Pairs: defaultPairs})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return report
+}
+
+func replay(t *testing.T, s Scenario, cell string) {
+	t.Helper()
+	seed, err := strconv.ParseUint(os.Getenv(SeedVariable), 10, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	result, steps, err := Replay(s, seed, cell)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, step := range steps {
+		t.Logf("%3d %s", step.Index, step.Name)
+	}
+	for _, v := range result.Violations {
+		t.Error(v)
+	}
+}
