--- /dev/null
+++ b/pkg/expertmap/matrix_test.go
@@ -0,0 +1,434 @@
+package expertmap_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/fescuehub/fescuehub/pkg/expertmap"
+	"github.com/fescuehub/fescuehub/pkg/faultmatrix"
+	"github.com/fescuehub/fescuehub/pkg/ident"
+)
+
+// The run: a switch with a slow load and a failing load; a planner that is
+// frozen past its lease while replies are on their way to it, its successor,
+// and the old planner that wakes up; a rank that restarts while a step runs in
+// which it alone lacked the newest map. Steps and polls are frequent at first.
+const (
+	matrixRanks   = 4
+	fastPhase     = 14 * time.Second
+	fastPause     = 4 * time.Second
+	slowPause     = 45 * time.Second
+	repeatPause   = 6 * time.Second
+	repeatPhase   = 1700 * time.Millisecond
+	slowLoad      = 46 * time.Second
+	restartPause  = 3 * time.Second
+	frozenTime    = 190 * time.Second
+	progressBound = 2000 * time.Second
+	publications  = 3
+)
+
+// variant turns one mechanism off.
+type variant struct {
+	checks   expertmap.Checks
+	fenceOff bool
+}
+
+var whole = variant{checks: expertmap.AllChecks}
+
+// Messages of the run.
+type (
+	begin    struct{}
+	stepEnds struct{}
+	repeat   struct{}
+	poll     struct{}
+	install  struct {
+		life ident.Incarnation
+		v    expertmap.Version
+	}
+	askStatus struct{}
+	state     struct {
+		life   ident.Incarnation
+		loaded []expertmap.Version
+	}
+	freezeMe struct{}
+	killMe   struct{}
+	status   struct{ loaded []expertmap.Version }
+	order    struct {
+		fencing int64
+		v       expertmap.Version
+	}
+	fetch   struct{ v expertmap.Version }
+	fetched struct {
+		v  expertmap.Version
+		ok bool
+	}
+	readLog  struct{ from int64 }
+	logPage  struct{ entries []expertmap.LeaseEntry }
+	logWrite struct{ record expertmap.LeaseRecord }
+)
+
+// facts are what the outside saw.
+type facts struct {
+	w         *faultmatrix.World
+	used      map[int64]map[expertmap.Version][]int
+	newest    expertmap.Version
+	published int
+	current   [matrixRanks]expertmap.Version
+	logUntil  time.Duration
+	logDelay  time.Duration
+	killed    bool
+	wrong     []string
+}
+
+// Inject applies the faults of the platform: outage and slow answers of the
+// log. A lease lapses unseen in every run, by the frozen planner.
+func (f *facts) Inject(w *faultmatrix.World, fault faultmatrix.Fault) bool {
+	switch fault {
+	case faultmatrix.LogDown:
+		f.logUntil = w.Elapsed() + 90*time.Second
+	case faultmatrix.LogSlow:
+		f.logDelay = 20 * time.Second
+	case faultmatrix.LeaseLapsed:
+		w.Freeze("planner-b", 130*time.Second)
+	default:
+		return false
+	}
+	return true
+}
+
+func (f *facts) entered(rank int, e expertmap.Entered) {
+	if f.used[e.Step] == nil {
+		f.used[e.Step] = make(map[expertmap.Version][]int)
+	}
+	f.used[e.Step][e.Version] = append(f.used[e.Step][e.Version], rank)
+	f.current[rank] = e.Version
+}
+
+// done reports whether the newest map is in use at every rank.
+func (f *facts) done() bool {
+	if f.published < publications {
+		return false
+	}
+	return !slices.ContainsFunc(f.current[:], func(v expertmap.Version) bool { return v != f.newest })
+}
+
+func (f *facts) over() bool { return f.done() || f.w.Elapsed() > progressBound }
+
+func (f *facts) pause() time.Duration {
+	if f.w.Elapsed() < fastPhase {
+		return fastPause
+	}
+	return slowPause
+}
+
+type rankNode struct {
+	f    *facts
+	rank int
+	life ident.Incarnation
+	gate *expertmap.Gate
+}
+
+func (n *rankNode) Handle(ctx *faultmatrix.Context, from string, m faultmatrix.Message) {
+	switch m := m.(type) {
+	case begin, faultmatrix.Restarted, repeat:
+		if !n.f.over() {
+			n.act(ctx, n.gate.Repeat())
+			n.announce(ctx)
+			ctx.After(repeatPause+n.f.pause()/4, repeat{})
+		}
+	case expertmap.Report:
+		n.act(ctx, n.gate.Receive(m))
+	case stepEnds:
+		if !n.f.over() {
+			n.act(ctx, n.gate.Finish())
+		}
+	case install:
+		if m.life == n.life {
+			n.gate.Install(m.v)
+			n.announce(ctx)
+		}
+	}
+}
+
+func (n *rankNode) announce(ctx *faultmatrix.Context) {
+	ctx.Send(agentName(n.rank), state{n.life, n.gate.Loaded()})
+}
+
+func (n *rankNode) act(ctx *faultmatrix.Context, a expertmap.Actions) {
+	if a.Send != nil {
+		for i := range matrixRanks {
+			if i != n.rank {
+				ctx.Send(rankName(i), *a.Send)
+			}
+		}
+	}
+	if a.Enter != nil {
+		n.f.entered(n.rank, *a.Enter)
+		ctx.After(n.f.pause(), stepEnds{})
+		if n.rank == 2 && !n.f.killed && n.f.published == publications && a.Enter.Version != n.f.newest {
+			n.f.killed = true
+			ctx.Send("conductor", killMe{})
+		}
+	}
+}
+
+// agentNode loads weights and passes orders on. Its rank checks no fencing.
+type agentNode struct {
+	f       *facts
+	rank    int
+	fence   *expertmap.Fence
+	life    ident.Incarnation
+	loaded  []expertmap.Version
+	ordered *expertmap.Version
+	passed  int64
+}
+
+func (n *agentNode) Handle(ctx *faultmatrix.Context, from string, m faultmatrix.Message) {
+	switch m := m.(type) {
+	case askStatus:
+		if n.life != "" {
+			ctx.Send(from, status{n.loaded})
+		}
+	case state:
+		n.observe(ctx, m)
+	case order:
+		if n.fence.Admit(m.fencing) != nil {
+			return
+		}
+		if m.fencing < n.passed {
+			n.f.wrong = append(n.f.wrong, fmt.Sprintf("agent %d passed an order of lease %d on after one of lease %d", n.rank, m.fencing, n.passed))
+		}
+		n.passed = m.fencing
+		n.ordered = &m.v
+		ctx.Send("store", fetch{m.v})
+	case fetched:
+		if m.ok && n.ordered != nil && m.v == *n.ordered {
+			ctx.Send(rankName(n.rank), install{n.life, m.v})
+		}
+	}
+}
+
+// observe takes the state of the rank. A rank that has restarted gets the map
+// that was ordered last again.
+func (n *agentNode) observe(ctx *faultmatrix.Context, m state) {
+	restarted := n.life != "" && n.life != m.life
+	n.life = m.life
+	n.loaded = m.loaded
+	n.fence.Learn(m.loaded)
+	if restarted && n.ordered != nil {
+		ctx.Send("store", fetch{*n.ordered})
+	}
+}
+
+type plannerNode struct {
+	f         *facts
+	lease     *expertmap.Lease
+	publisher *expertmap.Publisher
+	lastRound int
+	round     int
+}
+
+func (n *plannerNode) Handle(ctx *faultmatrix.Context, from string, m faultmatrix.Message) {
+	switch m := m.(type) {
+	case begin, faultmatrix.Restarted, poll:
+		if n.f.over() {
+			return
+		}
+		n.round++
+		ctx.Send("log", readLog{n.lease.Next()})
+		n.plan(ctx)
+		ctx.After(n.f.pause(), poll{})
+	case logPage:
+		n.lease.Observe(ctx.Now, m.entries)
+		if r, ok := n.lease.Due(ctx.Now); ok {
+			ctx.Send("log", logWrite{r})
+		}
+	case status:
+		n.observe(ctx, from, m)
+	}
+}
+
+// plan asks every agent and publishes a map once the last one is settled.
+func (n *plannerNode) plan(ctx *faultmatrix.Context) {
+	fencing, held := n.lease.Held()
+	if !held {
+		return
+	}
+	if n.publisher == nil || n.publisher.Fencing() != fencing {
+		n.publisher = expertmap.NewPublisher(matrixRanks, fencing)
+	}
+	if n.publisher.Settled() && n.round > n.lastRound+1 {
+		n.lastRound = n.round
+		v := n.publisher.Next()
+		n.f.published++
+		if v.Compare(n.f.newest) > 0 {
+			n.f.newest = v
+		}
+		if n.f.published == 2 {
+			ctx.Send("conductor", freezeMe{})
+		}
+	}
+	for i := range matrixRanks {
+		ctx.Send(agentName(i), askStatus{})
+	}
+}
+
+func (n *plannerNode) observe(ctx *faultmatrix.Context, from string, m status) {
+	var rank int
+	_, _ = fmt.Sscanf(from, "agent-%d", &rank)
+	if n.publisher == nil {
+		return
+	}
+	n.publisher.Observe(rank, m.loaded)
+	if slices.Contains(n.publisher.Lacking(), rank) {
+		ctx.Send(from, order{n.publisher.Fencing(), n.publisher.Target()})
+	}
+}
+
+// logNode stands for the platform's log.
+type logNode struct {
+	f       *facts
+	entries *[]expertmap.LeaseEntry
+}
+
+func (n logNode) Handle(ctx *faultmatrix.Context, from string, m faultmatrix.Message) {
+	if n.f.w.Elapsed() < n.f.logUntil {
+		return
+	}
+	switch m := m.(type) {
+	case readLog:
+		ctx.Send(from, logPage{slices.Clone((*n.entries)[m.from:])})
+	case logWrite:
+		if n.f.logDelay > 0 {
+			ctx.After(n.f.logDelay, m)
+			n.f.logDelay = 0
+			return
+		}
+		*n.entries = append(*n.entries, expertmap.LeaseEntry{Offset: int64(len(*n.entries)), Record: m.record})
+	}
+}
+
+// storeNode fails the first load of agent 1 and is slow for the first load of
+// each map by agent 2.
+type storeNode struct {
+	failed *bool
+	slow   map[expertmap.Version]bool
+}
+
+type delivery struct {
+	to string
+	m  fetched
+}
+
+func (n storeNode) Handle(ctx *faultmatrix.Context, from string, m faultmatrix.Message) {
+	switch m := m.(type) {
+	case fetch:
+		ok := from != agentName(1) || *n.failed
+		*n.failed = *n.failed || from == agentName(1)
+		if from == agentName(2) && !n.slow[m.v] {
+			n.slow[m.v] = true
+			ctx.After(slowLoad, delivery{from, fetched{m.v, ok}})
+			return
+		}
+		ctx.Send(from, fetched{m.v, ok})
+	case delivery:
+		ctx.Send(m.to, m.m)
+	}
+}
+
+// conductor applies the faults that belong to the run itself.
+type conductor struct{ w *faultmatrix.World }
+
+func (c conductor) Handle(_ *faultmatrix.Context, _ string, m faultmatrix.Message) {
+	switch m.(type) {
+	case killMe:
+		c.w.Kill(rankName(2), restartPause)
+	case freezeMe:
+		c.w.Freeze("planner-a", frozenTime)
+	}
+}
+
+func rankName(i int) string  { return fmt.Sprintf("rank-%d", i) }
+func agentName(i int) string { return fmt.Sprintf("agent-%d", i) }
+
+func (v variant) scenario() faultmatrix.Scenario {
+	return faultmatrix.Scenario{
+		Protocol:     "map switch",
+		Build:        v.build,
+		Check:        check,
+		Inapplicable: []faultmatrix.Fault{faultmatrix.ListLagging, faultmatrix.OperatorRaces},
+	}
+}
+
+func (v variant) build(w *faultmatrix.World) {
+	f := &facts{w: w, used: make(map[int64]map[expertmap.Version][]int)}
+	w.Facts = f
+	for i := range matrixRanks {
+		w.Add(rankName(i), func(life int) faultmatrix.Node {
+			id := ident.Incarnation(fmt.Sprintf("%s@%d", rankName(i), life))
+			gate := expertmap.NewGate(i, matrixRanks, id, v.checks)
+			if life == 0 {
+				gate.Install(expertmap.Version{})
+			}
+			return &rankNode{f: f, rank: i, life: id, gate: gate}
+		})
+		w.Add(agentName(i), func(int) faultmatrix.Node {
+			return &agentNode{f: f, rank: i, fence: expertmap.NewFence(v.fenceOff)}
+		})
+		w.Start(rankName(i), time.Duration(i)*repeatPhase, begin{})
+	}
+	var entries []expertmap.LeaseEntry
+	var failed bool
+	slow := make(map[expertmap.Version]bool)
+	w.Add("log", func(int) faultmatrix.Node { return logNode{f, &entries} })
+	w.Add("store", func(int) faultmatrix.Node { return storeNode{&failed, slow} })
+	for i, name := range []string{"planner-a", "planner-b"} {
+		w.Add(name, func(life int) faultmatrix.Node {
+			id := ident.Incarnation(fmt.Sprintf("%s@%d", name, life))
+			return &plannerNode{f: f, lease: expertmap.NewLease(id, w.Now())}
+		})
+		w.Start(name, time.Duration(i)*time.Second, begin{})
+	}
+	w.Add("conductor", func(int) faultmatrix.Node { return conductor{w} })
+}
+
+func check(w *faultmatrix.World) []string {
+	f := w.Facts.(*facts)
+	out := f.wrong
+	for step, versions := range f.used {
+		if len(versions) > 1 {
+			out = append(out, fmt.Sprintf("step %d was run with %d maps: %v", step, len(versions), versions))
+		}
+	}
+	if !f.done() {
+		out = append(out, fmt.Sprintf("map %s was published (%d in all) but the ranks use %v", f.newest, f.published, f.current))
+	}
+	slices.Sort(out)
+	return out
+}
+
+func TestOneMapInEachStepUnderEveryFault(t *testing.T) { faultmatrix.Test(t, whole.scenario()) }
+
+func TestMatrixFindsEachMissingMechanism(t *testing.T) {
+	off := map[string]func(*variant){
+		"barrier": func(v *variant) { v.checks.Barrier = false },
+		"common":  func(v *variant) { v.checks.Common = false },
+		"members": func(v *variant) { v.checks.Members = false },
+		"fence":   func(v *variant) { v.fenceOff = true },
+	}
+	for name, turnOff := range off {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			v := whole
+			turnOff(&v)
+			s := v.scenario()
+			s.Check = func(w *faultmatrix.World) []string { return slices.DeleteFunc(check(w), isProgress) }
+			faultmatrix.MustFail(t, s)
+		})
+	}
+}
+
+// isProgress tells a violation of progress from one of safety.
+func isProgress(violation string) bool { return violation[:3] == "map" }
