Decide whole answers in a package without I/O, and resume broken streams

Cause: the entry mixed the decision what a caller may see with the writing of HTTP, passed incomplete events on, and could only end a stream that broke.

Change: pkg/answer takes the frames of successive attempts and returns what to send; streams are passed on by whole events; a stream that broke resumes from exactly the text sent, on an engine that says it resumes (checked by the agent, since an engine that doesn't know the field would start from the beginning).

Ruled out: resuming by a count of events, since one event may carry several tokens; the text is what the caller has.

--- a/pkg/agent/backend.go
+++ b/pkg/agent/backend.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 
+	"github.com/fescuehub/fescuehub/pkg/answer"
 	"github.com/fescuehub/fescuehub/pkg/peer/agentlink"
 	"github.com/fescuehub/fescuehub/pkg/peer/engine"
 	"github.com/fescuehub/fescuehub/pkg/peer/plainservice"
+	"github.com/fescuehub/fescuehub/pkg/problem"
 	"github.com/fescuehub/fescuehub/pkg/routing"
 	"github.com/fescuehub/fescuehub/pkg/settings"
 )
@@ -25,20 +28,52 @@
 	if s.Backend.Kind == settings.ServiceBackend {
 		return serviceBackend{plainservice.New(s.Backend.URL)}
 	}
-	return engineBackend{engine.New(s.Backend.URL)}
+	return &engineBackend{client: engine.New(s.Backend.URL)}
 }
 
-type engineBackend struct{ client *engine.Client }
+type engineBackend struct {
+	client *engine.Client
+	// canResume is what the engine last said of itself.
+	canResume atomic.Bool
+}
 
-func (b engineBackend) Send(ctx context.Context, request agentlink.AttemptRequest, body []byte) (*http.Response, error) {
-	return b.client.Complete(ctx, string(request.Attempt), request.Priority, body)
+func (b *engineBackend) Send(ctx context.Context, request agentlink.AttemptRequest, body []byte) (*http.Response, error) {
+	body, err := b.resuming(request, body)
+	if err != nil {
+		return nil, err
+	}
+	res, err := b.client.Complete(ctx, string(request.Attempt), request.Priority, body)
+	if err != nil || !overloaded(res.StatusCode) {
+		return res, err
+	}
+	_ = res.Body.Close()
+	return nil, problem.New(problem.Overloaded, "send the request to another replica",
+		"the engine takes no new work (status %d)", res.StatusCode).WithOutcome(problem.NotRun)
 }
 
-func (b engineBackend) Load(ctx context.Context) (routing.Load, error) {
+// resuming adds the text that the caller already has to the body.
+func (b *engineBackend) resuming(request agentlink.AttemptRequest, body []byte) ([]byte, error) {
+	if request.ResumeText == "" {
+		return body, nil
+	}
+	if !b.canResume.Load() {
+		return nil, problem.New(problem.BadRequest, "send the request again from its start",
+			"the engine does not resume streams").WithOutcome(problem.NotRun)
+	}
+	return answer.WithResumeText(body, request.ResumeText)
+}
+
+func (b *engineBackend) Load(ctx context.Context) (routing.Load, error) {
 	report, err := b.client.Load(ctx)
+	b.canResume.Store(err == nil && report.CanResume)
 	return routing.Load{Running: report.Running, Waiting: report.Waiting, StepMS: report.StepMS}, err
 }
 
+// overloaded reports whether an engine refused a request without running it.
+func overloaded(status int) bool {
+	return status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
+}
+
 type serviceBackend struct{ client *plainservice.Client }
 
 func (b serviceBackend) Send(ctx context.Context, request agentlink.AttemptRequest, body []byte) (*http.Response, error) {
--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/fescuehub/fescuehub/pkg/frame"
 	"github.com/fescuehub/fescuehub/pkg/ident"
 	"github.com/fescuehub/fescuehub/pkg/peer/agentlink"
 	"github.com/fescuehub/fescuehub/pkg/problem"
@@ -25,7 +24,7 @@
 		return problem.New(problem.NoReplica, "nothing needs to be done", "replica %s has left", replica.Name).WithOutcome(problem.NotRun)
 	}
 	x.attempt = ident.NewAttemptID()
-	x.out.reset(x.attempt)
+	x.answer.Begin(x.attempt)
 	err := e.exchangeFrames(ctx, x, address, replica)
 	e.replicas.end(replica.Name, err != nil && ctx.Err() == nil)
 	if err != nil && x.key != "" {
@@ -40,28 +39,23 @@
 		return deadlineOr(ctx, err)
 	}
 	defer reader.Close()
-	sequence := frame.NewSequencer(x.attempt)
-	for !sequence.Complete() {
+	for !x.answer.Complete() {
 		f, err := reader.Next()
 		if err != nil {
 			return deadlineOr(ctx, err)
 		}
-		accepted, err := sequence.Accept(f)
+		out, err := x.answer.Accept(f)
 		if err != nil {
 			return err
 		}
-		if !accepted {
+		if out.Dropped {
 			e.scope.Counter("frames_dropped").Inc(1)
-			continue
 		}
-		if f.Failure != nil {
-			return f.Failure
-		}
-		if err := x.out.add(f); err != nil {
+		if err := x.out.write(out); err != nil {
 			return callerGone(err)
 		}
 	}
-	return x.out.finish()
+	return nil
 }
 
 func (e *Entry) attemptRequest(x *exchange, replica routing.Replica) agentlink.AttemptRequest {
@@ -69,6 +63,10 @@
 	if x.organisation.Class == tables.Batch {
 		priority = batchPriority
 	}
+	resumeText := ""
+	if x.answer.Committed() {
+		resumeText = x.answer.Text()
+	}
 	return agentlink.AttemptRequest{
 		Attempt:      x.attempt,
 		Incarnation:  replica.Incarnation,
@@ -81,16 +79,17 @@
 		Path:         x.path,
 		Header:       x.header,
 		Stream:       x.stream,
+		ResumeText:   resumeText,
 	}
 }
 
 func callerGone(cause error) error {
-	return problem.New(problem.BadRequest, "keep the connection open until the answer is whole",
+	return problem.New(problem.CallerGone, "keep the connection open until the answer is whole",
 		"the caller has gone: %v", cause).WithOutcome(problem.NotKnown)
 }
 
 func deadlineOr(ctx context.Context, err error) error {
-	if ctx.Err() == context.DeadlineExceeded {
+	if ctx.Err() == context.DeadlineExceeded && problem.Of(err).Outcome != problem.NotRun {
 		return problem.New(problem.DeadlineExceeded, "send the request again if it is idempotent, or raise the route's deadline",
 			"no whole answer came within the deadline").WithOutcome(problem.NotKnown)
 	}
--- a/pkg/entry/exchange.go
+++ b/pkg/entry/exchange.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/fescuehub/fescuehub/pkg/answer"
 	"github.com/fescuehub/fescuehub/pkg/ident"
 	"github.com/fescuehub/fescuehub/pkg/problem"
 	"github.com/fescuehub/fescuehub/pkg/tables"
@@ -30,9 +31,16 @@
 	adapter    string
 	prefixHash uint64
 	attempt    ident.AttemptID
+	answer     *answer.Assembler
 	out        *answerWriter
 }
 
+// answerTo prepares the answer of the exchange.
+func (x *exchange) answerTo(w http.ResponseWriter) {
+	x.answer = answer.New(x.stream, heldAnswerBytes)
+	x.out = newAnswerWriter(w, x.stream)
+}
+
 // readBody reads the body of a request. The error has the kind TooLarge.
 func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(e.settings.MaxBodyBytes)))
--- a/pkg/entry/retry.go
+++ b/pkg/entry/retry.go
@@ -3,14 +3,17 @@
 import (
 	"context"
 
+	"github.com/fescuehub/fescuehub/pkg/answer"
 	"github.com/fescuehub/fescuehub/pkg/problem"
 )
 
-// mayRetry allows another attempt where nothing has reached the caller and
-// the request either did not run or may run twice.
+// mayRetry allows another attempt where the request either did not run or may
+// run twice, and where the answer can still become whole.
 func mayRetry(ctx context.Context, x *exchange, err error) bool {
-	if x.out.committed || ctx.Err() != nil {
+	p := problem.Of(err)
+	if ctx.Err() != nil || p.Kind == problem.CallerGone {
 		return false
 	}
-	return problem.Of(err).Outcome == problem.NotRun || x.idempotent
+	repeatable := p.Outcome == problem.NotRun || x.idempotent
+	return x.answer.AfterFailure(repeatable) != answer.Fail
 }
--- a/pkg/entry/service.go
+++ b/pkg/entry/service.go
@@ -21,7 +21,7 @@
 		e.refuse(w, err)
 		return
 	}
-	x.out = newAnswerWriter(w, false)
+	x.answerTo(w)
 	e.serve(r.Context(), x)
 }
 
--- a/pkg/peer/agentlink/messages.go
+++ b/pkg/peer/agentlink/messages.go
@@ -82,6 +82,9 @@
 	Header http.Header `json:"header,omitempty"`
 	// Stream is true where the answer is a stream of server-sent events.
 	Stream bool `json:"stream,omitempty"`
+	// ResumeText is the text that the caller already has of a stream. The
+	// agent refuses it where the engine does not resume.
+	ResumeText string `json:"resumeText,omitempty"`
 }
 
 // AttemptsPath is where an agent takes attempts.
--- a/pkg/peer/engine/engine.go
+++ b/pkg/peer/engine/engine.go
@@ -25,6 +25,9 @@
 // DoneMarker ends every stream of server-sent events.
 const DoneMarker = "data: [DONE]"
 
+// ResumeField is the name of ChatRequest.ResumeText in JSON.
+const ResumeField = "resume_text"
+
 // Message is one turn of a conversation.
 type Message struct {
 	Role    string `json:"role"`
@@ -39,8 +42,9 @@
 	MaxTokens int       `json:"max_tokens,omitempty"`
 	// Adapter names a fine-tuned adapter of the model.
 	Adapter string `json:"adapter,omitempty"`
-	// ResumeFrom is the number of tokens that the caller already has.
-	ResumeFrom int `json:"resume_from,omitempty"`
+	// ResumeText is the text that the caller already has. An engine that
+	// resumes continues after exactly this text.
+	ResumeText string `json:"resume_text,omitempty"`
 }
 
 // Choice is one choice of an answer.
--- a/pkg/problem/problem.go
+++ b/pkg/problem/problem.go
@@ -27,6 +27,7 @@
 	WrongIncarnation    Kind = "wrong-incarnation"
 	BackendUnreachable  Kind = "backend-unreachable"
 	TruncatedAnswer     Kind = "truncated-answer"
+	CallerGone          Kind = "caller-gone"
 	BrokenFrame         Kind = "broken-frame"
 	DeadlineExceeded    Kind = "deadline-exceeded"
 	KeyReused           Kind = "key-reused"
--- a/pkg/standin/engine/engine.go
+++ b/pkg/standin/engine/engine.go
@@ -10,6 +10,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -170,6 +171,10 @@
 		problem.Write(w, problem.New(problem.BadRequest, "send a chat completion request", "%v", err))
 		return
 	}
+	if request.ResumeText != "" && !e.mayResume(request) {
+		problem.Write(w, problem.New(problem.BadRequest, "send the request without "+peer.ResumeField, "the text is not the start of this engine's answer"))
+		return
+	}
 	if e.Faults.Get().RefuseNew {
 		problem.Write(w, problem.New(problem.Overloaded, "try again later", "refused"))
 		return
@@ -180,6 +185,12 @@
 	e.answer(w, r.Context(), request, seq)
 }
 
+// mayResume reports whether the engine resumes and the text is a start of the
+// answer that it generates.
+func (e *Engine) mayResume(request peer.ChatRequest) bool {
+	return e.options.CanResume && strings.HasPrefix(WholeAnswer(request), request.ResumeText)
+}
+
 func (e *Engine) start(id string, priority int, request peer.ChatRequest) *sequence {
 	prompt := promptOf(request)
 	tokens := request.MaxTokens
@@ -200,7 +211,7 @@
 		id:       id,
 		priority: priority,
 		ready:    time.Now().Add(time.Duration(words) * e.options.PrefillPerToken),
-		next:     request.ResumeFrom,
+		next:     strings.Count(request.ResumeText, " "),
 		end:      tokens,
 		marker:   Marker(request),
 		tokens:   make(chan string, tokens),
