Prove whole answers, and tell the outcome of all attempts of a request

Cause: the scenario that breaks streams off ended with outcome not-run from the last try although an earlier attempt had run; a second try had no replica left because tried ones stayed excluded; an engine's first load was not read before the agent answered entries.

Ruled out: the sequencer; the matrix (frames dropped, late, twice, out of order, both ends killed or frozen, alone and in pairs) shows no caller with another generation.

Change: a request did not run only if none of its attempts did; tried replicas are tried again when no other takes work; status counts replicas that take work. The matrix keeps messages of one connection in order unless a fault breaks it.

--- a/cmd/fescuehub/scenario_commands_test.go
+++ b/cmd/fescuehub/scenario_commands_test.go
@@ -133,6 +133,20 @@
 	}()
 }
 
+// hangup METHOD URL BODY: sends a request, reads the first bytes of its answer
+// and breaks the connection.
+func cmdHangup(ts *testscript.TestScript, _ bool, args []string) {
+	ctx, cancel := context.WithTimeout(context.Background(), awaitBound)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, args[0], args[1], strings.NewReader(strings.Join(args[2:], " ")))
+	ts.Check(err)
+	res, err := http.DefaultClient.Do(req)
+	ts.Check(err)
+	_, err = io.ReadFull(res.Body, make([]byte, 1))
+	ts.Check(err)
+	ts.Check(res.Body.Close())
+}
+
 // pendingCall is a call in the background.
 type pendingCall struct {
 	text string
@@ -159,7 +173,7 @@
 	}
 	want := args[len(args)-1]
 	if strings.Contains(text, want) == neg {
-		ts.Fatalf("answer is %q", text)
+		ts.Fatalf("answer is %.1500q (%d bytes)", text, len(text))
 	}
 }
 
--- a/cmd/fescuehub/scenario_test.go
+++ b/cmd/fescuehub/scenario_test.go
@@ -25,6 +25,7 @@
 			"fault":  cmdFault,
 			"await":  cmdAwait,
 			"call":   cmdCall,
+			"hangup": cmdHangup,
 			"sees":   cmdSees,
 			"cut":    cmdCut,
 			"mend":   cmdMend,
--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -72,6 +72,7 @@
 // Run serves until ctx ends or the drain has ended.
 func (a *Agent) Run(ctx context.Context) error {
 	defer a.metrics.Close()
+	a.readLoad(ctx)
 	data, err := httpserver.Listen("dataAddress", a.settings.DataAddress)
 	if err != nil {
 		return err
--- a/pkg/answer/answer.go
+++ b/pkg/answer/answer.go
@@ -120,7 +120,7 @@
 
 func (a *Assembler) acceptDocument(f frame.Frame) (Output, error) {
 	a.held = append(a.held, f.Data...)
-	if !f.Last && len(a.held) <= a.holdBytes {
+	if !f.Last && !a.committed && len(a.held) <= a.holdBytes {
 		return Output{}, nil
 	}
 	if f.Last && !a.committed {
--- /dev/null
+++ b/pkg/answer/answer_test.go
@@ -0,0 +1,110 @@
+package answer_test
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/fescuehub/fescuehub/pkg/answer"
+	"github.com/fescuehub/fescuehub/pkg/frame"
+	"github.com/fescuehub/fescuehub/pkg/ident"
+	"github.com/fescuehub/fescuehub/pkg/problem"
+)
+
+const (
+	first  = ident.AttemptID("first")
+	second = ident.AttemptID("second")
+	event  = `data: {"choices":[{"index":0,"delta":{"role":"assistant","content":"a "}}]}` + "\n\n"
+	tool   = `data: {"choices":[{"index":0,"delta":{"tool_calls":[{}]}}]}` + "\n\n"
+	done   = "data: [DONE]\n\n"
+)
+
+// feed passes frames of one attempt and returns the data for the caller.
+func feed(t *testing.T, a *answer.Assembler, attempt ident.AttemptID, status int, last bool, data ...string) (string, bool, error) {
+	t.Helper()
+	out := ""
+	for i, d := range data {
+		f := frame.Frame{Attempt: attempt, Seq: i, Data: []byte(d), Last: last && i == len(data)-1}
+		if i == 0 {
+			f.Status = status
+		}
+		o, err := a.Accept(f)
+		if err != nil {
+			return out, false, err
+		}
+		out += string(o.Data)
+		if o.Done {
+			return out, true, nil
+		}
+	}
+	return out, false, nil
+}
+
+func TestAnswers(t *testing.T) {
+	tests := []struct {
+		name   string
+		stream bool
+		status int
+		last   bool
+		data   []string
+		want   string
+		done   bool
+		kind   problem.Kind
+		next   answer.Next
+		text   string
+	}{
+		{"whole stream", true, 200, true, []string{event, event, done}, event + event + done, true, "", answer.Fail, "a a "},
+		{"event cut over frames", true, 200, true, []string{event[:9], event[9:] + done[:4], done[4:]}, event + done, true, "", answer.Fail, "a "},
+		{"half an event is not passed on", true, 200, false, []string{event, event[:20]}, event, false, "", answer.Resume, "a "},
+		{"stream without its end marker", true, 200, true, []string{event, event}, event, false, problem.TruncatedAnswer, answer.Resume, ""},
+		{"more than text does not resume", true, 200, false, []string{event, tool}, event + tool, false, "", answer.Fail, "a "},
+		{"error event of the engine", true, 200, false, []string{event, "event: error\ndata: {}\n\n"}, event, false, problem.TruncatedAnswer, answer.Resume, ""},
+		{"nothing sent yet", true, 200, false, []string{event[:9]}, "", false, "", answer.Again, ""},
+		{"refusal in place of a stream", true, 400, true, []string{`{"e"`, `:1}`}, `{"e":1}`, true, "", answer.Fail, ""},
+		{"document", false, 200, true, []string{`{"e"`, `:1}`}, `{"e":1}`, true, "", answer.Fail, ""},
+		{"half a document is held", false, 200, false, []string{`{"e"`}, "", false, "", answer.Again, ""},
+		{"large document passes", false, 200, false, []string{"0123456789", "x"}, "0123456789x", false, "", answer.Fail, ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			a := answer.New(tt.stream, 8)
+			a.Begin(first)
+			got, ended, err := feed(t, a, first, tt.status, tt.last, tt.data...)
+			if ended != tt.done || tt.kind == "" && got != tt.want || (err != nil) != (tt.kind != "") || err != nil && !problem.Is(err, tt.kind) {
+				t.Fatalf("got %q done=%t err=%v", got, ended, err)
+			}
+			if next := a.AfterFailure(true); !ended && next != tt.next {
+				t.Fatalf("next is %v, want %v", next, tt.next)
+			}
+			if tt.text != "" && a.Text() != tt.text {
+				t.Fatalf("text is %q", a.Text())
+			}
+		})
+	}
+}
+
+func TestResumedStreamIsOneAnswer(t *testing.T) {
+	a := answer.New(true, 8)
+	a.Begin(first)
+	head, _, _ := feed(t, a, first, 200, false, event, event[:30])
+	a.Begin(second)
+	late, err := a.Accept(frame.Frame{Attempt: first, Seq: 2, Data: []byte(event[30:])})
+	if err != nil || !late.Dropped {
+		t.Fatalf("a frame of the first attempt was taken: %+v %v", late, err)
+	}
+	tail, whole, err := feed(t, a, second, http.StatusOK, true, event, done)
+	if err != nil || !whole || head+tail != event+event+done {
+		t.Fatalf("got %q whole=%t err=%v", head+tail, whole, err)
+	}
+	body, err := answer.WithResumeText([]byte(`{"model":"m","unknown":[1]}`), "a ")
+	if err != nil || string(body) != `{"model":"m","resume_text":"a ","unknown":[1]}` {
+		t.Fatalf("%s %v", body, err)
+	}
+}
+
+func TestMissingFrameBreaksTheAttempt(t *testing.T) {
+	a := answer.New(false, 8)
+	a.Begin(first)
+	if _, err := a.Accept(frame.Frame{Attempt: first, Seq: 1, Data: []byte("x")}); !problem.Is(err, problem.BrokenFrame) {
+		t.Fatalf("got %v", err)
+	}
+}
--- a/pkg/entry/exchange.go
+++ b/pkg/entry/exchange.go
@@ -31,6 +31,9 @@
 	adapter    string
 	prefixHash uint64
 	attempt    ident.AttemptID
+	// mayHaveRun is true once an attempt ended without being certified as not
+	// run.
+	mayHaveRun bool
 	answer     *answer.Assembler
 	out        *answerWriter
 }
@@ -41,6 +44,23 @@
 	x.out = newAnswerWriter(w, x.stream)
 }
 
+// note remembers what is known of an attempt that failed.
+func (x *exchange) note(err error) {
+	if problem.Of(err).Outcome != problem.NotRun {
+		x.mayHaveRun = true
+	}
+}
+
+// truthful returns the error with the outcome of the whole request: it did not
+// run only if none of its attempts did.
+func (x *exchange) truthful(err error) error {
+	p := problem.Of(err)
+	if p.Outcome == problem.NotRun && x.mayHaveRun {
+		return p.WithOutcome(problem.NotKnown)
+	}
+	return p
+}
+
 // readBody reads the body of a request. The error has the kind TooLarge.
 func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(e.settings.MaxBodyBytes)))
--- a/pkg/entry/operator.go
+++ b/pkg/entry/operator.go
@@ -19,7 +19,7 @@
 	ConfigOffset  int64             `json:"configOffset"`
 	ConfigVersion int64             `json:"configVersion"`
 	InFlight      int               `json:"inFlight"`
-	// Replicas counts the agents that the entry is connected to.
+	// Replicas counts the agents that take work from the entry.
 	Replicas int `json:"replicas"`
 }
 
--- a/pkg/entry/replicas.go
+++ b/pkg/entry/replicas.go
@@ -179,6 +179,19 @@
 	_ = conn.Call(ctx, agentlink.MethodConfigure, part, &in)
 }
 
+// usable counts the connected agents that take work.
+func (rs *replicas) usable() int {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	n := 0
+	for _, r := range rs.byKey {
+		if r.conn != nil && r.status.BackendUp && !r.status.Draining {
+			n++
+		}
+	}
+	return n
+}
+
 // snapshot returns the candidates of a pool.
 func (rs *replicas) snapshot(pool string, concurrency int) []routing.Replica {
 	rs.mu.Lock()
@@ -252,5 +265,5 @@
 	}
 }
 
-// ReplicaCount returns the number of agents that the entry is connected to.
-func (e *Entry) ReplicaCount() int { return len(e.replicas.connected()) }
+// ReplicaCount returns the number of agents that take work from this entry.
+func (e *Entry) ReplicaCount() int { return e.replicas.usable() }
--- a/pkg/entry/route.go
+++ b/pkg/entry/route.go
@@ -21,6 +21,12 @@
 		PrefixHash:    x.prefixHash,
 		Exclude:       tried,
 	}
+	replica, ok := e.selector.Select(time.Now(), request, candidates, rand.Uint64())
+	if ok || len(tried) == 0 {
+		return replica, ok
+	}
+	// Every replica that takes work has been tried; try one again.
+	request.Exclude = nil
 	return e.selector.Select(time.Now(), request, candidates, rand.Uint64())
 }
 
--- a/pkg/entry/serve.go
+++ b/pkg/entry/serve.go
@@ -31,7 +31,7 @@
 	}
 	if err != nil {
 		e.countProblem(err)
-		x.out.fail(err)
+		x.out.fail(x.truthful(err))
 		return
 	}
 	e.scope.Counter("answers_whole").Inc(1)
@@ -51,6 +51,7 @@
 		if err == nil {
 			return nil
 		}
+		x.note(err)
 		if len(tried) >= maxTries || !mayRetry(ctx, x, err) {
 			return err
 		}
--- a/pkg/faultmatrix/world.go
+++ b/pkg/faultmatrix/world.go
@@ -46,15 +46,18 @@
 
 // World holds the nodes, the clock and the messages under way.
 type World struct {
-	now     time.Time
-	random  *rand.Rand
-	queue   eventQueue
-	order   int
-	nodes   map[string]*slot
-	cuts    map[link]time.Time
-	steps   []Step
-	inject  []Injection
-	applied int
+	now    time.Time
+	random *rand.Rand
+	queue  eventQueue
+	order  int
+	nodes  map[string]*slot
+	cuts   map[link]time.Time
+	// arrivals keeps messages from one node to another in order, as a
+	// connection does. Faults break the order.
+	arrivals map[link]time.Time
+	steps    []Step
+	inject   []Injection
+	applied  int
 	// Facts is free for the scenario: what the outside saw.
 	Facts any
 }
@@ -93,11 +96,12 @@
 
 func newWorld(seed uint64, inject []Injection) *World {
 	return &World{
-		now:    start,
-		random: rand.New(rand.NewPCG(seed, 1)),
-		nodes:  make(map[string]*slot),
-		cuts:   make(map[link]time.Time),
-		inject: inject,
+		now:      start,
+		random:   rand.New(rand.NewPCG(seed, 1)),
+		nodes:    make(map[string]*slot),
+		cuts:     make(map[link]time.Time),
+		arrivals: make(map[link]time.Time),
+		inject:   inject,
 	}
 }
 
@@ -130,7 +134,13 @@
 		return
 	}
 	latency := baseLatency + time.Duration(w.random.Int64N(int64(jitter)))
-	w.push(&event{at: w.now.Add(latency), from: from, to: to, m: m})
+	at := w.now.Add(latency)
+	way := link{from, to}
+	if last := w.arrivals[way]; last.After(at) {
+		at = last
+	}
+	w.arrivals[way] = at
+	w.push(&event{at: at, from: from, to: to, m: m})
 }
 
 func (w *World) timer(self string, d time.Duration, m Message) {
--- a/pkg/standin/engine/answer.go
+++ b/pkg/standin/engine/answer.go
@@ -30,6 +30,7 @@
 	w.Header().Set("Content-Length", fmt.Sprint(len(data)))
 	if truncate {
 		_, _ = w.Write(data[:len(data)/2])
+		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	}
 	_, _ = w.Write(data)
@@ -39,7 +40,7 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	control := http.NewResponseController(w)
 	_ = control.Flush()
-	sent := 0
+	sent, half := 0, (seq.end-seq.begin)/2
 	for t := range receive(ctx, seq.tokens) {
 		writeEvent(w, peer.ChatAnswer{
 			ID: seq.id, Object: "chat.completion.chunk", Model: request.Model,
@@ -47,7 +48,7 @@
 		})
 		_ = control.Flush()
 		sent++
-		if truncate && sent > seq.end/2 {
+		if truncate && sent > half {
 			panic(http.ErrAbortHandler)
 		}
 	}
--- a/pkg/standin/engine/batch.go
+++ b/pkg/standin/engine/batch.go
@@ -11,9 +11,9 @@
 	priority int
 	// ready is when the prompt has been processed.
 	ready time.Time
-	// next and end are token indexes.
-	next, end int
-	marker    string
+	// begin, next and end are token indexes.
+	begin, next, end int
+	marker           string
 	// tokens is closed after the last token, or at cancellation.
 	tokens chan string
 }
--- a/pkg/standin/engine/engine.go
+++ b/pkg/standin/engine/engine.go
@@ -207,11 +207,13 @@
 		words = max(0, words-prefixWords)
 	}
 	e.count.Started++
+	begin := strings.Count(request.ResumeText, " ")
 	seq := &sequence{
 		id:       id,
 		priority: priority,
 		ready:    time.Now().Add(time.Duration(words) * e.options.PrefillPerToken),
-		next:     strings.Count(request.ResumeText, " "),
+		begin:    begin,
+		next:     begin,
 		end:      tokens,
 		marker:   Marker(request),
 		tokens:   make(chan string, tokens),
