Shut down without cutting requests off, and prove it

Cause: a request was counted as in flight only after its body had been read; what the bound of a shutdown cut off broke without a typed error; the exit code did not tell; the linger time left no room for an answer on its way.

Ruled out: disabling keep-alives at the start of a drain, since it closes idle connections at the moment a caller may send on them; answers ask for the close instead.

Change: requests count from their header on; requests in flight at the bound end with a typed error (outcome not known) and the process with exit code 1; the linger time is the lifetime of address answers and a second.

Conclusion: holds for one entry; other entries learn of a leaving one from the instance list alone until entries talk to each other.

--- a/cmd/fescuehub/scenario_site_test.go
+++ b/cmd/fescuehub/scenario_site_test.go
@@ -192,6 +192,7 @@
 	}
 	upper := fmt.Sprintf("ENTRY%d", i)
 	ts.Setenv(upper, "http://"+es.CallerAddress)
+	ts.Setenv(upper+"_CALLER", es.CallerAddress)
 	ts.Setenv(upper+"_OP", "http://"+es.OperatorAddress)
 	ts.Setenv(upper+"_OPADDR", es.OperatorAddress)
 	ts.Check(s.writeJSON(es.Name+".json", es))
--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
@@ -88,7 +89,9 @@
 		_ = control.Close()
 		return err
 	}
-	dataServer := httpserver.New(data, a.scope.SubScope("data"), a.dataHandler())
+	work, cutOff := context.WithCancelCause(context.Background())
+	defer cutOff(nil)
+	dataServer := httpserver.NewWithContext(work, data, a.scope.SubScope("data"), a.dataHandler())
 	operatorServer := httpserver.New(operator, a.scope.SubScope("operator"), a.operatorHandler())
 	controlServer := rpc.NewServer(control, a.controlMethods())
 
@@ -105,6 +108,7 @@
 		case <-a.life.Ended():
 		}
 		stop()
+		cutOff(lifecycle.CutError())
 		closing, cancel := context.WithTimeout(context.Background(), closeBound)
 		defer cancel()
 		_ = dataServer.Shutdown(closing)
@@ -114,7 +118,7 @@
 	a.log.Info("agent started", zap.String("incarnation", string(a.incarnation)), zap.String("pool", a.settings.Pool))
 	err = group.Wait()
 	a.log.Info("agent ended", zap.Error(err))
-	return err
+	return errors.CombineErrors(err, a.life.EndError())
 }
 
 func (a *Agent) dataHandler() http.Handler {
--- a/pkg/agent/serve.go
+++ b/pkg/agent/serve.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/fescuehub/fescuehub/pkg/frame"
 	"github.com/fescuehub/fescuehub/pkg/peer/agentlink"
 	"github.com/fescuehub/fescuehub/pkg/peer/engine"
@@ -122,7 +124,12 @@
 		"the backend server broke its answer off: %v", cause).WithOutcome(problem.NotKnown)
 }
 
+// deadlineOr replaces err by the reason why ctx has ended, if it has.
 func deadlineOr(ctx context.Context, err error) error {
+	var cut *problem.Error
+	if errors.As(context.Cause(ctx), &cut) {
+		return cut
+	}
 	if ctx.Err() == context.DeadlineExceeded {
 		return problem.New(problem.DeadlineExceeded, "send the request again with more time",
 			"the backend server did not finish within the deadline").WithOutcome(problem.NotKnown)
--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/fescuehub/fescuehub/pkg/ident"
 	"github.com/fescuehub/fescuehub/pkg/peer/agentlink"
 	"github.com/fescuehub/fescuehub/pkg/problem"
@@ -88,7 +90,12 @@
 		"the caller has gone: %v", cause).WithOutcome(problem.NotKnown)
 }
 
+// deadlineOr replaces err by the reason why ctx has ended, if it has.
 func deadlineOr(ctx context.Context, err error) error {
+	var cut *problem.Error
+	if errors.As(context.Cause(ctx), &cut) {
+		return cut
+	}
 	if ctx.Err() == context.DeadlineExceeded && problem.Of(err).Outcome != problem.NotRun {
 		return problem.New(problem.DeadlineExceeded, "send the request again if it is idempotent, or raise the route's deadline",
 			"no whole answer came within the deadline").WithOutcome(problem.NotKnown)
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
@@ -29,6 +30,10 @@
 // closeBound bounds the closing of listeners after the drain has ended.
 const closeBound = 2 * time.Second
 
+// addressGrace is added to the lifetime of address answers: an answer and the
+// request that follows it take time on the way.
+const addressGrace = time.Second
+
 // Entry is the process.
 type Entry struct {
 	settings    settings.Entry
@@ -76,7 +81,7 @@
 
 func planOf(s settings.Entry) drain.Plan {
 	return drain.Plan{
-		Linger: time.Duration(s.AddressLifetimeSeconds) * time.Second,
+		Linger: time.Duration(s.AddressLifetimeSeconds)*time.Second + addressGrace,
 		Bound:  time.Duration(s.ShutdownSeconds) * time.Second,
 	}
 }
@@ -91,7 +96,9 @@
 	if err != nil {
 		return err
 	}
-	callers := httpserver.New(listeners[0], e.scope.SubScope("caller"), e.callerHandler())
+	requests, cutOff := context.WithCancelCause(context.Background())
+	defer cutOff(nil)
+	callers := httpserver.NewWithContext(requests, listeners[0], e.scope.SubScope("caller"), e.callerHandler())
 	operators := httpserver.New(listeners[1], e.scope.SubScope("operator"), e.operatorHandler())
 
 	ctx, stop := context.WithCancel(ctx)
@@ -108,6 +115,7 @@
 		case <-e.life.Ended():
 		}
 		stop()
+		cutOff(lifecycle.CutError())
 		closing, cancel := context.WithTimeout(context.Background(), closeBound)
 		defer cancel()
 		_ = callers.Shutdown(closing)
@@ -117,7 +125,7 @@
 	e.log.Info("entry started", zap.String("incarnation", string(e.incarnation)), zap.String("callerAddress", e.settings.CallerAddress))
 	err = group.Wait()
 	e.log.Info("entry ended", zap.Error(err))
-	return err
+	return errors.CombineErrors(err, e.life.EndError())
 }
 
 // listen opens the addresses of the settings, or none.
@@ -146,7 +154,23 @@
 func (e *Entry) callerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/addresses", e.serveAddresses)
-	mux.HandleFunc("POST /v1/chat/completions", e.serveModel)
-	mux.HandleFunc("/services/{route}/{path...}", e.serveService)
+	mux.HandleFunc("POST /v1/chat/completions", e.inFlight(e.serveModel))
+	mux.HandleFunc("/services/{route}/{path...}", e.inFlight(e.serveService))
 	return mux
 }
+
+// inFlight counts a request from its header to the end of its answer, so that
+// a drain waits for it. A leaving entry asks callers to close the connection.
+func (e *Entry) inFlight(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if e.life.Phase() != drain.Serving {
+			w.Header().Set("Connection", "close")
+		}
+		if err := e.life.Begin(); err != nil {
+			e.refuse(w, err)
+			return
+		}
+		defer e.life.Done()
+		next(w, r)
+	}
+}
--- a/pkg/entry/serve.go
+++ b/pkg/entry/serve.go
@@ -22,13 +22,9 @@
 
 // serve runs an exchange to its final answer.
 func (e *Entry) serve(ctx context.Context, x *exchange) {
-	err := e.life.Begin()
-	if err == nil {
-		defer e.life.Done()
-		ctx, cancel := context.WithDeadline(ctx, x.deadline)
-		defer cancel()
-		err = e.admitAndForward(ctx, x)
-	}
+	ctx, cancel := context.WithDeadline(ctx, x.deadline)
+	defer cancel()
+	err := e.admitAndForward(ctx, x)
 	if err != nil {
 		e.countProblem(err)
 		x.out.fail(x.truthful(err))
--- a/pkg/httpserver/httpserver.go
+++ b/pkg/httpserver/httpserver.go
@@ -41,12 +41,19 @@
 
 // New returns a server of the handler behind the common middleware.
 func New(listener net.Listener, scope tally.Scope, handler http.Handler) *Server {
+	return NewWithContext(context.Background(), listener, scope, handler)
+}
+
+// NewWithContext returns a server whose requests have base as the parent of
+// their context.
+func NewWithContext(base context.Context, listener net.Listener, scope tally.Scope, handler http.Handler) *Server {
 	chain := negroni.New(counting(scope))
 	chain.UseHandler(handler)
 	return &Server{
 		listener: listener,
 		server: &http.Server{
 			Handler:           chain,
+			BaseContext:       func(net.Listener) context.Context { return base },
 			ReadHeaderTimeout: headerTimeout,
 			IdleTimeout:       idleTimeout,
 			MaxHeaderBytes:    maxHeaderBytes,
--- a/pkg/lifecycle/lifecycle.go
+++ b/pkg/lifecycle/lifecycle.go
@@ -74,6 +74,29 @@
 	}
 }
 
+// Cut returns the number of requests that the bound, or a second order to
+// drain, has cut off.
+func (l *Lifecycle) Cut() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.machine.Cut()
+}
+
+// CutError is what requests in flight end with when the drain ends before them.
+// Its outcome is NotKnown.
+func CutError() error {
+	return problem.New(problem.Draining, "send the request again if it is idempotent, or raise shutdownSeconds",
+		"this instance ended before the request did").WithOutcome(problem.NotKnown)
+}
+
+// EndError returns an error if the drain has cut requests off.
+func (l *Lifecycle) EndError() error {
+	if n := l.Cut(); n > 0 {
+		return problem.New(problem.Draining, "raise shutdownSeconds, and send one SIGTERM only", "%d requests were cut off", n)
+	}
+	return nil
+}
+
 // Ended is closed when the process may end.
 func (l *Lifecycle) Ended() <-chan struct{} { return l.ended }
 
--- /dev/null
+++ b/pkg/lifecycle/lifecycle_test.go
@@ -0,0 +1,64 @@
+package lifecycle_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/fescuehub/fescuehub/pkg/drain"
+	"github.com/fescuehub/fescuehub/pkg/lifecycle"
+	"github.com/fescuehub/fescuehub/pkg/problem"
+)
+
+var plan = drain.Plan{Linger: 10 * time.Second, Bound: time.Minute}
+
+func TestDrainWaitsForRequestsInFlight(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := lifecycle.New(zap.NewNop(), plan)
+		if err := l.Begin(); err != nil {
+			t.Fatal(err)
+		}
+		l.Drain()
+		time.Sleep(5 * time.Second)
+		if err := l.Begin(); err != nil {
+			t.Fatalf("refused within the linger time: %v", err)
+		}
+		l.Done()
+		time.Sleep(6 * time.Second)
+		if err := l.Begin(); !problem.Is(err, problem.Draining) || problem.Of(err).Outcome != problem.NotRun {
+			t.Fatalf("got %v", err)
+		}
+		select {
+		case <-l.Ended():
+			t.Fatal("ended with a request in flight")
+		default:
+		}
+		l.Done()
+		<-l.Ended()
+		if err := l.EndError(); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+func TestDrainEndsAtItsBoundOrAtTheSecondOrder(t *testing.T) {
+	for _, orders := range []int{1, 2} {
+		synctest.Test(t, func(t *testing.T) {
+			l := lifecycle.New(zap.NewNop(), plan)
+			start := time.Now()
+			_ = l.Begin()
+			for range orders {
+				l.Drain()
+			}
+			<-l.Ended()
+			if elapsed := time.Since(start); orders == 1 && elapsed < plan.Bound || orders == 2 && elapsed > time.Second {
+				t.Fatalf("%d orders: ended after %v", orders, elapsed)
+			}
+			if l.Cut() != 1 || l.EndError() == nil {
+				t.Fatalf("cut %d", l.Cut())
+			}
+		})
+	}
+}
