--- a/cmd/fescuehub/scenario_commands_test.go
+++ b/cmd/fescuehub/scenario_commands_test.go
@@ -6,11 +6,13 @@
 	"io"
 	"net/http"
 	"os"
+	"os/exec"
 	"strconv"
 	"strings"
 	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rogpeppe/go-internal/testscript"
 )
 
@@ -77,6 +79,16 @@
 	}
 }
 
+// fails CODE ARGUMENTS...: runs fescuehub and asserts its exit code; stderr and
+// stdout then match its output.
+func cmdFails(ts *testscript.TestScript, _ bool, args []string) {
+	err := ts.Exec("fescuehub", args[1:]...)
+	var exit *exec.ExitError
+	if !errors.As(err, &exit) || strconv.Itoa(exit.ExitCode()) != args[0] {
+		ts.Fatalf("fescuehub ended with %v, not %s", err, args[0])
+	}
+}
+
 // fault URL JSON: replaces the faults of a stand-in.
 func cmdFault(ts *testscript.TestScript, _ bool, args []string) {
 	status, body, _, err := request(http.MethodPut, args[0]+"/faults", nil, strings.Join(args[1:], " "))
--- a/cmd/fescuehub/scenario_test.go
+++ b/cmd/fescuehub/scenario_test.go
@@ -22,6 +22,7 @@
 			"start":  cmdStart,
 			"signal": cmdSignal,
 			"exited": cmdExited,
+			"fails":  cmdFails,
 			"fault":  cmdFault,
 			"await":  cmdAwait,
 			"call":   cmdCall,
--- a/pkg/agent/operator.go
+++ b/pkg/agent/operator.go
@@ -34,7 +34,7 @@
 		return
 	}
 	if !up {
-		problem.Write(w, problem.New(problem.BackendUnreachable, "start the backend server", "the backend server does not answer"))
+		problem.Write(w, problem.New(problem.Unavailable, "start the backend server", "the backend server does not answer"))
 		return
 	}
 	w.WriteHeader(http.StatusOK)
--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -30,6 +30,9 @@
 	out    io.Writer
 	errOut io.Writer
 	output string
+	// started is true once a command has begun to do its work: errors before
+	// that are errors in how it was called.
+	started bool
 }
 
 // Main runs the command line and returns its exit code.
@@ -44,6 +47,9 @@
 		return ExitOK
 	}
 	fmt.Fprintf(errOut, "fescuehub: %v\n", err)
+	if !a.started {
+		return ExitUsage
+	}
 	return exitCode(err)
 }
 
@@ -65,9 +71,23 @@
 		a.entryCommand(), a.agentCommand(), a.configCommand(), a.statusCommand(),
 		a.standinCommand(), a.demoCommand(), a.measureCommand(), a.versionCommand(),
 	)
+	a.noteStart(root)
 	return root
 }
 
+// noteStart makes every command below cmd note that it has begun.
+func (a *app) noteStart(cmd *cobra.Command) {
+	if run := cmd.RunE; run != nil {
+		cmd.RunE = func(cmd *cobra.Command, args []string) error {
+			a.started = true
+			return run(cmd, args)
+		}
+	}
+	for _, sub := range cmd.Commands() {
+		a.noteStart(sub)
+	}
+}
+
 func (a *app) checkOutput() error {
 	if a.output != "text" && a.output != "json" {
 		return usage("--output is %q; write text or json", a.output)
--- a/pkg/cli/daemons.go
+++ b/pkg/cli/daemons.go
@@ -34,7 +34,7 @@
 		Use:     "agent --settings FILE",
 		Short:   "Run the agent of a backend server instance",
 		Long:    "Run the agent of a backend server instance: the only process that gives the backend server work and orders. SIGTERM drains it; a second SIGTERM ends it at once.",
-		Example: "  fescuehub agent --settings examples/arcos/agent-asistente-1.json",
+		Example: "  fescuehub agent --settings examples/arcos/agent-asistente-mostrador-1.json",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			s, err := settings.LoadAgent(path)
--- a/pkg/strictjson/strictjson.go
+++ b/pkg/strictjson/strictjson.go
@@ -9,6 +9,8 @@
 	"reflect"
 	"slices"
 	"strings"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Fault is one thing wrong with a document.
@@ -45,7 +47,7 @@
 	dec.UseNumber()
 	var tree any
 	if err := dec.Decode(&tree); err != nil {
-		return []Fault{{"line " + lineOf(data, dec.InputOffset()), err.Error(), "correct the JSON syntax"}}
+		return []Fault{{"line " + lineOf(data, errorOffset(err, len(data))), err.Error(), "correct the JSON syntax"}}
 	}
 	if dec.More() {
 		return []Fault{{"line " + lineOf(data, dec.InputOffset()), "text follows the document", "keep one JSON document in the file"}}
@@ -59,6 +61,16 @@
 	return nil
 }
 
+// errorOffset returns where a syntax error stands; the end of the data where
+// the document ends too early.
+func errorOffset(err error, size int) int64 {
+	var syntax *json.SyntaxError
+	if errors.As(err, &syntax) {
+		return syntax.Offset
+	}
+	return int64(size)
+}
+
 func check(node any, t reflect.Type, place string) []Fault {
 	if node == nil {
 		return nil
