Measure the path with separate processes

Cause: no figure existed for what the path adds to a call of the engine, what an entry relays on one core, or what idle processes spend.

Change: benchmarks that start a deployment of separate processes, each on one core, and read processor time and memory from the processes' own metrics.

Conclusion: the commands are in place: go test -run '^$' -bench 'AddedTime|Relay|Idle' ./cmd/fescuehub.

--- /dev/null
+++ b/cmd/fescuehub/path_bench_test.go
@@ -0,0 +1,202 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"os/exec"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// benchSite is a deployment of separate processes for measurements.
+type benchSite struct {
+	*testSite
+	vars map[string]string
+}
+
+func (s *benchSite) Setenv(name, value string) { s.vars[name] = value }
+
+func (s *benchSite) Getenv(name string) string { return s.vars[name] }
+
+// newBenchSite starts a deployment whose entries run on one core each.
+func newBenchSite(b *testing.B, size siteSize) *benchSite {
+	b.Helper()
+	s := &benchSite{testSite: newSite(b.TempDir()), vars: make(map[string]string)}
+	s.environment = []string{"GOMAXPROCS=1"}
+	b.Cleanup(s.stopAll)
+	size.bare = true
+	if err := s.build(s, size); err != nil {
+		b.Fatal(err)
+	}
+	for i := 1; i <= size.engines; i++ {
+		p := s.procs[fmt.Sprintf("engine-%d", i)]
+		p.args = append(p.args, "--step", "1ms", "--prefill-per-word", "0", "--max-batch", "1024")
+	}
+	for name := range s.procs {
+		if err := s.start(name); err != nil {
+			b.Fatal(err)
+		}
+	}
+	s.mustWriteJSON("tables.json", benchTables)
+	s.awaitBody(b, s.vars["ENTRY1_OP"]+"/readyz", "")
+	apply := exec.Command("fescuehub", "config", "apply", s.dir+"/tables.json", "--log", s.vars["LOG"], "--operator", s.vars["ENTRY1_OPADDR"])
+	if out, err := apply.CombinedOutput(); err != nil {
+		b.Fatalf("%v: %s", err, out)
+	}
+	s.awaitBody(b, s.vars["ENTRY1_OP"]+"/v1/status", fmt.Sprintf(`"replicas":%d`, size.engines+size.services))
+	return s
+}
+
+var benchTables = map[string]any{
+	"routes": []map[string]any{{"name": "m", "pool": "engines"}},
+	"pools":  []map[string]any{{"name": "engines", "kind": "model", "concurrency": 4096}},
+}
+
+func (s *benchSite) awaitBody(b *testing.B, url, text string) {
+	b.Helper()
+	deadline := time.Now().Add(awaitBound)
+	for time.Now().Before(deadline) {
+		status, body, _, err := request(http.MethodGet, url, nil, "")
+		if err == nil && status == http.StatusOK && strings.Contains(body, text) {
+			return
+		}
+		time.Sleep(awaitPause)
+	}
+	b.Fatalf("%s never answered %q", url, text)
+}
+
+// metric reads one value from the metrics of a process.
+func (s *benchSite) metric(b *testing.B, operator, name string) float64 {
+	b.Helper()
+	_, body, _, err := request(http.MethodGet, operator+"/metrics", nil, "")
+	if err != nil {
+		b.Fatal(err)
+	}
+	for line := range strings.Lines(body) {
+		if value, ok := strings.CutPrefix(line, name+" "); ok {
+			v, _ := strconv.ParseFloat(strings.TrimSpace(value), 64)
+			return v
+		}
+	}
+	b.Fatalf("no metric %s", name)
+	return 0
+}
+
+// ask sends a streamed request and returns the times to the first event and to
+// the end.
+func ask(client *http.Client, url string, tokens int) (first, whole time.Duration, err error) {
+	body := fmt.Sprintf(`{"model":"m","stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"x"}]}`, tokens)
+	start := time.Now()
+	res, err := client.Post(url+"/v1/chat/completions", "application/json", strings.NewReader(body))
+	if err != nil {
+		return 0, 0, err
+	}
+	defer res.Body.Close()
+	reader := bufio.NewReader(res.Body)
+	if _, err := reader.ReadString('\n'); err != nil {
+		return 0, 0, err
+	}
+	first = time.Since(start)
+	rest, err := io.ReadAll(reader)
+	if err == nil && !bytes.Contains(rest, []byte("[DONE]")) {
+		err = fmt.Errorf("not whole: %s", rest)
+	}
+	return first, time.Since(start), err
+}
+
+func benchClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 512}}
+}
+
+// BenchmarkAddedTime pairs each request through the path with one sent to the
+// engine directly, and reports the difference in time to the first event.
+func BenchmarkAddedTime(b *testing.B) {
+	s := newBenchSite(b, siteSize{entries: 1, engines: 1, linger: 1, shutdown: 30})
+	client := benchClient()
+	var added []time.Duration
+	for b.Loop() {
+		direct, _, err := ask(client, s.vars["ENGINE1"], 4)
+		if err != nil {
+			b.Fatal(err)
+		}
+		through, _, err := ask(client, s.vars["ENTRY1"], 4)
+		if err != nil {
+			b.Fatal(err)
+		}
+		added = append(added, through-direct)
+	}
+	slices.Sort(added)
+	b.ReportMetric(float64(added[len(added)/2].Microseconds()), "µs-median-added")
+	b.ReportMetric(float64(added[len(added)*99/100].Microseconds()), "µs-p99-added")
+}
+
+// BenchmarkRelay reports what one entry on one core relays, and the processor
+// time that the entry and the agents spend on it.
+func BenchmarkRelay(b *testing.B) {
+	for _, tokens := range []int{1, 16, 64, 256} {
+		b.Run(fmt.Sprintf("tokens=%d", tokens), func(b *testing.B) { benchRelay(b, tokens) })
+	}
+}
+
+func benchRelay(b *testing.B, tokens int) {
+	const callers = 64
+	s := newBenchSite(b, siteSize{entries: 1, engines: 4, linger: 1, shutdown: 30})
+	client := benchClient()
+	entryBefore := s.metric(b, s.vars["ENTRY1_OP"], "process_cpu_seconds_total")
+	agentBefore := s.metric(b, s.vars["AGENT_ENGINE1"], "process_cpu_seconds_total")
+	jobs := make(chan struct{})
+	var group sync.WaitGroup
+	for range callers {
+		group.Go(func() {
+			for range jobs {
+				if _, _, err := ask(client, s.vars["ENTRY1"], tokens); err != nil {
+					b.Error(err)
+				}
+			}
+		})
+	}
+	start := time.Now()
+	n := 0
+	for b.Loop() {
+		jobs <- struct{}{}
+		n++
+	}
+	close(jobs)
+	group.Wait()
+	elapsed := time.Since(start).Seconds()
+	cpu := s.metric(b, s.vars["ENTRY1_OP"], "process_cpu_seconds_total") - entryBefore
+	agent := s.metric(b, s.vars["AGENT_ENGINE1"], "process_cpu_seconds_total") - agentBefore
+	b.ReportMetric(float64(n)/elapsed, "requests/s")
+	b.ReportMetric(float64(n*tokens)/elapsed, "tokens/s")
+	b.ReportMetric(cpu/float64(n)*1e6, "entry-µs/request")
+	b.ReportMetric(agent/float64(n)*4*1e6, "agent-µs/request")
+	b.ReportMetric(s.metric(b, s.vars["ENTRY1_OP"], "process_resident_memory_bytes")/(1<<20), "entry-MB")
+}
+
+// BenchmarkIdle reports what an entry and an agent spend without requests.
+func BenchmarkIdle(b *testing.B) {
+	const window = 10 * time.Second
+	for _, engines := range []int{2, 8, 24} {
+		b.Run(fmt.Sprintf("replicas=%d", engines), func(b *testing.B) {
+			s := newBenchSite(b, siteSize{entries: 1, engines: engines, linger: 1, shutdown: 30})
+			for b.Loop() {
+				entry := s.metric(b, s.vars["ENTRY1_OP"], "process_cpu_seconds_total")
+				agent := s.metric(b, s.vars["AGENT_ENGINE1"], "process_cpu_seconds_total")
+				time.Sleep(window)
+				entry = s.metric(b, s.vars["ENTRY1_OP"], "process_cpu_seconds_total") - entry
+				agent = s.metric(b, s.vars["AGENT_ENGINE1"], "process_cpu_seconds_total") - agent
+				b.ReportMetric(100*entry/window.Seconds(), "entry-%core")
+				b.ReportMetric(100*agent/window.Seconds(), "agent-%core")
+				b.ReportMetric(s.metric(b, s.vars["ENTRY1_OP"], "process_resident_memory_bytes")/(1<<20), "entry-MB")
+				b.ReportMetric(s.metric(b, s.vars["AGENT_ENGINE1"], "process_resident_memory_bytes")/(1<<20), "agent-MB")
+			}
+		})
+	}
+}
--- a/cmd/fescuehub/scenario_site_test.go
+++ b/cmd/fescuehub/scenario_site_test.go
@@ -24,13 +24,21 @@
 
 const awaitPause = 20 * time.Millisecond
 
+// environment holds the variables that a site sets.
+type environment interface {
+	Setenv(name, value string)
+	Getenv(name string) string
+}
+
 // testSite is the deployment of one script.
 type testSite struct {
-	dir    string
-	mu     sync.Mutex
-	procs  map[string]*process
-	relays map[string]*relay
-	calls  map[string]*pendingCall
+	dir string
+	// environment is added to that of every process.
+	environment []string
+	mu          sync.Mutex
+	procs       map[string]*process
+	relays      map[string]*relay
+	calls       map[string]*pendingCall
 }
 
 // process is one process of the deployment.
@@ -43,8 +51,12 @@
 
 type siteKey struct{}
 
+func newSite(dir string) *testSite {
+	return &testSite{dir: dir, procs: make(map[string]*process), relays: make(map[string]*relay), calls: make(map[string]*pendingCall)}
+}
+
 func setupSite(env *testscript.Env) error {
-	s := &testSite{dir: env.WorkDir, procs: make(map[string]*process), relays: make(map[string]*relay), calls: make(map[string]*pendingCall)}
+	s := newSite(env.WorkDir)
 	env.Values[siteKey{}] = s
 	env.Defer(s.stopAll)
 	return nil
@@ -68,6 +80,7 @@
 		return err
 	}
 	cmd := exec.Command("fescuehub", args...)
+	cmd.Env = append(os.Environ(), s.environment...)
 	cmd.Stdout = log
 	cmd.Stderr = log
 	if err := cmd.Start(); err != nil {
@@ -115,7 +128,7 @@
 }
 
 // build writes the settings of every process and starts them unless bare.
-func (s *testSite) build(ts *testscript.TestScript, size siteSize) error {
+func (s *testSite) build(ts environment, size siteSize) error {
 	logAddr, listAddr, weights := freeAddress(), freeAddress(), freeAddress()
 	ts.Setenv("LOG", "http://"+logAddr)
 	ts.Setenv("LIST", "http://"+listAddr)
@@ -133,9 +146,7 @@
 	for i := 1; i <= size.entries; i++ {
 		order = append(order, s.entry(ts, &list, i, size))
 	}
-	if err := s.writeJSON("instances.json", list); err != nil {
-		return err
-	}
+	s.mustWriteJSON("instances.json", list)
 	s.prepare("instances", "standin", "instances", "--listen", listAddr, "--list", filepath.Join(s.dir, "instances.json"))
 	if size.bare {
 		return nil
@@ -156,7 +167,7 @@
 	s.procs[name] = &process{args: args, cmd: &exec.Cmd{Process: &os.Process{Pid: -1}}, exited: exited}
 }
 
-func (s *testSite) backend(ts *testscript.TestScript, list *instancelist.List, kind string, i int, size siteSize) []string {
+func (s *testSite) backend(ts environment, list *instancelist.List, kind string, i int, size siteSize) []string {
 	name := fmt.Sprintf("%s-%d", kind, i)
 	address := freeAddress()
 	upper := strings.ToUpper(kind) + fmt.Sprint(i)
@@ -170,7 +181,7 @@
 		ShutdownSeconds: size.shutdown,
 	}
 	ts.Setenv("AGENT_"+upper, "http://"+as.OperatorAddress)
-	ts.Check(s.writeJSON(as.Name+".json", as))
+	s.mustWriteJSON(as.Name+".json", as)
 	s.prepare(as.Name, "agent", "--settings", filepath.Join(s.dir, as.Name+".json"))
 	data, control := as.DataAddress, as.ControlAddress
 	if size.relays {
@@ -183,7 +194,7 @@
 	return []string{name, as.Name}
 }
 
-func (s *testSite) entry(ts *testscript.TestScript, list *instancelist.List, i int, size siteSize) string {
+func (s *testSite) entry(ts environment, list *instancelist.List, i int, size siteSize) string {
 	es := settings.Entry{
 		Name: fmt.Sprintf("entry-%d", i), FailureDomain: fmt.Sprintf("domain-%d", (i-1)%3+1),
 		CallerAddress: freeAddress(), PeerAddress: freeAddress(), OperatorAddress: freeAddress(),
@@ -195,7 +206,7 @@
 	ts.Setenv(upper+"_CALLER", es.CallerAddress)
 	ts.Setenv(upper+"_OP", "http://"+es.OperatorAddress)
 	ts.Setenv(upper+"_OPADDR", es.OperatorAddress)
-	ts.Check(s.writeJSON(es.Name+".json", es))
+	s.mustWriteJSON(es.Name+".json", es)
 	s.prepare(es.Name, "entry", "--settings", filepath.Join(s.dir, es.Name+".json"))
 	list.Instances = append(list.Instances, instancelist.Instance{
 		Name: es.Name, Role: instancelist.Entry, State: instancelist.Live, FailureDomain: es.FailureDomain,
@@ -204,12 +215,15 @@
 	return es.Name
 }
 
-func (s *testSite) writeJSON(name string, v any) error {
+// mustWriteJSON writes into the directory of the script, which the test made.
+func (s *testSite) mustWriteJSON(name string, v any) {
 	data, err := json.MarshalIndent(v, "", "  ")
+	if err == nil {
+		err = os.WriteFile(filepath.Join(s.dir, name), data, 0o644)
+	}
 	if err != nil {
-		return err
+		panic(err)
 	}
-	return os.WriteFile(filepath.Join(s.dir, name), data, 0o644)
 }
 
 var (
--- a/pkg/telemetry/telemetry.go
+++ b/pkg/telemetry/telemetry.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/uber-go/tally/v4"
 	tallyprom "github.com/uber-go/tally/v4/prometheus"
@@ -29,6 +30,7 @@
 // the same program.
 func NewMetrics() *Metrics {
 	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	reporter := tallyprom.NewReporter(tallyprom.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:                 "fescuehub",
