Bound and count what is broken between processes

Cause: a message of any size was read into memory, what could not be read went to standard error as free text, and a status code outside the range of answers would have made the entry panic.

Conclusion: broken input between processes harms only its own connection.

--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -93,7 +93,7 @@
 	defer cutOff(nil)
 	dataServer := httpserver.NewWithContext(work, data, a.scope.SubScope("data"), a.dataHandler())
 	operatorServer := httpserver.New(operator, a.scope.SubScope("operator"), a.operatorHandler())
-	controlServer := rpc.NewServer(control, a.controlMethods())
+	controlServer := rpc.NewServer(control, a.scope.SubScope("control"), a.controlMethods())
 
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
--- a/pkg/answer/answer.go
+++ b/pkg/answer/answer.go
@@ -11,6 +11,12 @@
 	"github.com/fescuehub/fescuehub/pkg/problem"
 )
 
+// minStatus and maxStatus bound the status codes of final answers.
+const (
+	minStatus = 200
+	maxStatus = 599
+)
+
 // Head is the status and the header of an answer.
 type Head struct {
 	Status  int
@@ -87,6 +93,10 @@
 	if f.Failure != nil {
 		return Output{}, f.Failure
 	}
+	if f.Status != 0 && (f.Status < minStatus || f.Status > maxStatus) {
+		return Output{}, problem.New(problem.BrokenFrame, "correct the backend server",
+			"%d is not the status of an answer", f.Status).WithOutcome(problem.NotKnown)
+	}
 	if f.Status != 0 && !a.committed {
 		a.head.Status = f.Status
 		a.head.Header = f.Header
--- a/pkg/rpc/rpc.go
+++ b/pkg/rpc/rpc.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/fescuehub/fescuehub/pkg/problem"
 )
@@ -53,17 +54,25 @@
 	if err != nil {
 		return nil, unavailable(address, err)
 	}
-	return newConn(ctx, nc, methods), nil
+	return newConn(ctx, nc, methods, tally.NoopScope.Counter("broken")), nil
 }
 
-func newConn(ctx context.Context, nc net.Conn, methods Methods) *Conn {
+// brokenCounter counts what a connection could not read or write. It
+// implements jsonrpc2.Logger.
+type brokenCounter struct{ counter tally.Counter }
+
+// Printf implements jsonrpc2.Logger.
+func (b brokenCounter) Printf(string, ...any) { b.counter.Inc(1) }
+
+func newConn(ctx context.Context, nc net.Conn, methods Methods, broken tally.Counter) *Conn {
 	c := &Conn{}
 	ready := make(chan struct{})
 	handler := jsonrpc2.HandlerWithError(func(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
 		<-ready
 		return c.handle(ctx, methods, req)
 	})
-	c.rpc = jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(nc), jsonrpc2.AsyncHandler(handler))
+	c.rpc = jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(nc, lineCodec{}), jsonrpc2.AsyncHandler(handler),
+		jsonrpc2.SetLogger(brokenCounter{broken}))
 	close(ready)
 	return c
 }
@@ -109,13 +118,20 @@
 type Server struct {
 	listener net.Listener
 	methods  Methods
+	broken   tally.Counter
 	mu       sync.Mutex
 	conns    map[*Conn]struct{}
 }
 
-// NewServer returns a server on an open listener.
-func NewServer(listener net.Listener, methods Methods) *Server {
-	return &Server{listener: listener, methods: methods, conns: make(map[*Conn]struct{})}
+// NewServer returns a server on an open listener. Broken messages are counted
+// in scope.
+func NewServer(listener net.Listener, scope tally.Scope, methods Methods) *Server {
+	return &Server{
+		listener: listener,
+		methods:  methods,
+		broken:   scope.Counter("rpc_broken_messages"),
+		conns:    make(map[*Conn]struct{}),
+	}
 }
 
 // Run accepts connections until ctx ends.
@@ -131,7 +147,7 @@
 		if err != nil {
 			return err
 		}
-		s.add(newConn(ctx, nc, s.methods))
+		s.add(newConn(ctx, nc, s.methods, s.broken))
 	}
 }
 
--- /dev/null
+++ b/pkg/rpc/rpc_test.go
@@ -0,0 +1,136 @@
+package rpc_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/fescuehub/fescuehub/pkg/problem"
+	"github.com/fescuehub/fescuehub/pkg/rpc"
+)
+
+type number struct {
+	N int `json:"n"`
+}
+
+// serve runs a server with the method "half" and returns its address.
+func serve(t *testing.T, scope tally.Scope) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	server := rpc.NewServer(l, scope, rpc.Methods{"half": rpc.Typed(func(_ context.Context, _ *rpc.Conn, p number) (any, error) {
+		if p.N%2 != 0 {
+			return nil, problem.New(problem.KeyReused, "send an even number", "%d is odd", p.N).WithOutcome(problem.NotRun)
+		}
+		return number{p.N / 2}, nil
+	})})
+	done := make(chan error, 1)
+	go func() { done <- server.Run(ctx) }()
+	t.Cleanup(func() {
+		stop()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return l.Addr().String()
+}
+
+func TestErrorsKeepTheirKindAndOutcome(t *testing.T) {
+	conn, err := rpc.Dial(context.Background(), serve(t, tally.NoopScope), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	var got number
+	if err := conn.Call(context.Background(), "half", number{4}, &got); err != nil || got.N != 2 {
+		t.Fatalf("%v %v", got, err)
+	}
+	err = conn.Call(context.Background(), "half", number{3}, &got)
+	if p := problem.Of(err); p.Kind != problem.KeyReused || p.Outcome != problem.NotRun || p.Remedy != "send an even number" {
+		t.Fatalf("got %+v", p)
+	}
+	if err := conn.Call(context.Background(), "half", "text", &got); !problem.Is(err, problem.BadRequest) {
+		t.Fatalf("got %v", err)
+	}
+	if err := conn.Call(context.Background(), "none", number{}, &got); !problem.Is(err, problem.Unavailable) {
+		t.Fatalf("got %v", err)
+	}
+}
+
+// TestBrokenMessagesEndOnlyTheirConnection sends what is not a message and
+// then uses the server again.
+func TestBrokenMessagesEndOnlyTheirConnection(t *testing.T) {
+	scope := tally.NewTestScope("", nil)
+	address := serve(t, scope)
+	for _, text := range []string{"GET / HTTP/1.1\r\n\r\n", "{\"jsonrpc\":\n", "\x00\xff\n", strings.Repeat("x", rpc.MaxMessageBytes+2) + "\n"} {
+		nc, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = nc.SetDeadline(time.Now().Add(30 * time.Second))
+		go func() { _, _ = nc.Write([]byte(text)) }()
+		if _, err := nc.Read(make([]byte, 1)); err == nil {
+			t.Errorf("%.20q was answered", text)
+		}
+		_ = nc.Close()
+	}
+	conn, err := rpc.Dial(context.Background(), address, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	var got number
+	if err := conn.Call(context.Background(), "half", number{2}, &got); err != nil {
+		t.Fatal(err)
+	}
+	if c := scope.Snapshot().Counters()["rpc_broken_messages+"]; c == nil || c.Value() == 0 {
+		t.Fatal("broken messages were not counted")
+	}
+}
+
+func TestCallEndsWithItsConnection(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		c, err := l.Accept()
+		if err == nil {
+			_, _ = c.Read(make([]byte, 1))
+			_ = c.Close()
+		}
+	}()
+	conn, err := rpc.Dial(context.Background(), l.Addr().String(), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := conn.Call(context.Background(), "half", number{2}, nil); !problem.Is(err, problem.Unavailable) {
+		t.Fatalf("got %v", err)
+	}
+	<-conn.Done()
+}
+
+func TestProblemJSONRoundTrip(t *testing.T) {
+	p := problem.New(problem.Overloaded, "come back", "full").WithOutcome(problem.NotRun).WithRetryAfter(1500 * time.Millisecond)
+	data, err := json.Marshal(p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var back problem.Error
+	if err := json.NewDecoder(bytes.NewReader(data)).Decode(&back); err != nil || back != *p {
+		t.Fatalf("%+v %v", back, err)
+	}
+	if doc := p.Document(); doc.Status != 429 || doc.RetryAfterSeconds != 2 {
+		t.Fatalf("%+v", doc)
+	}
+}
