Bound the time of a request's body and answer unknown paths with a problem

Cause: a body that never came held its connection for ever, one that was too large could not be told from one that broke off, and an unknown path got plain text without a remedy.

Conclusion: bad input is bounded in size and in time.

--- a/cmd/fescuehub/scenario_commands_test.go
+++ b/cmd/fescuehub/scenario_commands_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -111,7 +112,7 @@
 		}
 		time.Sleep(awaitPause)
 	}
-	ts.Fatalf("await: %s still answers %q", args[0], last)
+	ts.Fatalf("await: %s still answers %.1500q", args[0], last)
 }
 
 // call [&NAME] METHOD URL [HEADER:VALUE ...] [BODY]: sends a request and
@@ -159,6 +160,20 @@
 	ts.Check(res.Body.Close())
 }
 
+// raw ADDRESS TEXT: sends the text, with \r\n for line ends, keeps the
+// connection open, and prints what comes back to call.out.
+func cmdRaw(ts *testscript.TestScript, _ bool, args []string) {
+	conn, err := net.Dial("tcp", args[0])
+	ts.Check(err)
+	defer conn.Close()
+	ts.Check(conn.SetDeadline(time.Now().Add(awaitBound)))
+	_, err = io.WriteString(conn, strings.ReplaceAll(args[1], `\r\n`, "\r\n"))
+	ts.Check(err)
+	answer, err := io.ReadAll(conn)
+	ts.Check(err)
+	ts.Check(os.WriteFile(ts.MkAbs("call.out"), answer, 0o644))
+}
+
 // pendingCall is a call in the background.
 type pendingCall struct {
 	text string
--- a/cmd/fescuehub/scenario_site_test.go
+++ b/cmd/fescuehub/scenario_site_test.go
@@ -22,6 +22,9 @@
 // script that hangs from one that passes.
 const awaitBound = 60 * time.Second
 
+// maxTestBodyBytes bounds the body of a request in scripts.
+const maxTestBodyBytes = 1 << 16
+
 const awaitPause = 20 * time.Millisecond
 
 // environment holds the variables that a site sets.
@@ -57,6 +60,7 @@
 
 func setupSite(env *testscript.Env) error {
 	s := newSite(env.WorkDir)
+	env.Setenv("LARGE", strings.Repeat("x", maxTestBodyBytes+1))
 	env.Values[siteKey{}] = s
 	env.Defer(s.stopAll)
 	return nil
@@ -181,6 +185,7 @@
 		ShutdownSeconds: size.shutdown,
 	}
 	ts.Setenv("AGENT_"+upper, "http://"+as.OperatorAddress)
+	ts.Setenv("AGENT_"+upper+"_CONTROL", as.ControlAddress)
 	s.mustWriteJSON(as.Name+".json", as)
 	s.prepare(as.Name, "agent", "--settings", filepath.Join(s.dir, as.Name+".json"))
 	data, control := as.DataAddress, as.ControlAddress
@@ -200,6 +205,7 @@
 		CallerAddress: freeAddress(), PeerAddress: freeAddress(), OperatorAddress: freeAddress(),
 		LogURL: ts.Getenv("LOG"), InstancesURL: ts.Getenv("LIST"),
 		AddressLifetimeSeconds: size.linger, ShutdownSeconds: size.shutdown,
+		MaxBodyBytes: maxTestBodyBytes, BodySeconds: 1,
 	}
 	upper := fmt.Sprintf("ENTRY%d", i)
 	ts.Setenv(upper, "http://"+es.CallerAddress)
--- a/cmd/fescuehub/scenario_test.go
+++ b/cmd/fescuehub/scenario_test.go
@@ -27,6 +27,7 @@
 			"await":  cmdAwait,
 			"call":   cmdCall,
 			"hangup": cmdHangup,
+			"raw":    cmdRaw,
 			"sees":   cmdSees,
 			"cut":    cmdCut,
 			"mend":   cmdMend,
--- a/pkg/demo/site.go
+++ b/pkg/demo/site.go
@@ -66,7 +66,7 @@
 		es := settings.Entry{
 			Name: fmt.Sprintf("entry-%d", i+1), FailureDomain: d.FailureDomains[i%len(d.FailureDomains)],
 			CallerAddress: ports.take(), PeerAddress: ports.take(), OperatorAddress: ports.take(),
-			LogURL: s.logURL, AddressLifetimeSeconds: 1, ShutdownSeconds: 5, MaxBodyBytes: settings.DefaultMaxBodyBytes,
+			LogURL: s.logURL, AddressLifetimeSeconds: 1, ShutdownSeconds: 5, MaxBodyBytes: settings.DefaultMaxBodyBytes, BodySeconds: settings.DefaultBodySeconds,
 		}
 		s.entrySets = append(s.entrySets, es)
 		instances = append(instances, instancelist.Instance{
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -22,6 +22,7 @@
 	"github.com/fescuehub/fescuehub/pkg/peer/agentlink"
 	"github.com/fescuehub/fescuehub/pkg/peer/instancelist"
 	"github.com/fescuehub/fescuehub/pkg/peer/logservice"
+	"github.com/fescuehub/fescuehub/pkg/problem"
 	"github.com/fescuehub/fescuehub/pkg/routing"
 	"github.com/fescuehub/fescuehub/pkg/settings"
 	"github.com/fescuehub/fescuehub/pkg/telemetry"
@@ -156,9 +157,16 @@
 	mux.HandleFunc("GET /v1/addresses", e.serveAddresses)
 	mux.HandleFunc("POST /v1/chat/completions", e.inFlight(e.serveModel))
 	mux.HandleFunc("/services/{route}/{path...}", e.inFlight(e.serveService))
+	mux.HandleFunc("/", e.serveUnknownPath)
 	return mux
 }
 
+func (e *Entry) serveUnknownPath(w http.ResponseWriter, r *http.Request) {
+	e.refuse(w, problem.New(problem.UnknownRoute,
+		"use GET /v1/addresses, POST /v1/chat/completions or /services/ROUTE/PATH",
+		"nothing is served at %s %s", r.Method, r.URL.Path).WithOutcome(problem.NotRun))
+}
+
 // inFlight counts a request from its header to the end of its answer, so that
 // a drain waits for it. A leaving entry asks callers to close the connection.
 func (e *Entry) inFlight(next http.HandlerFunc) http.HandlerFunc {
--- a/pkg/entry/exchange.go
+++ b/pkg/entry/exchange.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/fescuehub/fescuehub/pkg/answer"
 	"github.com/fescuehub/fescuehub/pkg/ident"
 	"github.com/fescuehub/fescuehub/pkg/problem"
@@ -61,14 +63,25 @@
 	return p
 }
 
-// readBody reads the body of a request. The error has the kind TooLarge.
+// readBody reads the body of a request within the bounds of the settings. The
+// error kinds are TooLarge and BadRequest.
 func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	control := http.NewResponseController(w)
+	limit := time.Duration(e.settings.BodySeconds) * time.Second
+	if err := control.SetReadDeadline(time.Now().Add(limit)); err != nil {
+		return nil, errors.Wrap(err, "bound the reading of a body")
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(e.settings.MaxBodyBytes)))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, problem.New(problem.TooLarge, "send a smaller body, or raise maxBodyBytes",
+			"the body is larger than %d bytes", tooLarge.Limit).WithOutcome(problem.NotRun)
+	}
 	if err != nil {
-		return nil, problem.New(problem.TooLarge, "send a smaller body",
-			"the body could not be read within %d bytes: %v", e.settings.MaxBodyBytes, err).WithOutcome(problem.NotRun)
+		return nil, problem.New(problem.BadRequest, "send the whole body within bodySeconds",
+			"the body did not arrive within %v: %v", limit, err).WithOutcome(problem.NotRun)
 	}
-	return body, nil
+	return body, errors.Wrap(control.SetReadDeadline(time.Time{}), "unbound the connection")
 }
 
 // open finds the route, its pool and the caller's organisation.
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -38,6 +38,9 @@
 	// MaxBodyBytes bounds the body of a request. 0 stands for
 	// DefaultMaxBodyBytes.
 	MaxBodyBytes int `json:"maxBodyBytes,omitempty"`
+	// BodySeconds bounds the time in which the body of a request must arrive.
+	// 0 stands for DefaultBodySeconds.
+	BodySeconds int `json:"bodySeconds,omitempty"`
 }
 
 // Backend is the part of an agent's settings about its backend server.
@@ -85,6 +88,8 @@
 	MaxShutdownSeconds            = 3600
 	DefaultMaxBodyBytes           = 4 << 20
 	MaxMaxBodyBytes               = 64 << 20
+	DefaultBodySeconds            = 30
+	MaxBodySeconds                = 600
 )
 
 // LoadEntry reads and checks the settings of an entry. The error has the kind
@@ -111,6 +116,7 @@
 	s.AddressLifetimeSeconds = orDefault(s.AddressLifetimeSeconds, DefaultAddressLifetimeSeconds)
 	s.ShutdownSeconds = orDefault(s.ShutdownSeconds, DefaultShutdownSeconds)
 	s.MaxBodyBytes = orDefault(s.MaxBodyBytes, DefaultMaxBodyBytes)
+	s.BodySeconds = orDefault(s.BodySeconds, DefaultBodySeconds)
 	return s
 }
 
@@ -132,6 +138,7 @@
 	c.within("addressLifetimeSeconds", s.AddressLifetimeSeconds, MaxAddressLifetimeSeconds)
 	c.within("shutdownSeconds", s.ShutdownSeconds, MaxShutdownSeconds)
 	c.within("maxBodyBytes", s.MaxBodyBytes, MaxMaxBodyBytes)
+	c.within("bodySeconds", s.BodySeconds, MaxBodySeconds)
 	return c.faults
 }
 
