--- a/pkg/entry/exchange.go
+++ b/pkg/entry/exchange.go
@@ -5,6 +5,9 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
+	"github.com/fescuehub/fescuehub/pkg/answer"
 	"github.com/fescuehub/fescuehub/pkg/ident"
 	"github.com/fescuehub/fescuehub/pkg/problem"
 	"github.com/fescuehub/fescuehub/pkg/tables"
@@ -30,17 +33,55 @@
 	adapter    string
 	prefixHash uint64
 	attempt    ident.AttemptID
+	// mayHaveRun is true once an attempt ended without being certified as not
+	// run.
+	mayHaveRun bool
+	answer     *answer.Assembler
 	out        *answerWriter
 }
 
-// readBody reads the body of a request. The error has the kind TooLarge.
+// answerTo prepares the answer of the exchange.
+func (x *exchange) answerTo(w http.ResponseWriter) {
+	x.answer = answer.New(x.stream, heldAnswerBytes)
+	x.out = newAnswerWriter(w, x.stream)
+}
+
+// note remembers what is known of an attempt that failed.
+func (x *exchange) note(err error) {
+	if problem.Of(err).Outcome != problem.NotRun {
+		x.mayHaveRun = true
+	}
+}
+
+// truthful returns the error with the outcome of the whole request: it did not
+// run only if none of its attempts did.
+func (x *exchange) truthful(err error) error {
+	p := problem.Of(err)
+	if p.Outcome == problem.NotRun && x.mayHaveRun {
+		return p.WithOutcome(problem.NotKnown)
+	}
+	return p
+}
+
+// readBody reads the body of a request within the bounds of the settings. The
+// error kinds are TooLarge and BadRequest.
 func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	control := http.NewResponseController(w)
+	limit := time.Duration(e.settings.BodySeconds) * time.Second
+	if err := control.SetReadDeadline(time.Now().Add(limit)); err != nil {
+		return nil, errors.Wrap(err, "bound the reading of a body")
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(e.settings.MaxBodyBytes)))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, problem.New(problem.TooLarge, "send a smaller body, or raise maxBodyBytes",
+			"the body is larger than %d bytes", tooLarge.Limit).WithOutcome(problem.NotRun)
+	}
 	if err != nil {
-		return nil, problem.New(problem.TooLarge, "send a smaller body",
-			"the body could not be read within %d bytes: %v", e.settings.MaxBodyBytes, err).WithOutcome(problem.NotRun)
+		return nil, problem.New(problem.BadRequest, "send the whole body within bodySeconds",
+			"the body did not arrive within %v: %v", limit, err).WithOutcome(problem.NotRun)
 	}
-	return body, nil
+	return body, errors.Wrap(control.SetReadDeadline(time.Time{}), "unbound the connection")
 }
 
 // open finds the route, its pool and the caller's organisation.
