--- /dev/null
+++ b/pkg/measure/expertmaps/run.go
@@ -0,0 +1,227 @@
+package expertmaps
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/fescuehub/fescuehub/pkg/expertmap"
+	"github.com/fescuehub/fescuehub/pkg/expertplan"
+)
+
+// PlannerName names a planner.
+type PlannerName string
+
+// The planners.
+const (
+	// Never keeps the first map.
+	Never PlannerName = "never"
+	// FullEqual places all experts anew each period, with equal shares.
+	FullEqual PlannerName = "full, equal shares"
+	// FullSplit does so with balanced shares.
+	FullSplit PlannerName = "full, balanced shares"
+	// SkewFirst is the planner with a skew weight of 1, as Arcos Hermanos sets.
+	SkewFirst PlannerName = "planner, skew weight 1"
+	// CostFirst is the planner with a skew weight of 0, as Somes sets.
+	CostFirst PlannerName = "planner, skew weight 0"
+)
+
+// Planners lists the planners.
+var Planners = []PlannerName{Never, FullEqual, FullSplit, SkewFirst, CostFirst}
+
+// Assumptions of the measurement, where the users gave no figure.
+const (
+	// Period is the time from one plan to the next.
+	Period = 5 * time.Minute
+	// ExpertBytes is the size of one expert of one layer.
+	ExpertBytes = 44 << 20
+	// StoreBytesPerSecond is the part of the store's rate for the group.
+	StoreBytesPerSecond = 1 << 30
+	// settledWithin is how close to its later median the skew has to come.
+	settledWithin = 1.05
+)
+
+// Row is the outcome of one planner on one trace.
+type Row struct {
+	Trace   TraceName   `json:"trace"`
+	Size    string      `json:"size"`
+	Planner PlannerName `json:"planner"`
+	// Median and P95 are of the largest over the mean step time of the ranks.
+	Median float64 `json:"skewMedian"`
+	P95    float64 `json:"skew95th"`
+	// Bytes read from the weight store.
+	Bytes int64 `json:"bytesMoved"`
+	// Maps counts the maps put in force.
+	Maps int `json:"maps"`
+	// SettleMinutes is the time from the trace's change until the skew is
+	// within 5% of its median in the hour after; -1 for a drift.
+	SettleMinutes float64 `json:"settleMinutes"`
+	// SkewAgainstFull and BytesAgainstFull compare with the better of the two
+	// full re-plans.
+	SkewAgainstFull  float64 `json:"skewAgainstFull"`
+	BytesAgainstFull float64 `json:"bytesAgainstFull"`
+}
+
+// decide returns the next map for what was seen in the last period.
+type decide func(present []expertmap.Layer, in expertplan.Input) ([]expertmap.Layer, bool)
+
+func decider(name PlannerName, size Size) decide {
+	switch name {
+	case FullEqual, FullSplit:
+		return func(_ []expertmap.Layer, in expertplan.Input) ([]expertmap.Layer, bool) {
+			next := make([]expertmap.Layer, len(in.Popularity))
+			for l, p := range in.Popularity {
+				next[l] = expertplan.Full(p, in.Speed, size.Slots, name == FullSplit)
+			}
+			return next, true
+		}
+	case SkewFirst, CostFirst:
+		o := expertplan.Options{Slots: size.Slots, ExpertBytes: ExpertBytes, StoreBytesPerSecond: StoreBytesPerSecond, Period: Period}
+		if name == SkewFirst {
+			o.SkewWeight = 1
+		}
+		planner := expertplan.NewPlanner(o)
+		return func(present []expertmap.Layer, in expertplan.Input) ([]expertmap.Layer, bool) {
+			plan, ok := planner.Plan(present, in)
+			return plan.Layers, ok
+		}
+	}
+	return func([]expertmap.Layer, expertplan.Input) ([]expertmap.Layer, bool) { return nil, false }
+}
+
+// run is one planner on one trace.
+type run struct {
+	trace   *trace
+	decide  decide
+	present []expertmap.Layer
+	next    []expertmap.Layer
+	nextAt  time.Duration
+	seen    [][]float64
+	samples int
+	bytes   int64
+	maps    int
+	skews   []float64
+}
+
+// Measure runs one planner on one trace.
+func Measure(name PlannerName, traceName TraceName, size Size, seed uint64) Row {
+	r := &run{trace: newTrace(traceName, size, seed), decide: decider(name, size)}
+	first, _ := newTrace(traceName, size, seed).at(0)
+	ones := make([]float64, size.Ranks)
+	for i := range ones {
+		ones[i] = 1
+	}
+	for _, p := range first {
+		r.present = append(r.present, expertplan.Full(p, ones, size.Slots, true))
+	}
+	for now := time.Duration(0); now < traceName.duration(); now += sample {
+		r.step(now)
+	}
+	row := Row{Trace: traceName, Size: size.Name, Planner: name, Bytes: r.bytes, Maps: r.maps}
+	row.Median, row.P95 = quantile(r.skews, 0.5), quantile(r.skews, 0.95)
+	row.SettleMinutes = r.settle()
+	return row
+}
+
+// step evaluates the map in force and plans at the end of a period.
+func (r *run) step(now time.Duration) {
+	if r.next != nil && now >= r.nextAt {
+		r.present, r.next = r.next, nil
+		r.maps++
+	}
+	popularity, speed := r.trace.at(now)
+	largest, mean := expertplan.StepTime(r.present, popularity, speed)
+	r.skews = append(r.skews, largest/mean)
+	r.see(popularity)
+	if (now+sample)%Period != 0 {
+		return
+	}
+	if r.next == nil {
+		r.plan(now+sample, speed)
+	}
+	r.seen = nil
+	r.samples = 0
+}
+
+func (r *run) see(popularity [][]float64) {
+	if r.seen == nil {
+		r.seen = make([][]float64, len(popularity))
+		for l := range popularity {
+			r.seen[l] = make([]float64, len(popularity[l]))
+		}
+	}
+	r.samples++
+	for l := range popularity {
+		for e, v := range popularity[l] {
+			r.seen[l][e] += v
+		}
+	}
+}
+
+// plan puts the next map in force once its weights are loaded.
+func (r *run) plan(now time.Duration, speed []float64) {
+	for l := range r.seen {
+		for e := range r.seen[l] {
+			r.seen[l][e] /= float64(r.samples)
+		}
+	}
+	next, ok := r.decide(r.present, expertplan.Input{Popularity: r.seen, Speed: speed})
+	if !ok {
+		return
+	}
+	bytes := int64(expertplan.Loads(r.present, next)) * ExpertBytes
+	r.bytes += bytes
+	r.next = next
+	r.nextAt = now + time.Duration(float64(bytes)/StoreBytesPerSecond*float64(time.Second))
+}
+
+// settle returns the minutes from the change until the skew is near its median
+// of the hour after, and -1 without a change.
+func (r *run) settle() float64 {
+	at, ok := r.trace.name.change()
+	if !ok {
+		return -1
+	}
+	from := int(at / sample)
+	hour := int(time.Hour / sample)
+	level := quantile(r.skews[from+hour/2:from+hour], 0.5) * settledWithin
+	last := from
+	for i := from; i < from+hour; i++ {
+		if r.skews[i] > level {
+			last = i + 1
+		}
+	}
+	return float64(last-from) * sample.Minutes()
+}
+
+func quantile(values []float64, q float64) float64 {
+	sorted := slices.Sorted(slices.Values(values))
+	return sorted[int(math.Ceil(q*float64(len(sorted))))-1]
+}
+
+// All measures every planner on every trace at both sizes.
+func All(seed uint64, sizes []Size) []Row {
+	var rows []Row
+	for _, size := range sizes {
+		for _, t := range Traces {
+			start := len(rows)
+			for _, p := range Planners {
+				rows = append(rows, Measure(p, t, size, seed))
+			}
+			compare(rows[start:])
+		}
+	}
+	return rows
+}
+
+// compare relates the rows of one trace to the better of the full re-plans.
+func compare(rows []Row) {
+	full := rows[1]
+	if rows[2].Median < full.Median {
+		full = rows[2]
+	}
+	for i := range rows {
+		rows[i].SkewAgainstFull = rows[i].Median / full.Median
+		rows[i].BytesAgainstFull = float64(rows[i].Bytes) / float64(full.Bytes)
+	}
+}
