--- a/pkg/expertplan/planner.go
+++ b/pkg/expertplan/planner.go
@@ -48,22 +48,22 @@
 
 const (
 	// smoothing is the weight of the newest popularity in the estimate.
-	smoothing = 0.7
+	smoothing = 1.0
 	// horizon is how long a move is expected to pay off.
 	horizon = 30 * time.Minute
 	// cheapMove and dearMove are the gains, as a share of one layer's step time
 	// kept over the horizon, that one move has to bring with a skew weight of
 	// 1 and 0.
-	cheapMove = 0.0015
-	dearMove  = 0.03
+	cheapMove = 0.0005
+	dearMove  = 0.01
 	// storeShare is the share of the store's rate in one period that a plan
 	// may use.
 	storeShare = 0.5
 	// shareGain is the least predicted gain for which new shares alone are
 	// published. They cost messages but no weights.
-	shareGain = 0.005
+	shareGain = 0.01
 	// maxMovesPerLayer bounds the search of one plan.
-	maxMovesPerLayer = 24
+	maxMovesPerLayer = 96
 	// minSpeed keeps a stalled rank's speed above zero, as a share of the
 	// fastest rank's.
 	minSpeed = 0.01
