Run expert maps end to end: ranks, agents that load and fence, planners under a lease

Before: no process took an expert map. Now an engine can be a rank of a group, its agent loads weights and refuses old leases, and an entry that holds the group's lease plans.

--- a/cmd/fescuehub/scenario_commands_test.go
+++ b/cmd/fescuehub/scenario_commands_test.go
@@ -17,11 +17,12 @@
 	"github.com/rogpeppe/go-internal/testscript"
 )
 
-// site [entries=N] [engines=N] [services=N] [linger=S] [shutdown=S] [bare] [relays]
+// site [entries=N] [engines=N] [services=N] [linger=S] [shutdown=S] [bare] [relays] [group]
 //
 // Writes the settings of a deployment, starts its processes (not with bare)
 // and sets LOG, LIST, ENTRY1, ENTRY1_OP, ENGINE1, AGENT_ENGINE1, SERVICE1 and
-// so on. With relays, agents are reached through relays that cut breaks.
+// so on. With relays, agents are reached through relays that cut breaks. With
+// group, the engines are the ranks of one group that check no fencing.
 func cmdSite(ts *testscript.TestScript, _ bool, args []string) {
 	size := siteSize{entries: 1, linger: 1, shutdown: 30}
 	numbers := map[string]*int{
@@ -33,6 +34,8 @@
 		switch {
 		case name == "bare":
 			size.bare = true
+		case name == "group":
+			size.group = true
 		case name == "relays":
 			size.relays = true
 		case numbers[name] != nil:
--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -36,6 +36,7 @@
 	life        *lifecycle.Lifecycle
 	backend     Backend
 	attempts    *attempts
+	maps        *expertMaps
 
 	mu        sync.Mutex
 	links     map[*rpc.Conn]struct{}
@@ -46,16 +47,18 @@
 
 // New returns an agent that has opened nothing yet.
 func New(s settings.Agent, log *zap.Logger, metrics *telemetry.Metrics, backend Backend) *Agent {
+	scope := metrics.Scope.SubScope("agent")
 	plan := drain.Plan{Bound: time.Duration(s.ShutdownSeconds) * time.Second}
 	return &Agent{
 		settings:    s,
 		log:         log,
 		metrics:     metrics,
-		scope:       metrics.Scope.SubScope("agent"),
+		scope:       scope,
 		incarnation: ident.NewIncarnation(s.Name),
 		life:        lifecycle.New(log, plan),
 		backend:     backend,
 		attempts:    newAttempts(),
+		maps:        newExpertMaps(s, log, scope),
 		links:       make(map[*rpc.Conn]struct{}),
 		part:        agentlink.PoolPart{Offset: -1},
 	}
@@ -102,6 +105,7 @@
 	group.Go(operatorServer.Run)
 	group.Go(func() error { return controlServer.Run(ctx) })
 	group.Go(func() error { return a.watchBackend(ctx) })
+	group.Go(func() error { return a.maps.run(ctx) })
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
--- a/pkg/agent/control.go
+++ b/pkg/agent/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 
 	"go.uber.org/zap"
 
@@ -12,11 +13,13 @@
 )
 
 func (a *Agent) controlMethods() rpc.Methods {
-	return rpc.Methods{
+	methods := rpc.Methods{
 		agentlink.MethodHello:     rpc.Typed(a.hello),
 		agentlink.MethodConfigure: rpc.Typed(a.configure),
 		agentlink.MethodRefuse:    rpc.Typed(a.refuse),
 	}
+	maps.Copy(methods, a.maps.methods())
+	return methods
 }
 
 // hello registers the entry's connection for statuses.
@@ -56,6 +59,7 @@
 
 func (a *Agent) status() agentlink.Status {
 	phase := a.life.Phase()
+	group := a.maps.groupRank()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return agentlink.Status{
@@ -66,6 +70,7 @@
 		BackendUp:    a.backendUp,
 		Load:         a.load.load,
 		ConfigOffset: a.part.Offset,
+		GroupRank:    group,
 	}
 }
 
--- /dev/null
+++ b/pkg/agent/expertmap.go
@@ -0,0 +1,259 @@
+package agent
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"github.com/fescuehub/fescuehub/pkg/expertmap"
+	"github.com/fescuehub/fescuehub/pkg/peer/agentlink"
+	"github.com/fescuehub/fescuehub/pkg/peer/engine"
+	"github.com/fescuehub/fescuehub/pkg/peer/weightstore"
+	"github.com/fescuehub/fescuehub/pkg/problem"
+	"github.com/fescuehub/fescuehub/pkg/rpc"
+	"github.com/fescuehub/fescuehub/pkg/settings"
+)
+
+const (
+	// rankInterval is how often the state of the rank is read.
+	rankInterval = 200 * time.Millisecond
+	// rankAbsentInterval is how often an engine is asked that does not answer
+	// as a rank of a group.
+	rankAbsentInterval = 2 * time.Second
+	// loadRetryPause is the pause after a load that failed.
+	loadRetryPause = time.Second
+)
+
+// expertMaps brings ordered maps to the rank beside the agent. The rank need
+// not check fencing numbers: the agent does.
+type expertMaps struct {
+	log     *zap.Logger
+	scope   tally.Scope
+	engine  *engine.Client
+	weights *weightstore.Client
+	pool    string
+
+	mu    sync.Mutex
+	fence *expertmap.Fence
+	rank  engine.RankState
+	// inUse is the placement whose weights the rank holds for certain.
+	inUse *expertmap.Map
+	order *agentlink.OrderMap
+	wake  chan struct{}
+}
+
+// newExpertMaps returns nil where the backend server is no engine or no
+// weight store is set.
+func newExpertMaps(s settings.Agent, log *zap.Logger, scope tally.Scope) *expertMaps {
+	if s.Backend.Kind != settings.EngineBackend || s.WeightsURL == "" {
+		return nil
+	}
+	return &expertMaps{
+		log:     log,
+		scope:   scope.SubScope("maps"),
+		engine:  engine.New(s.Backend.URL),
+		weights: weightstore.New(s.WeightsURL),
+		pool:    s.Pool,
+		fence:   expertmap.NewFence(false),
+		wake:    make(chan struct{}, 1),
+	}
+}
+
+// methods returns the control methods of expert maps.
+func (m *expertMaps) methods() rpc.Methods {
+	if m == nil {
+		return nil
+	}
+	return rpc.Methods{
+		agentlink.MethodRankState: rpc.Typed(func(context.Context, *rpc.Conn, struct{}) (any, error) { return m.state() }),
+		agentlink.MethodPopularity: rpc.Typed(func(ctx context.Context, _ *rpc.Conn, _ struct{}) (any, error) {
+			return m.engine.RankPopularity(ctx)
+		}),
+		agentlink.MethodExpertMap: rpc.Typed(func(ctx context.Context, _ *rpc.Conn, _ struct{}) (any, error) {
+			return m.engine.RankMap(ctx)
+		}),
+		agentlink.MethodOrderMap: rpc.Typed(m.take),
+	}
+}
+
+// groupRank returns the rank that the agent stands before.
+func (m *expertMaps) groupRank() agentlink.GroupRank {
+	if m == nil {
+		return agentlink.GroupRank{}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return agentlink.GroupRank{Group: m.rank.Group, Rank: m.rank.Rank, Ranks: m.rank.Ranks}
+}
+
+func (m *expertMaps) state() (engine.RankState, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.rank.Incarnation == "" {
+		return m.rank, problem.New(problem.BackendUnreachable, "start the engine", "the rank has not been seen yet")
+	}
+	return m.rank, nil
+}
+
+// take accepts an order for a map unless its fencing number is old.
+func (m *expertMaps) take(_ context.Context, _ *rpc.Conn, order agentlink.OrderMap) (any, error) {
+	if err := order.Map.Check(); err != nil {
+		return nil, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err := m.fence.Admit(order.Fencing); err != nil {
+		m.scope.Counter("orders_fenced_off").Inc(1)
+		return nil, err
+	}
+	m.scope.Counter("orders_taken").Inc(1)
+	m.order = &order
+	m.signal()
+	return agentlink.OrderMapReply{Highest: m.fence.Highest()}, nil
+}
+
+func (m *expertMaps) signal() {
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
+}
+
+// run follows the rank and loads what is ordered until ctx ends.
+func (m *expertMaps) run(ctx context.Context) error {
+	if m == nil {
+		return nil
+	}
+	go m.loadOrders(ctx)
+	for ctx.Err() == nil {
+		state, err := m.engine.RankState(ctx)
+		if err != nil {
+			pause(ctx, rankAbsentInterval)
+			continue
+		}
+		m.observe(state)
+		pause(ctx, rankInterval)
+	}
+	return nil
+}
+
+// observe keeps the state of the rank. A rank that has restarted gets the map
+// that was ordered last again.
+func (m *expertMaps) observe(state engine.RankState) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	restarted := m.rank.Incarnation != state.Incarnation
+	current := m.rank.Current
+	m.rank = state
+	m.fence.Learn(state.Loaded)
+	if restarted {
+		m.inUse = nil
+		m.log.Info("rank started", zap.String("group", state.Group), zap.Int("rank", state.Rank), zap.String("incarnation", string(state.Incarnation)))
+		m.signal()
+	} else if current != state.Current {
+		m.log.Info("expert map in use", zap.String("map", state.Current.String()), zap.Int64("step", state.Step))
+	}
+	m.scope.Gauge("map_fencing").Update(float64(state.Current.Fencing))
+	m.scope.Gauge("map_sequence").Update(float64(state.Current.Sequence))
+	m.scope.Gauge("step").Update(float64(state.Step))
+}
+
+// loadOrders loads the newest order until the rank holds its map.
+func (m *expertMaps) loadOrders(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-m.wake:
+		}
+		for ctx.Err() == nil {
+			order, rank, ok := m.due()
+			if !ok {
+				break
+			}
+			if err := m.load(ctx, order, rank); err != nil && ctx.Err() == nil {
+				m.scope.Counter("loads_failed").Inc(1)
+				pause(ctx, loadRetryPause)
+			}
+		}
+	}
+}
+
+// due returns the order whose map the rank lacks.
+func (m *expertMaps) due() (agentlink.OrderMap, engine.RankState, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.order == nil || m.rank.Incarnation == "" {
+		return agentlink.OrderMap{}, m.rank, false
+	}
+	return *m.order, m.rank, expertmap.Newest(m.rank.Loaded).Compare(m.order.Map.Version) < 0
+}
+
+// load reads the weights that the rank lacks and tells the rank of the map. It
+// gives up when a newer order has come.
+func (m *expertMaps) load(ctx context.Context, order agentlink.OrderMap, rank engine.RankState) error {
+	held, err := m.held(ctx)
+	if err != nil {
+		return err
+	}
+	for _, e := range order.Map.Missing(rank.Rank, held.Of(rank.Rank)) {
+		n, err := m.weights.Fetch(ctx, m.pool, e.Object())
+		if err != nil {
+			return err
+		}
+		m.scope.Counter("weight_bytes").Inc(n)
+		if m.superseded(order) {
+			return nil
+		}
+	}
+	err = m.engine.InstallMap(ctx, engine.MapOrder{Fencing: order.Fencing, Incarnation: rank.Incarnation, Map: order.Map})
+	if err != nil {
+		return err
+	}
+	m.installed(order, rank)
+	return nil
+}
+
+// held returns the placement whose weights the rank holds.
+func (m *expertMaps) held(ctx context.Context) (expertmap.Map, error) {
+	m.mu.Lock()
+	known := m.inUse
+	m.mu.Unlock()
+	if known != nil {
+		return *known, nil
+	}
+	return m.engine.RankMap(ctx)
+}
+
+func (m *expertMaps) superseded(order agentlink.OrderMap) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.order.Map.Version != order.Map.Version
+}
+
+// installed notes the map at once, so that it is not loaded again before the
+// next reading of the rank.
+func (m *expertMaps) installed(order agentlink.OrderMap, rank engine.RankState) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.rank.Incarnation != rank.Incarnation {
+		return
+	}
+	m.inUse = &order.Map
+	m.rank.Loaded = append(slices.Clone(m.rank.Loaded), order.Map.Version)
+	m.scope.Counter("maps_loaded").Inc(1)
+	m.log.Info("expert map loaded", zap.String("map", order.Map.Version.String()), zap.Int64("fencing", order.Fencing))
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/pkg/cli/standin.go
+++ b/pkg/cli/standin.go
@@ -83,6 +83,12 @@
 		f.IntVar(&o.CacheEntries, "cache-entries", 256, "prefixes in the cache")
 		f.BoolVar(&o.CheckFencing, "check-fencing", true, "refuse orders with an old fencing number")
 		f.BoolVar(&o.CanResume, "can-resume", true, "resume streams")
+		f.StringVar(&o.Rank.Group, "group", "group", "name of the group of ranks")
+		f.IntVar(&o.Rank.Rank, "rank", 0, "rank in the group")
+		f.StringSliceVar(&o.Rank.Peers, "rank-urls", nil, "base URLs of all ranks of the group, in their order; none for an engine of its own")
+		f.IntVar(&o.Rank.Layers, "layers", 2, "layers with experts")
+		f.Int64Var(&o.Rank.ExpertBytes, "expert-bytes", 1<<20, "size of one expert of one layer")
+		f.IntVar(&o.Rank.Experts, "experts", 8, "experts a layer")
 	}, func(ctx context.Context) (http.Handler, error) {
 		e := engine.New(o)
 		go func() { _ = e.Run(ctx) }()
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -49,6 +49,7 @@
 	replicas    *replicas
 	attempts    *agentlink.Client
 	selector    routing.Selector
+	planners    *planners
 }
 
 // New returns an entry that has opened nothing yet.
@@ -64,7 +65,7 @@
 	incarnation := ident.NewIncarnation(s.Name)
 	scope := metrics.Scope.SubScope("entry")
 	replicas := newReplicas(log, s.Name, incarnation, store)
-	return &Entry{
+	e := &Entry{
 		settings:    s,
 		log:         log,
 		metrics:     metrics,
@@ -78,6 +79,8 @@
 		attempts:    agentlink.NewClient(),
 		selector:    selector,
 	}
+	e.planners = newPlanners(e, logClient)
+	return e
 }
 
 func planOf(s settings.Entry) drain.Plan {
@@ -110,6 +113,7 @@
 	group.Go(func() error { return e.follower.Run(ctx) })
 	group.Go(func() error { return e.members.run(ctx) })
 	group.Go(func() error { return e.replicas.run(ctx) })
+	group.Go(func() error { return e.planners.run(ctx) })
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
--- a/pkg/expertmap/lease.go
+++ b/pkg/expertmap/lease.go
@@ -6,12 +6,18 @@
 	"github.com/fescuehub/fescuehub/pkg/ident"
 )
 
-// Times of a planner lease. They bound how long a group goes without a
-// planner; no property rests on them.
-const (
-	RenewInterval = 30 * time.Second
-	LeaseTime     = 100 * time.Second
-)
+// LeaseTimes bound how long a group goes without a planner; no property rests
+// on them.
+type LeaseTimes struct {
+	// Renew is the time between two renewals by the holder.
+	Renew time.Duration
+	// Lapse is how long nothing may be heard of a holder before another
+	// candidate claims the lease.
+	Lapse time.Duration
+}
+
+// DefaultLeaseTimes are the times of a deployment that sets none.
+var DefaultLeaseTimes = LeaseTimes{Renew: 30 * time.Second, Lapse: 100 * time.Second}
 
 // LeaseRecord is one record of the lease stream of a group.
 type LeaseRecord struct {
@@ -32,6 +38,7 @@
 // Fence at every agent.
 type Lease struct {
 	self    ident.Incarnation
+	times   LeaseTimes
 	holder  ident.Incarnation
 	fencing int64
 	next    int64
@@ -40,8 +47,8 @@
 }
 
 // NewLease returns a lease that nobody is known to hold, seen from self.
-func NewLease(self ident.Incarnation, now time.Time) *Lease {
-	return &Lease{self: self, heardAt: now.Add(-LeaseTime)}
+func NewLease(self ident.Incarnation, times LeaseTimes, now time.Time) *Lease {
+	return &Lease{self: self, times: times, heardAt: now.Add(-times.Lapse)}
 }
 
 // Next returns the offset from which the stream has to be read.
@@ -54,6 +61,9 @@
 			continue
 		}
 		l.next = e.Offset + 1
+		if e.Record.Holder == "" {
+			continue
+		}
 		if e.Record.Fencing == 0 {
 			l.holder = e.Record.Holder
 			l.fencing = e.Offset + 1
@@ -68,14 +78,14 @@
 // the whole stream at the same time, so that a process that wakes up late sees
 // its successor first.
 func (l *Lease) Due(now time.Time) (LeaseRecord, bool) {
-	if now.Sub(l.wroteAt) < RenewInterval {
+	if now.Sub(l.wroteAt) < l.times.Renew {
 		return LeaseRecord{}, false
 	}
 	if l.holder == l.self {
 		l.wroteAt = now
 		return LeaseRecord{Holder: l.self, Fencing: l.fencing}, true
 	}
-	if now.Sub(l.heardAt) < LeaseTime {
+	if now.Sub(l.heardAt) < l.times.Lapse {
 		return LeaseRecord{}, false
 	}
 	l.wroteAt = now
--- a/pkg/expertplan/planner.go
+++ b/pkg/expertplan/planner.go
@@ -47,8 +47,6 @@
 }
 
 const (
-	// smoothing is the weight of the newest popularity in the estimate.
-	smoothing = 1.0
 	// horizon is how long a move is expected to pay off.
 	horizon = 30 * time.Minute
 	// cheapMove and dearMove are the gains, as a share of one layer's step time
@@ -69,42 +67,17 @@
 	minSpeed = 0.01
 )
 
-// Planner plans for one group. It is not safe for concurrent use.
-type Planner struct {
-	options    Options
-	popularity [][]float64
-}
-
-// NewPlanner returns a planner that has seen no input.
-func NewPlanner(o Options) *Planner { return &Planner{options: o} }
-
-// Plan returns a better placement than the present one, and false where none
-// is worth its cost.
-func (p *Planner) Plan(present []expertmap.Layer, in Input) (Plan, bool) {
-	p.observe(in.Popularity)
+// Make returns a better placement than the present one, and false where none
+// is worth its cost. It has no memory: what keeps it from flapping is that
+// each move has a price.
+func Make(o Options, present []expertmap.Layer, in Input) (Plan, bool) {
 	speed := usableSpeed(in.Speed)
 	searches := make([]*search, len(present))
 	for l, layer := range present {
-		searches[l] = p.search(layer, p.popularity[l], speed)
-	}
-	p.fit(searches)
-	return p.choose(searches)
-}
-
-// observe smooths the popularity.
-func (p *Planner) observe(seen [][]float64) {
-	if len(p.popularity) != len(seen) {
-		p.popularity = make([][]float64, len(seen))
-	}
-	for l, layer := range seen {
-		if len(p.popularity[l]) != len(layer) {
-			p.popularity[l] = slices.Clone(layer)
-			continue
-		}
-		for e, v := range layer {
-			p.popularity[l][e] += smoothing * (v - p.popularity[l][e])
-		}
+		searches[l] = o.search(layer, in.Popularity[l], speed)
 	}
+	o.fit(searches)
+	return choose(searches)
 }
 
 func usableSpeed(speed []float64) []float64 {
@@ -118,8 +91,8 @@
 
 // price returns the gain that one move has to bring, as a share of the step
 // time of a layer.
-func (p *Planner) price() float64 {
-	return cheapMove * math.Pow(dearMove/cheapMove, 1-p.options.SkewWeight)
+func (o Options) price() float64 {
+	return cheapMove * math.Pow(dearMove/cheapMove, 1-o.SkewWeight)
 }
 
 // search is the outcome for one layer.
@@ -140,7 +113,7 @@
 }
 
 // search finds the moves for one layer that are worth their price.
-func (p *Planner) search(layer expertmap.Layer, popularity, speed []float64) *search {
+func (o Options) search(layer expertmap.Layer, popularity, speed []float64) *search {
 	s := newLayerState(layer, popularity, speed)
 	out := &search{ideal: s.ideal()}
 	_, out.before = s.slowest()
@@ -148,15 +121,15 @@
 	best := 0
 	for n := 0; n <= maxMovesPerLayer; n++ {
 		_, at := s.slowest()
-		value := (out.before-at)/out.ideal - p.price()*float64(n)
+		value := (out.before-at)/out.ideal - o.price()*float64(n)
 		out.prefixes = append(out.prefixes, prefix{cloneLayer(s.replicas), at, value})
 		if value > out.prefixes[best].value {
 			best = n
 		}
-		if (at/out.ideal-1) < p.price() || n == maxMovesPerLayer {
+		if (at/out.ideal-1) < o.price() || n == maxMovesPerLayer {
 			break
 		}
-		m, ok := s.bestMove(p.options.Slots)
+		m, ok := s.bestMove(o.Slots)
 		if !ok {
 			break
 		}
@@ -169,8 +142,8 @@
 
 // fit keeps the moves of a plan within the store's rate: the layers that gain
 // most for each move come first.
-func (p *Planner) fit(searches []*search) {
-	budget := int(storeShare * float64(p.options.StoreBytesPerSecond) * p.options.Period.Seconds() / float64(p.options.ExpertBytes))
+func (o Options) fit(searches []*search) {
+	budget := int(storeShare * float64(o.StoreBytesPerSecond) * o.Period.Seconds() / float64(o.ExpertBytes))
 	order := slices.Clone(searches)
 	slices.SortStableFunc(order, func(a, b *search) int { return cmp.Compare(b.rate(), a.rate()) })
 	for _, s := range order {
@@ -188,7 +161,7 @@
 }
 
 // choose makes the plan of the chosen prefixes.
-func (p *Planner) choose(searches []*search) (Plan, bool) {
+func choose(searches []*search) (Plan, bool) {
 	var plan Plan
 	before, after, ideal := 0.0, 0.0, 0.0
 	for _, s := range searches {
--- a/pkg/peer/agentlink/messages.go
+++ b/pkg/peer/agentlink/messages.go
@@ -44,6 +44,8 @@
 	// ConfigOffset is the highest offset of configuration that the agent has
 	// been given.
 	ConfigOffset int64 `json:"configOffset"`
+	// GroupRank is empty for an engine of its own.
+	GroupRank GroupRank `json:"groupRank,omitzero"`
 }
 
 // PoolPart is the part of the configuration that an agent needs.
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -41,6 +41,15 @@
 	// BodySeconds bounds the time in which the body of a request must arrive.
 	// 0 stands for DefaultBodySeconds.
 	BodySeconds int `json:"bodySeconds,omitempty"`
+	// PlanSeconds is the time from one plan of expert maps to the next. 0
+	// stands for DefaultPlanSeconds.
+	PlanSeconds int `json:"planSeconds,omitempty"`
+	// PlannerLeaseSeconds is how long a planner of expert maps may be silent
+	// before another entry takes over. 0 stands for DefaultPlannerLeaseSeconds.
+	PlannerLeaseSeconds int `json:"plannerLeaseSeconds,omitempty"`
+	// WeightBytesPerSecond is the part of the weight store's rate that one
+	// group may use. 0 stands for DefaultWeightBytesPerSecond.
+	WeightBytesPerSecond int `json:"weightBytesPerSecond,omitempty"`
 }
 
 // Backend is the part of an agent's settings about its backend server.
@@ -69,6 +78,9 @@
 	LogURL string `json:"logURL"`
 	// Backend is the backend server in whose slot the agent runs.
 	Backend Backend `json:"backend"`
+	// WeightsURL is the base URL of the weight store. Without it the agent
+	// takes no orders for expert maps.
+	WeightsURL string `json:"weightsURL,omitempty"`
 	// ShutdownSeconds bounds a graceful shutdown. 0 stands for
 	// DefaultShutdownSeconds.
 	ShutdownSeconds int `json:"shutdownSeconds,omitempty"`
@@ -90,6 +102,12 @@
 	MaxMaxBodyBytes               = 64 << 20
 	DefaultBodySeconds            = 30
 	MaxBodySeconds                = 600
+	DefaultPlanSeconds            = 300
+	MaxPlanSeconds                = 86_400
+	DefaultPlannerLeaseSeconds    = 100
+	MaxPlannerLeaseSeconds        = 3600
+	DefaultWeightBytesPerSecond   = 1 << 30
+	MaxWeightBytesPerSecond       = 1 << 40
 )
 
 // LoadEntry reads and checks the settings of an entry. The error has the kind
@@ -117,6 +135,9 @@
 	s.ShutdownSeconds = orDefault(s.ShutdownSeconds, DefaultShutdownSeconds)
 	s.MaxBodyBytes = orDefault(s.MaxBodyBytes, DefaultMaxBodyBytes)
 	s.BodySeconds = orDefault(s.BodySeconds, DefaultBodySeconds)
+	s.PlanSeconds = orDefault(s.PlanSeconds, DefaultPlanSeconds)
+	s.PlannerLeaseSeconds = orDefault(s.PlannerLeaseSeconds, DefaultPlannerLeaseSeconds)
+	s.WeightBytesPerSecond = orDefault(s.WeightBytesPerSecond, DefaultWeightBytesPerSecond)
 	return s
 }
 
@@ -139,6 +160,9 @@
 	c.within("shutdownSeconds", s.ShutdownSeconds, MaxShutdownSeconds)
 	c.within("maxBodyBytes", s.MaxBodyBytes, MaxMaxBodyBytes)
 	c.within("bodySeconds", s.BodySeconds, MaxBodySeconds)
+	c.within("weightBytesPerSecond", s.WeightBytesPerSecond, MaxWeightBytesPerSecond)
+	c.within("planSeconds", s.PlanSeconds, MaxPlanSeconds)
+	c.within("plannerLeaseSeconds", s.PlannerLeaseSeconds, MaxPlannerLeaseSeconds)
 	return c.faults
 }
 
@@ -153,6 +177,9 @@
 	c.distinct([]string{"dataAddress", "controlAddress", "operatorAddress"}, []string{s.DataAddress, s.ControlAddress, s.OperatorAddress})
 	c.url("logURL", s.LogURL)
 	c.url("backend.url", s.Backend.URL)
+	if s.WeightsURL != "" {
+		c.url("weightsURL", s.WeightsURL)
+	}
 	if s.Backend.Kind != EngineBackend && s.Backend.Kind != ServiceBackend {
 		c.add("backend.kind", fmt.Sprintf("unknown kind %q", s.Backend.Kind), `write "engine" or "service"`)
 	}
--- a/pkg/standin/engine/engine.go
+++ b/pkg/standin/engine/engine.go
@@ -31,6 +31,10 @@
 	LoadLagMS int `json:"loadLagMS,omitempty"`
 	// DropCacheEvents drops every second cache event.
 	DropCacheEvents bool `json:"dropCacheEvents,omitempty"`
+	// RankSpeed slows a rank of a group: 0.5 halves its speed. 0 stands for 1.
+	RankSpeed float64 `json:"rankSpeed,omitempty"`
+	// RankStallMS is added to every step of a rank, in milliseconds.
+	RankStallMS int `json:"rankStallMS,omitempty"`
 }
 
 // Options size the engine.
@@ -50,6 +54,8 @@
 	CheckFencing bool
 	// CanResume says that streams resume from a token.
 	CanResume bool
+	// Rank makes the engine one rank of a group, if it lists peers.
+	Rank RankOptions
 }
 
 const (
@@ -80,6 +86,7 @@
 	count   Counters
 	loads   []timedLoad
 	fencing int64
+	rank    *rank
 }
 
 type timedLoad struct {
@@ -89,15 +96,22 @@
 
 // New returns an idle engine. Run drives it.
 func New(options Options) *Engine {
-	return &Engine{
+	e := &Engine{
 		Faults:  faults.NewSwitch[Faults](),
 		options: options,
 		cache:   newPrefixCache(options.CacheEntries),
 	}
+	if len(options.Rank.Peers) > 0 {
+		e.rank = newRank(options, e.Faults)
+	}
+	return e
 }
 
 // Run steps the engine until ctx ends.
 func (e *Engine) Run(ctx context.Context) error {
+	if e.rank != nil {
+		go e.rank.run(ctx)
+	}
 	timer := time.NewTimer(e.stepTime())
 	defer timer.Stop()
 	for {
@@ -122,6 +136,9 @@
 	mux.HandleFunc("POST /orders", e.serveOrder)
 	mux.HandleFunc("GET /counters", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.Counters()) })
 	mux.Handle(faults.Path, e.Faults)
+	if e.rank != nil {
+		e.rank.register(mux)
+	}
 	return mux
 }
 
