--- a/cmd/fescuehub/scenario_maps_test.go
+++ b/cmd/fescuehub/scenario_maps_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -109,6 +110,20 @@
 	}
 }
 
+// awaitany TEXT URL...: waits until a GET of any of the URLs contains the text.
+func cmdAwaitAny(ts *testscript.TestScript, _ bool, args []string) {
+	deadline := time.Now().Add(awaitBound)
+	for time.Now().Before(deadline) {
+		for _, url := range args[1:] {
+			if _, body, _, err := request(http.MethodGet, url, nil, ""); err == nil && strings.Contains(body, args[0]) {
+				return
+			}
+		}
+		time.Sleep(awaitPause)
+	}
+	ts.Fatalf("awaitany: no %s", args[0])
+}
+
 // ordermap CONTROL FENCING: orders a map at an agent as the holder of a lease
 // with that number and prints the answer to call.out.
 func cmdOrderMap(ts *testscript.TestScript, _ bool, args []string) {
--- a/cmd/fescuehub/scenario_test.go
+++ b/cmd/fescuehub/scenario_test.go
@@ -20,6 +20,7 @@
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"site":     cmdSite,
 			"popular":  cmdPopular,
+			"awaitany": cmdAwaitAny,
 			"newmap":   cmdNewMap,
 			"onemap":   cmdOneMap,
 			"ordermap": cmdOrderMap,
--- a/pkg/cli/measure_expert_maps.go
+++ b/pkg/cli/measure_expert_maps.go
@@ -19,20 +19,34 @@
 		Example: "  fescuehub measure expert-maps --seed 1",
 		Args:    cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
-			rows := expertmaps.All(seed, []expertmaps.Size{expertmaps.Today, expertmaps.Target})
-			return a.print(rows, func(w io.Writer) { writeExpertMaps(w, rows) })
+			result := expertMapsResult{Planners: expertmaps.All(seed, []expertmaps.Size{expertmaps.Today, expertmaps.Target})}
+			for _, ranks := range []int{expertmaps.Today.Ranks, expertmaps.Target.Ranks} {
+				result.Switches = append(result.Switches, expertmaps.Switches(seed, ranks)...)
+			}
+			return a.print(result, result.write)
 		},
 	}
 	cmd.Flags().Uint64Var(&seed, "seed", 1, "seed of the traces")
 	return cmd
 }
 
-func writeExpertMaps(out io.Writer, rows []expertmaps.Row) {
+// expertMapsResult is the result of measure expert-maps.
+type expertMapsResult struct {
+	Planners []expertmaps.Row    `json:"planners"`
+	Switches []expertmaps.Switch `json:"switches"`
+}
+
+func (r expertMapsResult) write(out io.Writer) {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "size\ttrace\tplanner\tskew median\tskew 95th\tGB moved\tmaps\tsettle min\tskew/full\tbytes/full")
-	for _, r := range rows {
+	for _, p := range r.Planners {
 		fmt.Fprintf(w, "%s\t%s\t%s\t%.3f\t%.3f\t%.1f\t%d\t%.0f\t%.3f\t%.3f\n",
-			r.Size, r.Trace, r.Planner, r.Median, r.P95, float64(r.Bytes)/1e9, r.Maps, r.SettleMinutes, r.SkewAgainstFull, r.BytesAgainstFull)
+			p.Size, p.Trace, p.Planner, p.Median, p.P95, float64(p.Bytes)/1e9, p.Maps, p.SettleMinutes, p.SkewAgainstFull, p.BytesAgainstFull)
+	}
+	fmt.Fprintln(w)
+	fmt.Fprintln(w, "switch\tranks\tcase\tsteps held\tappends\tmessages a step")
+	for _, s := range r.Switches {
+		fmt.Fprintf(w, "%s\t%d\t%s\t%d\t%d\t%d\n", s.Way, s.Ranks, s.Case, s.HeldSteps, s.Appends, s.StepMessages)
 	}
 	_ = w.Flush()
 }
