--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -102,7 +102,7 @@
 	MaxMaxBodyBytes               = 64 << 20
 	DefaultBodySeconds            = 30
 	MaxBodySeconds                = 600
-	DefaultPlanSeconds            = 300
+	DefaultPlanSeconds            = 60
 	MaxPlanSeconds                = 86_400
 	DefaultPlannerLeaseSeconds    = 100
 	MaxPlannerLeaseSeconds        = 3600
