--- a/pkg/agent/expertmap.go
+++ b/pkg/agent/expertmap.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -26,6 +28,8 @@
 	rankAbsentInterval = 2 * time.Second
 	// loadRetryPause is the pause after a load that failed.
 	loadRetryPause = time.Second
+	// heldAfter is how long a step must last to be told as held.
+	heldAfter = 5 * time.Second
 )
 
 // expertMaps brings ordered maps to the rank beside the agent. The rank need
@@ -43,7 +47,10 @@
 	// inUse is the placement whose weights the rank holds for certain.
 	inUse *expertmap.Map
 	order *agentlink.OrderMap
-	wake  chan struct{}
+	// movedAt is when the step of the rank was seen to change.
+	movedAt time.Time
+	held    bool
+	wake    chan struct{}
 }
 
 // newExpertMaps returns nil where the backend server is no engine or no
@@ -148,6 +155,7 @@
 	defer m.mu.Unlock()
 	restarted := m.rank.Incarnation != state.Incarnation
 	current := m.rank.Current
+	m.noteStep(state, restarted || m.rank.Step != state.Step, time.Now())
 	m.rank = state
 	m.fence.Learn(state.Loaded)
 	if restarted {
@@ -162,6 +170,52 @@
 	m.scope.Gauge("step").Update(float64(state.Step))
 }
 
+// noteStep tells when the steps of the group are held and when they go on.
+func (m *expertMaps) noteStep(state engine.RankState, moved bool, now time.Time) {
+	if moved {
+		m.movedAt = now
+	}
+	held := now.Sub(m.movedAt) >= heldAfter
+	if held == m.held {
+		return
+	}
+	m.held = held
+	m.log.Info("steps of the group", zap.Bool("held", held), zap.Int64("step", state.Step), zap.Ints("missingRanks", state.Missing))
+	if held {
+		m.scope.Counter("steps_held").Inc(1)
+	}
+}
+
+// MapStatus is what an agent tells operators of expert maps.
+type MapStatus struct {
+	Rank engine.RankState `json:"rank"`
+	// HighestFencing is the number below which orders are refused.
+	HighestFencing int64 `json:"highestFencing"`
+	// Ordered is the map that was ordered last; Loading tells that the rank
+	// lacks it still.
+	Ordered expertmap.Version `json:"ordered"`
+	Loading bool              `json:"loading"`
+	// Held is true while the step of the rank does not change.
+	Held bool `json:"held"`
+}
+
+// serveStatus tells operators the state of expert maps.
+func (m *expertMaps) serveStatus(w http.ResponseWriter, _ *http.Request) {
+	if m == nil {
+		problem.Write(w, problem.New(problem.UnknownRoute, "set weightsURL in the agent's settings", "the agent handles no expert maps"))
+		return
+	}
+	_, _, loading := m.due()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	status := MapStatus{Rank: m.rank, HighestFencing: m.fence.Highest(), Loading: loading, Held: m.held}
+	if m.order != nil {
+		status.Ordered = m.order.Map.Version
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(status)
+}
+
 // loadOrders loads the newest order until the rank holds its map.
 func (m *expertMaps) loadOrders(ctx context.Context) {
 	for {
@@ -196,11 +250,11 @@
 // load reads the weights that the rank lacks and tells the rank of the map. It
 // gives up when a newer order has come.
 func (m *expertMaps) load(ctx context.Context, order agentlink.OrderMap, rank engine.RankState) error {
-	held, err := m.held(ctx)
+	present, err := m.placement(ctx)
 	if err != nil {
 		return err
 	}
-	for _, e := range order.Map.Missing(rank.Rank, held.Of(rank.Rank)) {
+	for _, e := range order.Map.Missing(rank.Rank, present.Of(rank.Rank)) {
 		n, err := m.weights.Fetch(ctx, m.pool, e.Object())
 		if err != nil {
 			return err
@@ -218,8 +272,8 @@
 	return nil
 }
 
-// held returns the placement whose weights the rank holds.
-func (m *expertMaps) held(ctx context.Context) (expertmap.Map, error) {
+// placement returns the map whose weights the rank holds.
+func (m *expertMaps) placement(ctx context.Context) (expertmap.Map, error) {
 	m.mu.Lock()
 	known := m.inUse
 	m.mu.Unlock()
--- a/pkg/agent/operator.go
+++ b/pkg/agent/operator.go
@@ -18,6 +18,7 @@
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(a.status())
 	})
+	mux.HandleFunc("GET /v1/expert-map", a.maps.serveStatus)
 	mux.HandleFunc("POST /v1/drain", func(w http.ResponseWriter, _ *http.Request) {
 		a.Drain()
 		w.WriteHeader(http.StatusAccepted)
--- a/pkg/expertmap/gate.go
+++ b/pkg/expertmap/gate.go
@@ -96,6 +96,22 @@
 // Running reports whether the rank is in a step.
 func (g *Gate) Running() bool { return g.running }
 
+// Missing returns the ranks whose report a waiting rank lacks, or all ranks
+// where the reports have no map in common.
+func (g *Gate) Missing() []int {
+	if g.running {
+		return nil
+	}
+	var out []int
+	own := g.latest[g.rank]
+	for i, r := range g.latest {
+		if r.Step != g.step || r.Members != own.Members || g.complete() {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
 // Install adds a fully loaded map. It counts from the next report on and
 // replaces every map but the one in use. It reports false for a map that is
 // not newer than all that the rank holds.
--- a/pkg/expertplan/planner.go
+++ b/pkg/expertplan/planner.go
@@ -49,11 +49,10 @@
 const (
 	// horizon is how long a move is expected to pay off.
 	horizon = 30 * time.Minute
-	// cheapMove and dearMove are the gains, as a share of one layer's step time
-	// kept over the horizon, that one move has to bring with a skew weight of
-	// 1 and 0.
-	cheapMove = 0.0005
-	dearMove  = 0.01
+	// cheapMove and dearMove are the step time that one move has to save in one
+	// layer over the horizon, with a skew weight of 1 and 0.
+	cheapMove = 900 * time.Millisecond
+	dearMove  = 18 * time.Second
 	// storeShare is the share of the store's rate in one period that a plan
 	// may use.
 	storeShare = 0.5
@@ -92,7 +91,8 @@
 // price returns the gain that one move has to bring, as a share of the step
 // time of a layer.
 func (o Options) price() float64 {
-	return cheapMove * math.Pow(dearMove/cheapMove, 1-o.SkewWeight)
+	ratio := dearMove.Seconds() / cheapMove.Seconds()
+	return cheapMove.Seconds() / horizon.Seconds() * math.Pow(ratio, 1-o.SkewWeight)
 }
 
 // search is the outcome for one layer.
--- a/pkg/peer/engine/ranks.go
+++ b/pkg/peer/engine/ranks.go
@@ -35,6 +35,9 @@
 	Loaded  []expertmap.Version `json:"loaded"`
 	Current expertmap.Version   `json:"current"`
 	Step    int64               `json:"step"`
+	// Missing lists the ranks that a waiting rank waits for; all of them where
+	// no map is loaded at every rank.
+	Missing []int `json:"missing,omitempty"`
 	// Speed is the load that the rank handles in a unit of time, of its last
 	// steps.
 	Speed float64 `json:"speed"`
--- a/pkg/standin/engine/rank.go
+++ b/pkg/standin/engine/rank.go
@@ -171,6 +171,7 @@
 		Loaded:      r.gate.Loaded(),
 		Current:     r.gate.Current(),
 		Step:        r.gate.Step(),
+		Missing:     r.gate.Missing(),
 		Slots:       (r.options.Experts+len(r.options.Peers)-1)/len(r.options.Peers) + spareSlots,
 		ExpertBytes: r.options.ExpertBytes,
 		Speed:       r.speed() * float64(r.stepTime) / float64(r.stepTime+stall),
