--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -35,6 +35,7 @@
 	life        *lifecycle.Lifecycle
 	backend     Backend
 	attempts    *attempts
+	bound       bound
 
 	mu        sync.Mutex
 	links     map[*rpc.Conn]struct{}
--- a/pkg/agent/serve.go
+++ b/pkg/agent/serve.go
@@ -32,6 +32,7 @@
 		return
 	}
 	defer a.life.Done()
+	defer a.bound.end()
 	defer a.attempts.finish(request.Attempt)
 	a.scope.Counter("attempts_started").Inc(1)
 	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(request.DeadlineMS)*time.Millisecond)
@@ -56,7 +57,13 @@
 		a.attempts.refuse(request.Attempt)
 		return err
 	}
+	if err := a.bound.begin(a.concurrency()); err != nil {
+		a.attempts.refuse(request.Attempt)
+		a.life.Done()
+		return err
+	}
 	if err := a.attempts.begin(request.Attempt); err != nil {
+		a.bound.end()
 		a.life.Done()
 		return err
 	}
--- /dev/null
+++ b/pkg/flowcontrol/flowcontrol.go
@@ -0,0 +1,406 @@
+// Package flowcontrol decides which requests for one pool run now, which wait
+// and which are refused. It has no clock, goroutine or random source of its
+// own: the caller passes the time and random numbers and carries out the
+// actions. A Controller is not safe for concurrent use.
+package flowcontrol
+
+import (
+	"time"
+
+	"github.com/fescuehub/fescuehub/pkg/tables"
+)
+
+// Reason says why a request was refused.
+type Reason string
+
+// The reasons of a refusal.
+const (
+	// NoCapacity means that no replica of the pool takes work.
+	NoCapacity Reason = "no-capacity"
+	// QueueFull means that the queue of the pool is full.
+	QueueFull Reason = "queue-full"
+	// OrganisationQueueFull means that the organisation's part of the queue is
+	// full.
+	OrganisationQueueFull Reason = "organisation-queue-full"
+	// DeadlineUnreachable means that the answer would come too late.
+	DeadlineUnreachable Reason = "deadline-unreachable"
+	// PushedOut means that a request of an organisation with a shorter queue
+	// took the place of this one.
+	PushedOut Reason = "pushed-out"
+)
+
+// Request is what flow control knows of a request.
+type Request struct {
+	Organisation string
+	// Share is the weight of the organisation, at least 1.
+	Share int
+	Class tables.Class
+	// Deadline is when the whole answer must have been sent.
+	Deadline time.Time
+}
+
+// Refusal is the final answer to a request that was not admitted.
+type Refusal struct {
+	Reason Reason
+	// RetryAfter is when the caller may come back. Refusals of one overload
+	// get different values.
+	RetryAfter time.Duration
+}
+
+// Action is the decision on one ticket: admitted, or refused where Refusal is
+// set.
+type Action struct {
+	Ticket  *Ticket
+	Refusal *Refusal
+}
+
+// Result says how an admitted request ended.
+type Result int
+
+// The results of an admitted request.
+const (
+	// Served requests had a whole answer.
+	Served Result = iota
+	// Failed requests ended without a whole answer.
+	Failed
+	// Overloaded requests were refused by every replica that was tried.
+	Overloaded
+)
+
+// Ticket is one request in the controller.
+type Ticket struct {
+	request  Request
+	flow     *flow
+	arrived  time.Time
+	admitted time.Time
+	// charge is the slot time added to the flow at admission, in seconds.
+	charge     float64
+	state      ticketState
+	prev, next *Ticket
+}
+
+type ticketState int
+
+const (
+	waiting ticketState = iota
+	running
+	ended
+)
+
+// Limits bound the queue of a pool at one entry.
+type Limits struct {
+	// QueueLimit bounds the waiting requests.
+	QueueLimit int
+	// AgingBound is how long a batch request waits before its class gets every
+	// second admission.
+	AgingBound time.Duration
+}
+
+const (
+	// DefaultAgingBound is used where Limits has none.
+	DefaultAgingBound = 2 * time.Minute
+
+	// batchEvery and agedBatchEvery bound the run of interactive admissions
+	// while a batch request waits: one admission in so many is batch.
+	batchEvery     = 8
+	agedBatchEvery = 2
+
+	// organisationPart is the part of the queue that one organisation may
+	// fill, as a divisor.
+	organisationPart = 2
+
+	// usefulPart of the mean service time must be left of a deadline for an
+	// admission to be worth a slot.
+	usefulPart = 0.5
+
+	// reassessMargin is the factor by which a predicted wait must exceed the
+	// time left before a request that waits is given up.
+	reassessMargin = 1.5
+)
+
+// Controller holds the queue of one pool at one entry.
+type Controller struct {
+	limits   Limits
+	window   Window
+	inFlight int
+	classes  [2]classQueue
+	flows    map[flowKey]*flow
+	// sinceBatch counts the interactive admissions since the last batch one.
+	sinceBatch int
+	// period is raised whenever a slot is free: debts of earlier periods are
+	// void, because nobody waited for them.
+	period int64
+	// arrivals counts towards sweepAfter, when idle flows are dropped.
+	arrivals   int
+	sweepAfter int
+	service    serviceTimes
+	returns    returnSlots
+}
+
+// New returns a controller without capacity.
+func New(limits Limits) *Controller {
+	c := &Controller{flows: make(map[flowKey]*flow)}
+	c.SetLimits(limits)
+	return c
+}
+
+// SetLimits replaces the limits. Requests that wait already stay.
+func (c *Controller) SetLimits(limits Limits) {
+	if limits.QueueLimit <= 0 {
+		limits.QueueLimit = tables.DefaultQueueLimit
+	}
+	if limits.AgingBound <= 0 {
+		limits.AgingBound = DefaultAgingBound
+	}
+	c.limits = limits
+}
+
+// SetCapacity bounds the requests in flight: the window moves between the
+// entry's share of the pool and the whole pool.
+func (c *Controller) SetCapacity(now time.Time, share, whole int, random uint64) []Action {
+	c.window.SetBounds(share, whole)
+	if whole <= 0 {
+		return c.refuseAll(now, random)
+	}
+	return c.pump(now, nil, random)
+}
+
+// Arrive takes a request. The actions decide on its ticket, unless it waits,
+// and perhaps on others.
+func (c *Controller) Arrive(now time.Time, r Request, random uint64) (*Ticket, []Action) {
+	r.Share = max(r.Share, 1)
+	t := &Ticket{request: r, arrived: now}
+	if c.window.Size() == 0 {
+		return t, []Action{c.refuse(now, t, NoCapacity, random)}
+	}
+	c.sweep()
+	f := c.flowOf(r)
+	actions, reason := c.makeRoom(now, f, r, random)
+	if reason != "" {
+		c.forgetIfIdle(f)
+		return t, append(actions, c.refuse(now, t, reason, random))
+	}
+	c.enqueue(f, t)
+	return t, c.pump(now, actions, random)
+}
+
+// Done takes the end of an admitted request.
+func (c *Controller) Done(now time.Time, t *Ticket, result Result, random uint64) []Action {
+	if t.state != running {
+		return nil
+	}
+	t.state = ended
+	c.inFlight--
+	f := t.flow
+	f.inFlight--
+	took := now.Sub(t.admitted).Seconds()
+	c.class(f).correct(f, (took-t.charge)/float64(t.request.Share))
+	switch result {
+	case Served:
+		c.service.add(f.key.class, took)
+		c.window.Grow(c.waitingCount() > 0)
+	case Overloaded:
+		c.window.Cut(now)
+	}
+	c.forgetIfIdle(f)
+	return c.pump(now, nil, random)
+}
+
+// GiveUp takes out a ticket whose caller has gone.
+func (c *Controller) GiveUp(now time.Time, t *Ticket, random uint64) []Action {
+	switch t.state {
+	case waiting:
+		c.dequeue(t)
+		c.forgetIfIdle(t.flow)
+	case running:
+		return c.Done(now, t, Failed, random)
+	}
+	return nil
+}
+
+// Reassess refuses the waiting requests that can no longer be answered in
+// time. It is called at intervals while requests wait.
+func (c *Controller) Reassess(now time.Time, random uint64) []Action {
+	var late []*Ticket
+	for i := range c.classes {
+		for _, f := range c.classes[i].heap {
+			position := 1
+			for t := f.head; t != nil; t = t.next {
+				left := t.request.Deadline.Sub(now)
+				if !c.useful(t, now) || c.predictWait(f, position) > time.Duration(reassessMargin*float64(left)) {
+					late = append(late, t)
+					continue
+				}
+				position++
+			}
+		}
+	}
+	var actions []Action
+	for _, t := range late {
+		c.dequeue(t)
+		c.forgetIfIdle(t.flow)
+		actions = append(actions, c.refuse(now, t, DeadlineUnreachable, random))
+	}
+	return c.pump(now, actions, random)
+}
+
+// Waiting returns the number of requests in the queue.
+func (c *Controller) Waiting() int { return c.waitingCount() }
+
+// InFlight returns the number of admitted requests that have not ended.
+func (c *Controller) InFlight() int { return c.inFlight }
+
+// Window returns the present bound of the requests in flight.
+func (c *Controller) Window() int { return c.window.Size() }
+
+// Flows returns the number of organisations that the controller remembers.
+func (c *Controller) Flows() int { return len(c.flows) }
+
+// makeRoom decides whether the request may wait. Where the queue is full, the
+// newest request of the flow with the longest queue for its share gives way.
+func (c *Controller) makeRoom(now time.Time, f *flow, r Request, random uint64) ([]Action, Reason) {
+	if c.free() > 0 && c.waitingCount() == 0 {
+		return nil, ""
+	}
+	if f.waiting >= max(1, c.limits.QueueLimit/organisationPart) {
+		return nil, OrganisationQueueFull
+	}
+	left := r.Deadline.Sub(now).Seconds()
+	if c.predictWait(f, f.waiting+1).Seconds()+c.service.mean(r.Class)*usefulPart > left {
+		return nil, DeadlineUnreachable
+	}
+	if c.waitingCount() < c.limits.QueueLimit {
+		return nil, ""
+	}
+	longest := c.longestFlow(f.key.class)
+	if longest == nil || longest.load(0) <= f.load(1) {
+		return nil, QueueFull
+	}
+	victim := longest.tail
+	c.dequeue(victim)
+	return []Action{c.refuse(now, victim, PushedOut, random)}, ""
+}
+
+// pump admits waiting requests while the window has room.
+func (c *Controller) pump(now time.Time, actions []Action, random uint64) []Action {
+	for c.free() > 0 {
+		f := c.pick(now)
+		if f == nil {
+			break
+		}
+		t := f.head
+		if !c.useful(t, now) {
+			c.dequeue(t)
+			c.forgetIfIdle(f)
+			actions = append(actions, c.refuse(now, t, DeadlineUnreachable, random))
+			continue
+		}
+		actions = append(actions, c.admit(now, t))
+	}
+	if c.free() > 0 {
+		c.period++
+	}
+	return actions
+}
+
+// pick returns the flow whose turn it is, nil if none waits.
+func (c *Controller) pick(now time.Time) *flow {
+	interactive, batch := &c.classes[0], &c.classes[1]
+	switch {
+	case batch.waiting == 0:
+		return interactive.first()
+	case interactive.waiting == 0 || c.batchDue(now):
+		return batch.first()
+	}
+	return interactive.first()
+}
+
+// batchDue reports whether the next admission belongs to the batch class while
+// both classes wait.
+func (c *Controller) batchDue(now time.Time) bool {
+	every := batchEvery
+	if now.Sub(c.classes[1].first().head.arrived) >= c.limits.AgingBound {
+		every = agedBatchEvery
+	}
+	return c.sinceBatch >= every-1
+}
+
+func (c *Controller) admit(now time.Time, t *Ticket) Action {
+	f := t.flow
+	q := c.class(f)
+	t.charge = c.service.charge(f.key.class)
+	q.start(f, t.charge/float64(t.request.Share))
+	c.dequeue(t)
+	t.state = running
+	t.admitted = now
+	c.inFlight++
+	f.inFlight++
+	if f.key.class == tables.Batch {
+		c.sinceBatch = 0
+	} else {
+		c.sinceBatch++
+	}
+	return Action{Ticket: t}
+}
+
+func (c *Controller) refuse(now time.Time, t *Ticket, reason Reason, random uint64) Action {
+	t.state = ended
+	wait := c.returns.book(now, c.rate(), c.waitingCount(), random)
+	return Action{Ticket: t, Refusal: &Refusal{Reason: reason, RetryAfter: wait}}
+}
+
+func (c *Controller) refuseAll(now time.Time, random uint64) []Action {
+	var actions []Action
+	for i := range c.classes {
+		for c.classes[i].waiting > 0 {
+			t := c.classes[i].first().head
+			c.dequeue(t)
+			c.forgetIfIdle(t.flow)
+			actions = append(actions, c.refuse(now, t, NoCapacity, random))
+		}
+	}
+	return actions
+}
+
+// useful reports whether an admission now could still be answered in time.
+func (c *Controller) useful(t *Ticket, now time.Time) bool {
+	return t.request.Deadline.Sub(now).Seconds() > c.service.mean(t.request.Class)*usefulPart
+}
+
+func (c *Controller) free() int { return c.window.Size() - c.inFlight }
+
+func (c *Controller) waitingCount() int { return c.classes[0].waiting + c.classes[1].waiting }
+
+// rate returns the requests that the window serves in a second, 0 if unknown.
+func (c *Controller) rate() float64 {
+	mean := c.service.overall.value
+	if mean <= 0 {
+		return 0
+	}
+	return float64(c.window.Size()) / mean
+}
+
+// predictWait estimates how long the request at the position of the flow's
+// queue will wait. It is 0 while the service time is not known.
+func (c *Controller) predictWait(f *flow, position int) time.Duration {
+	rate := c.rate()
+	if rate == 0 {
+		return 0
+	}
+	q, other := &c.classes[0], &c.classes[1]
+	part := 1 - 1.0/batchEvery
+	if f.key.class == tables.Batch {
+		q, other = other, q
+		part = 1.0 / batchEvery
+	}
+	if other.waiting > 0 {
+		rate *= part
+	}
+	shares := q.shares
+	if f.waiting == 0 {
+		shares += f.share
+	}
+	rounds := float64(position) * float64(shares) / float64(f.share)
+	ahead := min(rounds, float64(q.waiting+1))
+	return time.Duration(ahead / rate * float64(time.Second))
+}
--- /dev/null
+++ b/pkg/flowcontrol/flowcontrol_test.go
@@ -0,0 +1,338 @@
+package flowcontrol
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/fescuehub/fescuehub/pkg/tables"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+func classOf(batch bool) tables.Class {
+	if batch {
+		return tables.Batch
+	}
+	return tables.Interactive
+}
+
+// TestProperties drives a controller with random events. After each: it is
+// work-conserving, every bound holds, and each ticket gets one final decision.
+func TestProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := epoch
+		limit := rapid.IntRange(1, 12).Draw(t, "limit")
+		c := New(Limits{QueueLimit: limit, AgingBound: 5 * time.Second})
+		whole := rapid.IntRange(1, 6).Draw(t, "whole")
+		c.SetCapacity(now, 1, whole, 0)
+		decided := make(map[*Ticket]int)
+		queue := make(map[*Ticket]bool)
+		var active []*Ticket
+		take := func(actions []Action) {
+			for _, a := range actions {
+				decided[a.Ticket]++
+				delete(queue, a.Ticket)
+				if decided[a.Ticket] > 1 {
+					t.Fatalf("ticket decided %d times", decided[a.Ticket])
+				}
+				if a.Refusal == nil {
+					active = append(active, a.Ticket)
+					continue
+				}
+				if w := a.Refusal.RetryAfter; w < minRetryAfter || w > maxRetryAfter {
+					t.Fatalf("RetryAfter %v", w)
+				}
+			}
+		}
+		for range rapid.IntRange(1, 120).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 800).Draw(t, "ms")) * time.Millisecond)
+			random := rapid.Uint64().Draw(t, "random")
+			switch rapid.IntRange(0, 5).Draw(t, "event") {
+			case 0, 1, 2:
+				r := Request{
+					Organisation: fmt.Sprint(rapid.IntRange(0, 4).Draw(t, "organisation")),
+					Share:        rapid.IntRange(0, 4).Draw(t, "share"),
+					Class:        classOf(rapid.Bool().Draw(t, "batch")),
+					Deadline:     now.Add(time.Duration(rapid.IntRange(-1, 20).Draw(t, "deadline")) * time.Second),
+				}
+				ticket, actions := c.Arrive(now, r, random)
+				queue[ticket] = true
+				take(actions)
+			case 3:
+				if len(active) > 0 {
+					i := rapid.IntRange(0, len(active)-1).Draw(t, "done")
+					ticket := active[i]
+					active = append(active[:i], active[i+1:]...)
+					take(c.Done(now, ticket, Result(rapid.IntRange(0, 2).Draw(t, "result")), random))
+				}
+			case 4:
+				take(c.Reassess(now, random))
+			case 5:
+				whole = rapid.IntRange(0, 6).Draw(t, "whole")
+				take(c.SetCapacity(now, 1, whole, random))
+			}
+			if c.free() > 0 && c.Waiting() > 0 {
+				t.Fatalf("%d slots free while %d requests wait", c.free(), c.Waiting())
+			}
+			if c.Waiting() != len(queue) || c.Waiting() > limit || c.InFlight() != len(active) {
+				t.Fatalf("waiting %d (%d) limit %d, in flight %d (%d)", c.Waiting(), len(queue), limit, c.InFlight(), len(active))
+			}
+			for _, f := range c.flows {
+				if f.waiting > max(1, limit/organisationPart) {
+					t.Fatalf("%d requests of one organisation wait, limit %d", f.waiting, limit)
+				}
+			}
+		}
+	})
+}
+
+// backlog fills the queue of each organisation and serves n requests of one
+// second each, refilling as it goes. It returns the admissions in order.
+func backlog(c *Controller, shares map[string]int, class func(string) tables.Class, n int) []string {
+	now := epoch
+	var order []string
+	var active []*Ticket
+	names := make(map[*Ticket]string)
+	take := func(actions []Action) {
+		for _, a := range actions {
+			if a.Refusal == nil {
+				active = append(active, a.Ticket)
+				order = append(order, names[a.Ticket])
+			}
+		}
+	}
+	for len(order) < n {
+		for name, share := range shares {
+			for f := c.flows[flowKey{name, class(name)}]; f == nil || f.waiting <= c.Window(); f = c.flows[flowKey{name, class(name)}] {
+				r := Request{Organisation: name, Share: share, Class: class(name), Deadline: now.Add(time.Hour)}
+				ticket, actions := c.Arrive(now, r, 0)
+				names[ticket] = name
+				for _, a := range actions {
+					names[a.Ticket] = a.Ticket.request.Organisation
+				}
+				take(actions)
+			}
+		}
+		now = now.Add(time.Second)
+		done := active
+		active = nil
+		for _, ticket := range done {
+			take(c.Done(now, ticket, Served, 0))
+		}
+	}
+	return order
+}
+
+// TestSharesWithinBound: while all wait, each organisation's admissions are
+// within two windows of its share.
+func TestSharesWithinBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		window := rapid.IntRange(1, 8).Draw(t, "window")
+		c := New(Limits{QueueLimit: 1000})
+		c.SetCapacity(epoch, window, window, 0)
+		shares := make(map[string]int)
+		sum := 0
+		for i := range rapid.IntRange(2, 6).Draw(t, "organisations") {
+			shares[fmt.Sprint(i)] = rapid.IntRange(1, 5).Draw(t, "share")
+			sum += shares[fmt.Sprint(i)]
+		}
+		const n = 600
+		got := make(map[string]int)
+		for _, name := range backlog(c, shares, func(string) tables.Class { return tables.Interactive }, n) {
+			got[name]++
+		}
+		for name, share := range shares {
+			want := float64(n*share) / float64(sum)
+			if slack := float64(2*window + 2); float64(got[name]) < want-slack || float64(got[name]) > want+slack {
+				t.Fatalf("window %d: organisation %s with share %d of %d was admitted %d times, want about %.0f", window, name, share, sum, got[name], want)
+			}
+		}
+	})
+}
+
+// TestBatchIsNeverStarved: while both classes wait, one admission in
+// batchEvery is batch, and past the aging bound one in agedBatchEvery.
+func TestBatchIsNeverStarved(t *testing.T) {
+	for _, aged := range []bool{false, true} {
+		limits := Limits{QueueLimit: 1000, AgingBound: time.Hour}
+		every := batchEvery
+		if aged {
+			limits.AgingBound = time.Nanosecond
+			every = agedBatchEvery
+		}
+		c := New(limits)
+		c.SetCapacity(epoch, 3, 3, 0)
+		order := backlog(c, map[string]int{"counter": 4, "rota": 1}, func(name string) tables.Class { return classOf(name == "rota") }, 300)
+		run, batch := 0, 0
+		for _, name := range order[6:] {
+			run++
+			if name == "rota" {
+				run = 0
+				batch++
+			}
+			if run >= every {
+				t.Fatalf("aged %t: %d interactive admissions in a row", aged, run)
+			}
+		}
+		if aged == false && batch > len(order)/batchEvery+2 {
+			t.Fatalf("batch got %d of %d admissions", batch, len(order))
+		}
+	}
+}
+
+// TestDeadlineRefusedAtOnce: a request that cannot make its deadline is refused
+// as it arrives, and a waiting one as soon as it is known.
+func TestDeadlineRefusedAtOnce(t *testing.T) {
+	c := New(Limits{})
+	c.SetCapacity(epoch, 1, 1, 0)
+	request := func(d time.Duration) Request {
+		return Request{Organisation: "a", Class: tables.Interactive, Deadline: epoch.Add(d)}
+	}
+	first, _ := c.Arrive(epoch, request(time.Hour), 0)
+	now := epoch.Add(10 * time.Second)
+	c.Done(now, first, Served, 0)
+	running, _ := c.Arrive(now, request(time.Hour), 0)
+	if _, actions := c.Arrive(now, request(20*time.Second), 0); len(actions) != 1 || actions[0].Refusal.Reason != DeadlineUnreachable {
+		t.Fatalf("got %+v", actions)
+	}
+	waits, actions := c.Arrive(now, request(40*time.Second), 0)
+	if len(actions) != 0 {
+		t.Fatalf("got %+v", actions)
+	}
+	later := now.Add(25 * time.Second)
+	if actions := c.Reassess(later, 0); len(actions) != 1 || actions[0].Ticket != waits {
+		t.Fatalf("got %+v", actions)
+	}
+	c.GiveUp(later, running, 0)
+	if c.InFlight() != 0 || c.Waiting() != 0 {
+		t.Fatalf("in flight %d, waiting %d", c.InFlight(), c.Waiting())
+	}
+}
+
+// TestLongQueueGivesWay: with the queue full, a newcomer of an organisation
+// that waits for less takes the place of the newest of the longest queue.
+func TestLongQueueGivesWay(t *testing.T) {
+	c := New(Limits{QueueLimit: 4})
+	c.SetCapacity(epoch, 1, 1, 0)
+	arrive := func(name string) []Action {
+		_, actions := c.Arrive(epoch, Request{Organisation: name, Class: tables.Interactive, Deadline: epoch.Add(time.Hour)}, 0)
+		return actions
+	}
+	for _, name := range []string{"large", "large", "large", "b", "c"} {
+		arrive(name)
+	}
+	if a := arrive("large"); len(a) != 1 || a[0].Refusal.Reason != OrganisationQueueFull {
+		t.Fatalf("got %+v", a)
+	}
+	if a := arrive("d"); len(a) != 1 || a[0].Refusal.Reason != PushedOut || a[0].Ticket.request.Organisation != "large" {
+		t.Fatalf("got %+v", a)
+	}
+	if a := arrive("e"); len(a) != 1 || a[0].Refusal.Reason != QueueFull {
+		t.Fatalf("got %+v", a)
+	}
+}
+
+// TestWindow: the window stays within its bounds, grows only while requests
+// wait, and counts the refusals of one burst once.
+func TestWindow(t *testing.T) {
+	var w Window
+	w.SetBounds(4, 20)
+	w.Grow(false)
+	if w.Size() != 4 {
+		t.Fatalf("grew to %d without need", w.Size())
+	}
+	for range 1000 {
+		w.Grow(true)
+	}
+	if w.Size() != 20 {
+		t.Fatalf("size %d of 20", w.Size())
+	}
+	w.Cut(epoch)
+	w.Cut(epoch.Add(cutInterval / 2))
+	if w.Size() != 18 {
+		t.Fatalf("size %d after one burst", w.Size())
+	}
+	for i := range 100 {
+		w.Cut(epoch.Add(time.Duration(i+1) * cutInterval))
+	}
+	if w.Size() != 4 {
+		t.Fatalf("size %d below the share", w.Size())
+	}
+	w.SetBounds(4, 0)
+	if w.Size() != 0 {
+		t.Fatalf("size %d without replicas", w.Size())
+	}
+}
+
+// TestReturnsAreSpread: callers refused in one instant come back one slot
+// after another, at half the pool's rate.
+func TestReturnsAreSpread(t *testing.T) {
+	var r returnSlots
+	const rate = 40
+	perSecond := make(map[int]int)
+	for range 1000 {
+		perSecond[int(r.book(epoch, rate, 0, 0)/time.Second)]++
+	}
+	for second, n := range perSecond {
+		if n > rate*returnPart+1 {
+			t.Fatalf("%d callers return in second %d", n, second)
+		}
+	}
+}
+
+// TestIdleFlowsAreForgotten bounds the memory: organisations that have nothing
+// here are dropped.
+func TestIdleFlowsAreForgotten(t *testing.T) {
+	c := New(Limits{})
+	c.SetCapacity(epoch, 8, 8, 0)
+	now := epoch
+	for i := range 20_000 {
+		now = now.Add(time.Millisecond)
+		r := Request{Organisation: fmt.Sprint(i), Class: tables.Interactive, Deadline: now.Add(time.Hour)}
+		ticket, _ := c.Arrive(now, r, 0)
+		c.Done(now.Add(time.Second), ticket, Served, 0)
+	}
+	if c.Flows() > 2*minSweepArrivals+2 {
+		t.Fatalf("%d organisations remembered", c.Flows())
+	}
+}
+
+// BenchmarkAdmit gives the time of one arrival, wait, admission and end with
+// every organisation waiting.
+func BenchmarkAdmit(b *testing.B) {
+	for _, n := range []int{10, 100, 1_000, 4_900} {
+		b.Run(fmt.Sprintf("organisations=%d", n), func(b *testing.B) {
+			c := New(Limits{QueueLimit: 4 * n})
+			c.SetCapacity(epoch, 8, 8, 0)
+			names := make([]string, n)
+			for i := range names {
+				names[i] = fmt.Sprintf("organisation-%d", i)
+			}
+			deadline := epoch.Add(24 * time.Hour)
+			var active []*Ticket
+			arrive := func(i int) {
+				_, actions := c.Arrive(epoch, Request{Organisation: names[i%n], Class: tables.Interactive, Deadline: deadline}, 0)
+				for _, a := range actions {
+					active = append(active, a.Ticket)
+				}
+			}
+			for i := range n + 8 {
+				arrive(i)
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				ticket := active[0]
+				active = active[1:]
+				for _, a := range c.Done(epoch, ticket, Served, 0) {
+					active = append(active, a.Ticket)
+				}
+				arrive(i)
+			}
+			b.ReportMetric(float64(c.Waiting()), "waiting")
+		})
+	}
+}
--- /dev/null
+++ b/pkg/retry/retry_test.go
@@ -0,0 +1,111 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/fescuehub/fescuehub/pkg/problem"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+// TestBudgetIsNeverExceeded: over any run of events the retries stay within
+// the burst, the floor and the ratio; and no unsafe, late or begun request is
+// ever sent again.
+func TestBudgetIsNeverExceeded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limits := Limits{
+			Ratio:          rapid.Float64Range(0, 1).Draw(t, "ratio"),
+			FloorPerSecond: rapid.Float64Range(0, 5).Draw(t, "floor"),
+			Burst:          rapid.Float64Range(0, 10).Draw(t, "burst"),
+			NotRunCost:     rapid.Float64Range(0.01, 1).Draw(t, "cost"),
+			MaxTries:       rapid.IntRange(1, 5).Draw(t, "tries"),
+			FirstWait:      10 * time.Millisecond, MaxWait: 40 * time.Millisecond,
+		}
+		now := epoch
+		p := New(limits, now)
+		firsts, spent := 0, 0.0
+		for range rapid.IntRange(1, 200).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "first") {
+				p.First(now)
+				firsts++
+				continue
+			}
+			f := Failure{
+				Kind:       rapid.SampledFrom([]problem.Kind{problem.Overloaded, problem.BackendUnreachable, problem.BadRequest}).Draw(t, "kind"),
+				Outcome:    rapid.SampledFrom([]problem.Outcome{problem.NotRun, problem.NotKnown, problem.Ran, ""}).Draw(t, "outcome"),
+				Idempotent: rapid.Bool().Draw(t, "idempotent"),
+				Begun:      rapid.Bool().Draw(t, "begun"),
+				Tries:      rapid.IntRange(1, 6).Draw(t, "try"),
+				Left:       time.Duration(rapid.IntRange(-10, 1000).Draw(t, "left")) * time.Millisecond,
+				Needed:     time.Duration(rapid.IntRange(0, 500).Draw(t, "needed")) * time.Millisecond,
+			}
+			v := p.Decide(now, f, rapid.Uint64().Draw(t, "random"))
+			if !v.Retry {
+				continue
+			}
+			if f.Begun || f.Tries >= limits.MaxTries || f.Left-v.Wait <= f.Needed || f.Kind == problem.BadRequest ||
+				f.Outcome != problem.NotRun && !f.Idempotent {
+				t.Fatalf("retried %+v after %v", f, v.Wait)
+			}
+			if v.Wait < 0 || v.Wait >= limits.MaxWait {
+				t.Fatalf("wait %v", v.Wait)
+			}
+			cost := 1.0
+			if f.Outcome == problem.NotRun {
+				cost = limits.NotRunCost
+			}
+			spent += cost
+			bound := limits.Burst + limits.Ratio*float64(firsts) + limits.FloorPerSecond*now.Sub(epoch).Seconds()
+			if spent > bound+1e-6 {
+				t.Fatalf("spent %.3f of %.3f", spent, bound)
+			}
+		}
+	})
+}
+
+// TestReasons names the reason of each refusal to retry.
+func TestReasons(t *testing.T) {
+	good := Failure{Kind: problem.BackendUnreachable, Outcome: problem.NotKnown, Idempotent: true, Tries: 1, Left: time.Minute}
+	with := func(change func(*Failure)) Failure {
+		f := good
+		change(&f)
+		return f
+	}
+	for _, c := range []struct {
+		f    Failure
+		want Reason
+	}{
+		{good, ""},
+		{with(func(f *Failure) { f.Idempotent = false }), Unsafe},
+		{with(func(f *Failure) { f.Idempotent = false; f.Outcome = problem.NotRun }), ""},
+		{with(func(f *Failure) { f.Begun = true }), Begun},
+		{with(func(f *Failure) { f.Kind = problem.KeyReused }), NotTransient},
+		{with(func(f *Failure) { f.Tries = DefaultLimits.MaxTries }), TooManyTries},
+		{with(func(f *Failure) { f.Left = time.Second; f.Needed = time.Second }), OutOfTime},
+	} {
+		if v := New(DefaultLimits, epoch).Decide(epoch, c.f, 0); v.Reason != c.want || v.Retry != (c.want == "") {
+			t.Errorf("%+v: got %+v, want reason %q", c.f, v, c.want)
+		}
+	}
+	p := New(DefaultLimits, epoch)
+	for range int(DefaultLimits.Burst) {
+		p.Decide(epoch, good, 0)
+	}
+	if v := p.Decide(epoch, good, 0); v.Reason != OverBudget {
+		t.Errorf("got %+v with an empty budget", v)
+	}
+}
+
+// BenchmarkDecide gives the time of one decision.
+func BenchmarkDecide(b *testing.B) {
+	p := New(DefaultLimits, epoch)
+	f := Failure{Kind: problem.BackendUnreachable, Outcome: problem.NotRun, Tries: 1, Left: time.Minute}
+	for i := range b.N {
+		p.First(epoch)
+		p.Decide(epoch, f, uint64(i))
+	}
+}
