Bound what runs and waits for a pool, and refuse the rest at once

Cause: an entry sent every request on, and the engine's queue grew without bound; a caller learned of it at the deadline.

Change: the entry drives pkg/flowcontrol and pkg/retry for each pool; the agent holds the pool's concurrency and certifies what it refuses as not run.

--- a/pkg/agent/attempts.go
+++ b/pkg/agent/attempts.go
@@ -42,6 +42,9 @@
 		"attempt %s was refused or has been sent already", id).WithOutcome(problem.NotKnown)
 }
 
+// withdraw refuses for ever an attempt that was begun and not sent.
+func (a *attempts) withdraw(id ident.AttemptID) { a.states.Set(id, attemptRefused) }
+
 // finish notes that the attempt has run.
 func (a *attempts) finish(id ident.AttemptID) { a.states.Set(id, attemptRan) }
 
--- a/pkg/agent/serve.go
+++ b/pkg/agent/serve.go
@@ -57,13 +57,12 @@
 		a.attempts.refuse(request.Attempt)
 		return err
 	}
-	if err := a.bound.begin(a.concurrency()); err != nil {
-		a.attempts.refuse(request.Attempt)
+	if err := a.attempts.begin(request.Attempt); err != nil {
 		a.life.Done()
 		return err
 	}
-	if err := a.attempts.begin(request.Attempt); err != nil {
-		a.bound.end()
+	if err := a.bound.begin(a.concurrency()); err != nil {
+		a.attempts.withdraw(request.Attempt)
 		a.life.Done()
 		return err
 	}
--- a/pkg/configuration/view.go
+++ b/pkg/configuration/view.go
@@ -59,6 +59,15 @@
 	return p, ok
 }
 
+// Pools returns every pool, in no order.
+func (v *View) Pools() []tables.Pool {
+	out := make([]tables.Pool, 0, len(v.pools))
+	for _, p := range v.pools {
+		out = append(out, p)
+	}
+	return out
+}
+
 // Store holds the view in force. It is safe for concurrent use.
 type Store struct {
 	view    atomic.Pointer[View]
--- a/pkg/entry/admission.go
+++ b/pkg/entry/admission.go
@@ -2,9 +2,188 @@
 
 import (
 	"context"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/fescuehub/fescuehub/pkg/flowcontrol"
+	"github.com/fescuehub/fescuehub/pkg/peer/instancelist"
+	"github.com/fescuehub/fescuehub/pkg/peer/plainservice"
+	"github.com/fescuehub/fescuehub/pkg/problem"
+	"github.com/fescuehub/fescuehub/pkg/tables"
 )
 
+// capacityInterval is how often the capacity of the pools is read again and
+// waiting requests that can no longer be answered in time are given up.
+const capacityInterval = 100 * time.Millisecond
+
+// admission holds the gate of each pool.
+type admission struct {
+	scope tally.Scope
+	mu    sync.Mutex
+	gates map[string]*gate
+}
+
+func newAdmission(scope tally.Scope) *admission {
+	return &admission{scope: scope, gates: make(map[string]*gate)}
+}
+
+// gate returns the gate of a pool and whether it is new.
+func (a *admission) gate(pool string) (*gate, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	g, ok := a.gates[pool]
+	if !ok {
+		g = newGate(time.Now())
+		a.gates[pool] = g
+	}
+	return g, !ok
+}
+
+// pools returns the names of the pools that have a gate.
+func (a *admission) pools() []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	names := make([]string, 0, len(a.gates))
+	for name := range a.gates {
+		names = append(names, name)
+	}
+	return names
+}
+
+// gateOf returns the gate of a pool, which has capacity if any replica takes
+// work.
+func (e *Entry) gateOf(pool tables.Pool) *gate {
+	g, fresh := e.admission.gate(pool.Name)
+	if _, _, window := g.size(); fresh || window == 0 {
+		e.readCapacity(g, pool)
+	}
+	return g
+}
+
+// runAdmission keeps the capacity of every pool up to date until ctx ends.
+func (e *Entry) runAdmission(ctx context.Context) error {
+	ticker := time.NewTicker(capacityInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		view := e.config.View()
+		for _, name := range e.admission.pools() {
+			pool, ok := view.Pool(name)
+			if !ok {
+				pool = tables.Pool{Name: name}
+			}
+			g, _ := e.admission.gate(name)
+			e.readCapacity(g, pool)
+			e.reportGate(name, g)
+		}
+	}
+}
+
+func (e *Entry) readCapacity(g *gate, pool tables.Pool) {
+	whole := pool.Concurrency * e.usable(pool)
+	entries := 0
+	for _, i := range e.members.withRole(instancelist.Entry) {
+		if i.State == instancelist.Live {
+			entries++
+		}
+	}
+	entries = max(entries, 1)
+	g.setCapacity(pool, (whole+entries-1)/entries, whole)
+}
+
+// usable counts the replicas of a pool that take work.
+func (e *Entry) usable(pool tables.Pool) int {
+	n := 0
+	for _, r := range e.replicas.snapshot(pool.Name, pool.Concurrency) {
+		if !r.Leaving {
+			n++
+		}
+	}
+	return n
+}
+
+// takingWork counts the replicas of all pools that take work.
+func (e *Entry) takingWork() int {
+	n := 0
+	for _, pool := range e.config.View().Pools() {
+		n += e.usable(pool)
+	}
+	return n
+}
+
+func (e *Entry) reportGate(pool string, g *gate) {
+	waiting, inFlight, window := g.size()
+	scope := e.admission.scope.Tagged(map[string]string{"pool": pool})
+	scope.Gauge("waiting").Update(float64(waiting))
+	scope.Gauge("in_flight").Update(float64(inFlight))
+	scope.Gauge("window").Update(float64(window))
+}
+
 // admitAndForward waits for admission and forwards the request.
 func (e *Entry) admitAndForward(ctx context.Context, x *exchange) error {
-	return e.forward(ctx, x)
+	g := e.gateOf(x.pool)
+	start := time.Now()
+	ticket, refusal, err := g.acquire(ctx, flowcontrol.Request{
+		Organisation: x.organisation.Name,
+		Share:        x.organisation.Share,
+		Class:        x.organisation.Class,
+		Deadline:     x.deadline,
+	})
+	if err != nil {
+		return leftQueue(ctx, x)
+	}
+	if refusal != nil {
+		e.scope.Tagged(map[string]string{"reason": string(refusal.Reason)}).Counter("refusals").Inc(1)
+		return refused(x, refusal)
+	}
+	e.scope.Timer("admission_wait").Record(time.Since(start))
+	result := flowcontrol.Failed
+	defer func() { g.release(ticket, result) }()
+	err = e.forward(ctx, x, g)
+	result = resultOf(err)
+	return err
+}
+
+func resultOf(err error) flowcontrol.Result {
+	switch {
+	case err == nil:
+		return flowcontrol.Served
+	case problem.Is(err, problem.Overloaded):
+		return flowcontrol.Overloaded
+	}
+	return flowcontrol.Failed
+}
+
+// refused is the final answer to a request that was never sent to a replica.
+func refused(x *exchange, r *flowcontrol.Refusal) error {
+	kind, remedy := problem.Overloaded, "come back after the time in Retry-After"
+	if r.Reason == flowcontrol.NoCapacity {
+		kind, remedy = problem.NoReplica, "come back later; if it lasts, start a backend server of the pool"
+	}
+	return problem.New(kind, remedy, "pool %q does not take the request now: %s", x.pool.Name, r.Reason).
+		WithOutcome(unsentOutcome(x)).WithRetryAfter(r.RetryAfter)
+}
+
+func leftQueue(ctx context.Context, x *exchange) error {
+	kind, remedy := problem.CallerGone, "keep the connection open until the answer is whole"
+	if ctx.Err() == context.DeadlineExceeded {
+		kind, remedy = problem.DeadlineExceeded, "send the request again, or raise the route's deadline"
+	}
+	return problem.New(kind, remedy, "the request left the queue of pool %q", x.pool.Name).WithOutcome(unsentOutcome(x))
+}
+
+// unsentOutcome is the outcome of a request that this entry never sent. Where
+// the caller brought its own idempotency key, an earlier try under the same
+// key may have run.
+func unsentOutcome(x *exchange) problem.Outcome {
+	if x.key != "" && x.header.Get(plainservice.KeyHeader) != "" {
+		return problem.NotKnown
+	}
+	return problem.NotRun
 }
--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -26,7 +26,7 @@
 	x.attempt = ident.NewAttemptID()
 	x.answer.Begin(x.attempt)
 	err := e.exchangeFrames(ctx, x, address, replica)
-	e.replicas.end(replica.Name, err != nil && ctx.Err() == nil)
+	e.replicas.end(replica.Name, countsAgainst(ctx, err))
 	if err != nil && x.key != "" {
 		return e.certify(ctx, x, replica, err)
 	}
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -43,6 +43,7 @@
 	replicas    *replicas
 	attempts    *agentlink.Client
 	selector    routing.Selector
+	admission   *admission
 }
 
 // New returns an entry that has opened nothing yet.
@@ -71,6 +72,7 @@
 		replicas:    replicas,
 		attempts:    agentlink.NewClient(),
 		selector:    selector,
+		admission:   newAdmission(scope.SubScope("pool")),
 	}
 }
 
@@ -102,6 +104,7 @@
 	group.Go(func() error { return e.follower.Run(ctx) })
 	group.Go(func() error { return e.members.run(ctx) })
 	group.Go(func() error { return e.replicas.run(ctx) })
+	group.Go(func() error { return e.runAdmission(ctx) })
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
--- /dev/null
+++ b/pkg/entry/gate.go
@@ -0,0 +1,109 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/fescuehub/fescuehub/pkg/flowcontrol"
+	"github.com/fescuehub/fescuehub/pkg/retry"
+	"github.com/fescuehub/fescuehub/pkg/tables"
+)
+
+// gate drives the flow control and the retry budget of one pool.
+type gate struct {
+	mu      sync.Mutex
+	control *flowcontrol.Controller
+	retries *retry.Policy
+	// waiters gets the decision on each ticket that waits.
+	waiters map[*flowcontrol.Ticket]chan *flowcontrol.Refusal
+}
+
+func newGate(now time.Time) *gate {
+	return &gate{
+		control: flowcontrol.New(flowcontrol.Limits{}),
+		retries: retry.New(retry.DefaultLimits, now),
+		waiters: make(map[*flowcontrol.Ticket]chan *flowcontrol.Refusal),
+	}
+}
+
+// setCapacity takes the pool's limits and the number of requests that it runs,
+// the entry's equal share of it and the whole.
+func (g *gate) setCapacity(pool tables.Pool, share, whole int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	g.control.SetLimits(flowcontrol.Limits{QueueLimit: pool.QueueLimit})
+	g.carryOut(g.control.SetCapacity(now, share, whole, rand.Uint64()))
+	g.carryOut(g.control.Reassess(now, rand.Uint64()))
+}
+
+// acquire waits for admission. It returns a refusal, or the error of ctx if
+// the caller has gone or the deadline has passed.
+func (g *gate) acquire(ctx context.Context, r flowcontrol.Request) (*flowcontrol.Ticket, *flowcontrol.Refusal, error) {
+	decision := make(chan *flowcontrol.Refusal, 1)
+	g.mu.Lock()
+	ticket, actions := g.control.Arrive(time.Now(), r, rand.Uint64())
+	g.waiters[ticket] = decision
+	g.carryOut(actions)
+	g.mu.Unlock()
+	select {
+	case refusal := <-decision:
+		return ticket, refusal, nil
+	case <-ctx.Done():
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.waiters, ticket)
+	g.carryOut(g.control.GiveUp(time.Now(), ticket, rand.Uint64()))
+	return nil, nil, ctx.Err()
+}
+
+// release takes the end of an admitted request.
+func (g *gate) release(ticket *flowcontrol.Ticket, result flowcontrol.Result) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.carryOut(g.control.Done(time.Now(), ticket, result, rand.Uint64()))
+}
+
+// carryOut tells the decisions to the requests that wait for them. The caller
+// holds the lock.
+func (g *gate) carryOut(actions []flowcontrol.Action) {
+	for _, a := range actions {
+		if decision, ok := g.waiters[a.Ticket]; ok {
+			delete(g.waiters, a.Ticket)
+			decision <- a.Refusal
+		}
+	}
+}
+
+// comeBack returns when a caller refused by every replica may come back.
+func (g *gate) comeBack() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.control.ComeBack(time.Now(), rand.Uint64())
+}
+
+// first counts a first attempt towards the retry budget.
+func (g *gate) first() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.retries.First(time.Now())
+}
+
+// decide decides whether another attempt follows a failed one.
+func (g *gate) decide(f retry.Failure, class tables.Class) retry.Verdict {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	f.Needed = g.control.Needed(class)
+	return g.retries.Decide(time.Now(), f, rand.Uint64())
+}
+
+// size returns the number of requests that wait and that are in flight, and
+// the window.
+func (g *gate) size() (waiting, inFlight, window int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.control.Waiting(), g.control.InFlight(), g.control.Window()
+}
--- a/pkg/entry/operator.go
+++ b/pkg/entry/operator.go
@@ -21,6 +21,8 @@
 	InFlight      int               `json:"inFlight"`
 	// Replicas counts the agents that the entry is connected to.
 	Replicas int `json:"replicas"`
+	// TakingWork counts those of them that take work.
+	TakingWork int `json:"takingWork"`
 }
 
 // operatorHandler serves health, metrics, status and the order to drain.
@@ -50,6 +52,7 @@
 		ConfigVersion: state.Version,
 		InFlight:      e.life.InFlight(),
 		Replicas:      e.ReplicaCount(),
+		TakingWork:    e.takingWork(),
 	}
 }
 
--- a/pkg/entry/retry.go
+++ b/pkg/entry/retry.go
@@ -2,18 +2,71 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/fescuehub/fescuehub/pkg/answer"
 	"github.com/fescuehub/fescuehub/pkg/problem"
+	"github.com/fescuehub/fescuehub/pkg/retry"
 )
 
-// mayRetry allows another attempt where the request either did not run or may
-// run twice, and where the answer can still become whole.
-func mayRetry(ctx context.Context, x *exchange, err error) bool {
+// forward tries replicas until one gives a whole answer or no further try is
+// allowed.
+func (e *Entry) forward(ctx context.Context, x *exchange, g *gate) error {
+	var tried []string
+	var last error
+	g.first()
+	for tries := 1; ; tries++ {
+		replica, ok := e.choose(x, tried)
+		if !ok && last != nil {
+			return g.final(last)
+		}
+		if !ok {
+			return noReplica(x, tried)
+		}
+		tried = append(tried, replica.Name)
+		if last = e.attemptAt(ctx, x, replica); last == nil {
+			return nil
+		}
+		if !e.mayRetry(ctx, x, g, tries, last) {
+			return g.final(last)
+		}
+		e.scope.Counter("retries").Inc(1)
+	}
+}
+
+// mayRetry decides whether another attempt follows, and waits until it is due.
+func (e *Entry) mayRetry(ctx context.Context, x *exchange, g *gate, tries int, err error) bool {
 	p := problem.Of(err)
 	if ctx.Err() != nil || p.Kind == problem.CallerGone {
 		return false
 	}
-	repeatable := p.Outcome == problem.NotRun || x.idempotent
-	return x.answer.AfterFailure(repeatable) != answer.Fail
+	verdict := g.decide(retry.Failure{
+		Kind:       p.Kind,
+		Outcome:    p.Outcome,
+		Idempotent: x.idempotent,
+		Begun:      x.answer.Committed() && x.answer.AfterFailure(true) == answer.Fail,
+		Tries:      tries,
+		Left:       time.Until(x.deadline),
+	}, x.organisation.Class)
+	if !verdict.Retry {
+		e.scope.Tagged(map[string]string{"reason": string(verdict.Reason)}).Counter("retries_refused").Inc(1)
+		return false
+	}
+	sleep(ctx, verdict.Wait)
+	return ctx.Err() == nil
+}
+
+// final tells the caller when to come back, where that is of use.
+func (g *gate) final(err error) error {
+	p := problem.Of(err)
+	if p.RetryAfter > 0 || p.Kind != problem.Overloaded && p.Kind != problem.Unavailable {
+		return err
+	}
+	return p.WithRetryAfter(g.comeBack())
+}
+
+// countsAgainst reports whether a failed attempt speaks against its replica. A
+// replica that is merely full is sound.
+func countsAgainst(ctx context.Context, err error) bool {
+	return err != nil && ctx.Err() == nil && !problem.Is(err, problem.Overloaded)
 }
--- a/pkg/entry/serve.go
+++ b/pkg/entry/serve.go
@@ -7,9 +7,6 @@
 	"github.com/fescuehub/fescuehub/pkg/problem"
 )
 
-// maxTries bounds the attempts of one request.
-const maxTries = 3
-
 // refuse answers a request that was never sent to a replica.
 func (e *Entry) refuse(w http.ResponseWriter, err error) {
 	e.countProblem(err)
@@ -36,24 +33,3 @@
 	}
 	e.scope.Counter("answers_whole").Inc(1)
 }
-
-// forward tries replicas until one gives a whole answer or no further try is
-// allowed.
-func (e *Entry) forward(ctx context.Context, x *exchange) error {
-	var tried []string
-	for {
-		replica, ok := e.choose(x, tried)
-		if !ok {
-			return noReplica(x, tried)
-		}
-		tried = append(tried, replica.Name)
-		err := e.attemptAt(ctx, x, replica)
-		if err == nil {
-			return nil
-		}
-		if len(tried) >= maxTries || !mayRetry(ctx, x, err) {
-			return err
-		}
-		e.scope.Counter("retries").Inc(1)
-	}
-}
--- a/pkg/flowcontrol/flowcontrol.go
+++ b/pkg/flowcontrol/flowcontrol.go
@@ -244,6 +244,18 @@
 	return c.pump(now, actions, random)
 }
 
+// ComeBack books a return for a caller that was admitted and then refused by
+// every replica.
+func (c *Controller) ComeBack(now time.Time, random uint64) time.Duration {
+	return c.returns.book(now, c.rate(), c.waitingCount(), random)
+}
+
+// Needed returns the least time in which a request of the class is usefully
+// sent to a replica, 0 while it is not known.
+func (c *Controller) Needed(class tables.Class) time.Duration {
+	return time.Duration(c.service.mean(class) * usefulPart * float64(time.Second))
+}
+
 // Waiting returns the number of requests in the queue.
 func (c *Controller) Waiting() int { return c.waitingCount() }
 
