--- a/pkg/entry/admission.go
+++ b/pkg/entry/admission.go
@@ -108,15 +108,6 @@
 	return n
 }
 
-// takingWork counts the replicas of all pools that take work.
-func (e *Entry) takingWork() int {
-	n := 0
-	for _, pool := range e.config.View().Pools() {
-		n += e.usable(pool)
-	}
-	return n
-}
-
 func (e *Entry) reportGate(pool string, g *gate) {
 	waiting, inFlight, window := g.size()
 	scope := e.admission.scope.Tagged(map[string]string{"pool": pool})
--- a/pkg/entry/operator.go
+++ b/pkg/entry/operator.go
@@ -19,10 +19,8 @@
 	ConfigOffset  int64             `json:"configOffset"`
 	ConfigVersion int64             `json:"configVersion"`
 	InFlight      int               `json:"inFlight"`
-	// Replicas counts the agents that the entry is connected to.
+	// Replicas counts the agents that take work from the entry.
 	Replicas int `json:"replicas"`
-	// TakingWork counts those of them that take work.
-	TakingWork int `json:"takingWork"`
 }
 
 // operatorHandler serves health, metrics, status and the order to drain.
@@ -52,7 +50,6 @@
 		ConfigVersion: state.Version,
 		InFlight:      e.life.InFlight(),
 		Replicas:      e.ReplicaCount(),
-		TakingWork:    e.takingWork(),
 	}
 }
 
--- a/pkg/entry/retry.go
+++ b/pkg/entry/retry.go
@@ -27,6 +27,7 @@
 		if last = e.attemptAt(ctx, x, replica); last == nil {
 			return nil
 		}
+		x.note(last)
 		if !e.mayRetry(ctx, x, g, tries, last) {
 			return g.final(last)
 		}
--- a/pkg/entry/serve.go
+++ b/pkg/entry/serve.go
@@ -28,7 +28,7 @@
 	}
 	if err != nil {
 		e.countProblem(err)
-		x.out.fail(err)
+		x.out.fail(x.truthful(err))
 		return
 	}
 	e.scope.Counter("answers_whole").Inc(1)
