--- a/pkg/flowcontrol/flowcontrol.go
+++ b/pkg/flowcontrol/flowcontrol.go
@@ -94,15 +94,20 @@
 	// AgingBound is how long a batch request waits before its class gets every
 	// second admission.
 	AgingBound time.Duration
+	// BatchEvery bounds the run of interactive admissions while a batch request
+	// waits: one admission in so many is batch. Zero stands for
+	// DefaultBatchEvery.
+	BatchEvery int
 }
 
 const (
 	// DefaultAgingBound is used where Limits has none.
 	DefaultAgingBound = 2 * time.Minute
 
-	// batchEvery and agedBatchEvery bound the run of interactive admissions
-	// while a batch request waits: one admission in so many is batch.
-	batchEvery     = 8
+	// DefaultBatchEvery is used where Limits has none.
+	DefaultBatchEvery = 8
+
+	// agedBatchEvery takes the place of BatchEvery past the aging bound.
 	agedBatchEvery = 2
 
 	// organisationPart is the part of the queue that one organisation may
@@ -152,6 +157,9 @@
 	if limits.AgingBound <= 0 {
 		limits.AgingBound = DefaultAgingBound
 	}
+	if limits.BatchEvery <= 0 {
+		limits.BatchEvery = DefaultBatchEvery
+	}
 	c.limits = limits
 }
 
@@ -330,9 +338,9 @@
 // batchDue reports whether the next admission belongs to the batch class while
 // both classes wait.
 func (c *Controller) batchDue(now time.Time) bool {
-	every := batchEvery
+	every := c.limits.BatchEvery
 	if now.Sub(c.classes[1].first().head.arrived) >= c.limits.AgingBound {
-		every = agedBatchEvery
+		every = min(every, agedBatchEvery)
 	}
 	return c.sinceBatch >= every-1
 }
@@ -400,10 +408,10 @@
 		return 0
 	}
 	q, other := &c.classes[0], &c.classes[1]
-	part := 1 - 1.0/batchEvery
+	part := 1 - 1/float64(c.limits.BatchEvery)
 	if f.key.class == tables.Batch {
 		q, other = other, q
-		part = 1.0 / batchEvery
+		part = 1 / float64(c.limits.BatchEvery)
 	}
 	if other.waiting > 0 {
 		rate *= part
--- a/pkg/flowcontrol/flowcontrol_test.go
+++ b/pkg/flowcontrol/flowcontrol_test.go
@@ -158,7 +158,7 @@
 func TestBatchIsNeverStarved(t *testing.T) {
 	for _, aged := range []bool{false, true} {
 		limits := Limits{QueueLimit: 1000, AgingBound: time.Hour}
-		every := batchEvery
+		every := DefaultBatchEvery
 		if aged {
 			limits.AgingBound = time.Nanosecond
 			every = agedBatchEvery
@@ -177,7 +177,7 @@
 				t.Fatalf("aged %t: %d interactive admissions in a row", aged, run)
 			}
 		}
-		if aged == false && batch > len(order)/batchEvery+2 {
+		if aged == false && batch > len(order)/DefaultBatchEvery+2 {
 			t.Fatalf("batch got %d of %d admissions", batch, len(order))
 		}
 	}
--- /dev/null
+++ b/pkg/measure/virtualtime/virtualtime.go
@@ -0,0 +1,101 @@
+// Package virtualtime runs events in the order of a virtual clock, for seeded
+// programs that drive decision packages.
+package virtualtime
+
+import (
+	"container/heap"
+	"slices"
+	"time"
+)
+
+// Epoch is the virtual time at which every run starts.
+var Epoch = time.Unix(1_700_000_000, 0)
+
+// Queue holds the events to come.
+type Queue struct {
+	now    time.Time
+	events eventHeap
+	seq    int
+}
+
+// NewQueue returns a queue at Epoch.
+func NewQueue() *Queue { return &Queue{now: Epoch} }
+
+// Now returns the virtual time.
+func (q *Queue) Now() time.Time { return q.now }
+
+// Since returns the virtual time since Epoch.
+func (q *Queue) Since() time.Duration { return q.now.Sub(Epoch) }
+
+// At runs an event at a time. Events of the same time run in the order in which
+// they were added.
+func (q *Queue) At(t time.Time, run func()) {
+	q.seq++
+	heap.Push(&q.events, event{t, q.seq, run})
+}
+
+// After runs an event when d has passed.
+func (q *Queue) After(d time.Duration, run func()) { q.At(q.now.Add(d), run) }
+
+// RunUntil runs the events up to d after Epoch.
+func (q *Queue) RunUntil(d time.Duration) {
+	end := Epoch.Add(d)
+	for len(q.events) > 0 && !q.events[0].at.After(end) {
+		e := heap.Pop(&q.events).(event)
+		q.now = e.at
+		e.run()
+	}
+	q.now = end
+}
+
+// Every runs an event at intervals, for ever.
+func (q *Queue) Every(d time.Duration, run func()) {
+	q.After(d, func() {
+		run()
+		q.Every(d, run)
+	})
+}
+
+type event struct {
+	at  time.Time
+	seq int
+	run func()
+}
+
+type eventHeap []event
+
+// Len implements heap.Interface.
+func (h eventHeap) Len() int { return len(h) }
+
+// Less implements heap.Interface.
+func (h eventHeap) Less(i, j int) bool {
+	if h[i].at.Equal(h[j].at) {
+		return h[i].seq < h[j].seq
+	}
+	return h[i].at.Before(h[j].at)
+}
+
+// Swap implements heap.Interface.
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *eventHeap) Push(x any) { *h = append(*h, x.(event)) }
+
+// Pop implements heap.Interface.
+func (h *eventHeap) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	old[len(old)-1] = event{}
+	*h = old[:len(old)-1]
+	return e
+}
+
+// Percentile returns the value below which the part of the samples lies, in
+// the unit of the samples, and 0 without samples. It sorts them.
+func Percentile(samples []float64, part float64) float64 {
+	if len(samples) == 0 {
+		return 0
+	}
+	slices.Sort(samples)
+	return samples[min(len(samples)-1, int(part*float64(len(samples))))]
+}
