Requeue requests that every replica refused, and ask for time by deviation

Cause: a request that waited at its entry and met full replicas was refused after all (17-20% at 2x with 9 entries); and on a small pool a request was let in with half a mean service time left, so that a quarter of the slot time went into answers that came too late.

Ruled out: requeueing without a bound (a request at engines that refuse everything was held until its deadline: scenario retries_refusals hung), and without a pause (the entry span).

Change: at most 3 requeues with a pause that the next answer ends; a request needs the mean plus 3 deviations at arrival and plus 1 at admission; the window grows by 4 for a window of answers and is cut by 5%.

--- a/pkg/entry/admission.go
+++ b/pkg/entry/admission.go
@@ -126,29 +126,44 @@
 		Class:        x.organisation.Class,
 		Deadline:     x.deadline,
 	})
+	for err == nil && refusal == nil {
+		e.scope.Timer("admission_wait").Record(time.Since(start))
+		failure := e.forwardAdmitted(ctx, x, g, ticket)
+		if !waitsAgain(x, failure) {
+			return failure
+		}
+		e.scope.Counter("requeues").Inc(1)
+		start = time.Now()
+		refusal, err = g.requeue(ctx, ticket)
+	}
 	if err != nil {
 		return leftQueue(ctx, x)
 	}
-	if refusal != nil {
-		e.scope.Tagged(map[string]string{"reason": string(refusal.Reason)}).Counter("refusals").Inc(1)
-		return refused(x, refusal)
-	}
-	e.scope.Timer("admission_wait").Record(time.Since(start))
-	result := flowcontrol.Failed
-	defer func() { g.release(ticket, result) }()
+	e.scope.Tagged(map[string]string{"reason": string(refusal.Reason)}).Counter("refusals").Inc(1)
+	return refused(x, refusal)
+}
+
+// forwardAdmitted forwards an admitted request and gives its slot back, unless
+// the request waits again.
+func (e *Entry) forwardAdmitted(ctx context.Context, x *exchange, g *gate, ticket *flowcontrol.Ticket) (err error) {
+	ended := false
+	defer func() {
+		switch {
+		case ended && err == nil:
+			g.release(ticket, flowcontrol.Served)
+		case !ended || !waitsAgain(x, err):
+			g.release(ticket, flowcontrol.Failed)
+		}
+	}()
 	err = e.forward(ctx, x, g)
-	result = resultOf(err)
+	ended = true
 	return err
 }
 
-func resultOf(err error) flowcontrol.Result {
-	switch {
-	case err == nil:
-		return flowcontrol.Served
-	case problem.Is(err, problem.Overloaded):
-		return flowcontrol.Overloaded
-	}
-	return flowcontrol.Failed
+// waitsAgain reports whether a request that every tried replica refused for
+// being full goes back to the queue.
+func waitsAgain(x *exchange, err error) bool {
+	return problem.Is(err, problem.Overloaded) && problem.Of(err).Outcome == problem.NotRun && !x.answer.Committed()
 }
 
 // refused is the final answer to a request that was never sent to a replica.
--- a/pkg/entry/gate.go
+++ b/pkg/entry/gate.go
@@ -42,22 +42,42 @@
 // acquire waits for admission. It returns a refusal, or the error of ctx if
 // the caller has gone or the deadline has passed.
 func (g *gate) acquire(ctx context.Context, r flowcontrol.Request) (*flowcontrol.Ticket, *flowcontrol.Refusal, error) {
-	decision := make(chan *flowcontrol.Refusal, 1)
 	g.mu.Lock()
 	ticket, actions := g.control.Arrive(time.Now(), r, rand.Uint64())
+	decision := g.expect(ticket, actions)
+	g.mu.Unlock()
+	refusal, err := g.await(ctx, ticket, decision)
+	return ticket, refusal, err
+}
+
+// requeue waits again with a request that every tried replica refused.
+func (g *gate) requeue(ctx context.Context, ticket *flowcontrol.Ticket) (*flowcontrol.Refusal, error) {
+	g.mu.Lock()
+	decision := g.expect(ticket, g.control.Requeue(time.Now(), ticket, rand.Uint64()))
+	g.mu.Unlock()
+	return g.await(ctx, ticket, decision)
+}
+
+// expect registers a ticket for its decision, which may be among the actions.
+// The caller holds the lock.
+func (g *gate) expect(ticket *flowcontrol.Ticket, actions []flowcontrol.Action) chan *flowcontrol.Refusal {
+	decision := make(chan *flowcontrol.Refusal, 1)
 	g.waiters[ticket] = decision
 	g.carryOut(actions)
-	g.mu.Unlock()
+	return decision
+}
+
+func (g *gate) await(ctx context.Context, ticket *flowcontrol.Ticket, decision chan *flowcontrol.Refusal) (*flowcontrol.Refusal, error) {
 	select {
 	case refusal := <-decision:
-		return ticket, refusal, nil
+		return refusal, nil
 	case <-ctx.Done():
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	delete(g.waiters, ticket)
 	g.carryOut(g.control.GiveUp(time.Now(), ticket, rand.Uint64()))
-	return nil, nil, ctx.Err()
+	return nil, ctx.Err()
 }
 
 // release takes the end of an admitted request.
--- a/pkg/flowcontrol/estimate.go
+++ b/pkg/flowcontrol/estimate.go
@@ -1,6 +1,7 @@
 package flowcontrol
 
 import (
+	"math"
 	"time"
 
 	"github.com/fescuehub/fescuehub/pkg/tables"
@@ -22,10 +23,12 @@
 	unknownReturnGap = 50 * time.Millisecond
 )
 
-// movingMean is an exponentially weighted mean. It starts at the first sample.
+// movingMean is an exponentially weighted mean and mean deviation. It starts at
+// the first sample.
 type movingMean struct {
-	value float64
-	known bool
+	value     float64
+	deviation float64
+	known     bool
 }
 
 func (m *movingMean) add(sample float64) {
@@ -33,9 +36,14 @@
 		m.value, m.known = sample, true
 		return
 	}
-	m.value += (sample - m.value) * meanWeight
+	difference := sample - m.value
+	m.value += difference * meanWeight
+	m.deviation += (math.Abs(difference) - m.deviation) * meanWeight
 }
 
+// within returns the value plus a number of deviations.
+func (m *movingMean) within(deviations float64) float64 { return m.value + deviations*m.deviation }
+
 // serviceTimes are the mean times from admission to the last byte, in seconds.
 type serviceTimes struct {
 	overall            movingMean
@@ -54,8 +62,10 @@
 	return &s.interactive
 }
 
-// mean is 0 while it is not known.
-func (s *serviceTimes) mean(class tables.Class) float64 { return s.of(class).value }
+// within is 0 while no request has been served.
+func (s *serviceTimes) within(class tables.Class, deviations float64) float64 {
+	return s.of(class).within(deviations)
+}
 
 func (s *serviceTimes) charge(class tables.Class) float64 {
 	if m := s.of(class); m.known {
--- a/pkg/flowcontrol/flow.go
+++ b/pkg/flowcontrol/flow.go
@@ -95,7 +95,6 @@
 }
 
 func (c *Controller) enqueue(f *flow, t *Ticket) {
-	q := c.class(f)
 	t.flow = f
 	t.prev = f.tail
 	if f.tail == nil {
@@ -104,6 +103,25 @@
 		f.tail.next = t
 	}
 	f.tail = t
+	c.noteWaiting(f)
+}
+
+// enqueueFirst puts a ticket before all others of its flow.
+func (c *Controller) enqueueFirst(f *flow, t *Ticket) {
+	t.next = f.head
+	if f.head == nil {
+		f.tail = t
+	} else {
+		f.head.prev = t
+	}
+	f.head = t
+	c.noteWaiting(f)
+}
+
+// noteWaiting counts one more ticket of a flow and lets the flow compete.
+func (c *Controller) noteWaiting(f *flow) {
+	q := c.class(f)
+	c.flows[f.key] = f
 	f.waiting++
 	q.waiting++
 	if f.index < 0 {
--- a/pkg/flowcontrol/flowcontrol.go
+++ b/pkg/flowcontrol/flowcontrol.go
@@ -27,6 +27,9 @@
 	// PushedOut means that a request of an organisation with a shorter queue
 	// took the place of this one.
 	PushedOut Reason = "pushed-out"
+	// ReplicasFull means that every replica tried refused the request, time and
+	// again.
+	ReplicasFull Reason = "replicas-full"
 )
 
 // Request is what flow control knows of a request.
@@ -63,8 +66,6 @@
 	Served Result = iota
 	// Failed requests ended without a whole answer.
 	Failed
-	// Overloaded requests were refused by every replica that was tried.
-	Overloaded
 )
 
 // Ticket is one request in the controller.
@@ -76,6 +77,7 @@
 	// charge is the slot time added to the flow at admission, in seconds.
 	charge     float64
 	state      ticketState
+	requeues   int
 	prev, next *Ticket
 }
 
@@ -114,9 +116,21 @@
 	// fill, as a divisor.
 	organisationPart = 2
 
-	// usefulPart of the mean service time must be left of a deadline for an
-	// admission to be worth a slot.
-	usefulPart = 0.5
+	// safeDeviations above the mean service time must be left of a deadline,
+	// after the predicted wait, for a request to be taken in.
+	safeDeviations = 3
+
+	// usefulDeviations above the mean must be left for a request to be worth a
+	// slot.
+	usefulDeviations = 1
+
+	// minHold and maxHold bound the pause after a refusal by every replica.
+	minHold = 20 * time.Millisecond
+	maxHold = 500 * time.Millisecond
+
+	// maxRequeues bounds how often a request waits again after every replica
+	// tried had refused it.
+	maxRequeues = 3
 
 	// reassessMargin is the factor by which a predicted wait must exceed the
 	// time left before a request that waits is given up.
@@ -140,6 +154,9 @@
 	sweepAfter int
 	service    serviceTimes
 	returns    returnSlots
+	// heldUntil is when admission goes on after a refusal by every replica. An
+	// answer ends the hold: its slot is free.
+	heldUntil time.Time
 }
 
 // New returns a controller without capacity.
@@ -183,11 +200,16 @@
 	}
 	c.sweep()
 	f := c.flowOf(r)
-	actions, reason := c.makeRoom(now, f, r, random)
+	actions := c.pump(now, nil, random)
+	victim, reason := c.makeRoom(now, f, r)
 	if reason != "" {
 		c.forgetIfIdle(f)
 		return t, append(actions, c.refuse(now, t, reason, random))
 	}
+	if victim != nil {
+		c.dequeue(victim)
+		actions = append(actions, c.refuse(now, victim, PushedOut, random))
+	}
 	c.enqueue(f, t)
 	return t, c.pump(now, actions, random)
 }
@@ -197,23 +219,65 @@
 	if t.state != running {
 		return nil
 	}
-	t.state = ended
-	c.inFlight--
+	took := c.finish(now, t)
 	f := t.flow
-	f.inFlight--
-	took := now.Sub(t.admitted).Seconds()
-	c.class(f).correct(f, (took-t.charge)/float64(t.request.Share))
 	switch result {
 	case Served:
+		c.heldUntil = time.Time{}
 		c.service.add(f.key.class, took)
 		c.window.Grow(c.waitingCount() > 0)
-	case Overloaded:
-		c.window.Cut(now)
 	}
 	c.forgetIfIdle(f)
 	return c.pump(now, nil, random)
 }
 
+// finish gives the slot of a request back and returns how long it was held, in
+// seconds.
+func (c *Controller) finish(now time.Time, t *Ticket) float64 {
+	t.state = ended
+	c.inFlight--
+	f := t.flow
+	f.inFlight--
+	took := now.Sub(t.admitted).Seconds()
+	c.class(f).correct(f, (took-t.charge)/float64(t.request.Share))
+	return took
+}
+
+// Requeue takes back an admitted request that every tried replica refused. It
+// waits again, first of its organisation, unless that has happened too often or
+// its deadline is out of reach.
+func (c *Controller) Requeue(now time.Time, t *Ticket, random uint64) []Action {
+	if t.state != running {
+		return nil
+	}
+	c.finish(now, t)
+	c.window.CutTo(now, c.inFlight)
+	c.heldUntil = now.Add(c.hold(random))
+	if c.window.Size() == 0 {
+		return []Action{c.refuse(now, t, NoCapacity, random)}
+	}
+	if !c.useful(t, now) {
+		return []Action{c.refuse(now, t, DeadlineUnreachable, random)}
+	}
+	t.requeues++
+	if t.requeues > maxRequeues {
+		return []Action{c.refuse(now, t, ReplicasFull, random)}
+	}
+	t.state = waiting
+	c.enqueueFirst(t.flow, t)
+	return nil
+}
+
+// hold returns how long nothing is admitted after a refusal by every replica:
+// about the time in which one of this entry's slots becomes free.
+func (c *Controller) hold(random uint64) time.Duration {
+	bound := minHold
+	if rate := c.rate(); rate > 0 {
+		bound = min(max(time.Duration(2/rate*float64(time.Second)), minHold), maxHold)
+	}
+	return bound/2 + time.Duration(random%uint64(bound/2))
+}
+
 // GiveUp takes out a ticket whose caller has gone.
 func (c *Controller) GiveUp(now time.Time, t *Ticket, random uint64) []Action {
 	switch t.state {
@@ -261,7 +325,7 @@
 // Needed returns the least time in which a request of the class is usefully
 // sent to a replica, 0 while it is not known.
 func (c *Controller) Needed(class tables.Class) time.Duration {
-	return time.Duration(c.service.mean(class) * usefulPart * float64(time.Second))
+	return time.Duration(c.service.within(class, usefulDeviations) * float64(time.Second))
 }
 
 // Waiting returns the number of requests in the queue.
@@ -278,7 +342,7 @@
 
 // makeRoom decides whether the request may wait. Where the queue is full, the
 // newest request of the flow with the longest queue for its share gives way.
-func (c *Controller) makeRoom(now time.Time, f *flow, r Request, random uint64) ([]Action, Reason) {
+func (c *Controller) makeRoom(now time.Time, f *flow, r Request) (*Ticket, Reason) {
 	if c.free() > 0 && c.waitingCount() == 0 {
 		return nil, ""
 	}
@@ -286,7 +350,7 @@
 		return nil, OrganisationQueueFull
 	}
 	left := r.Deadline.Sub(now).Seconds()
-	if c.predictWait(f, f.waiting+1).Seconds()+c.service.mean(r.Class)*usefulPart > left {
+	if c.predictWait(f, f.waiting+1).Seconds()+c.service.within(r.Class, safeDeviations) > left {
 		return nil, DeadlineUnreachable
 	}
 	if c.waitingCount() < c.limits.QueueLimit {
@@ -296,14 +360,12 @@
 	if longest == nil || longest.load(0) <= f.load(1) {
 		return nil, QueueFull
 	}
-	victim := longest.tail
-	c.dequeue(victim)
-	return []Action{c.refuse(now, victim, PushedOut, random)}, ""
+	return longest.tail, ""
 }
 
 // pump admits waiting requests while the window has room.
 func (c *Controller) pump(now time.Time, actions []Action, random uint64) []Action {
-	for c.free() > 0 {
+	for c.free() > 0 && !now.Before(c.heldUntil) {
 		f := c.pick(now)
 		if f == nil {
 			break
@@ -384,20 +446,26 @@
 
 // useful reports whether an admission now could still be answered in time.
 func (c *Controller) useful(t *Ticket, now time.Time) bool {
-	return t.request.Deadline.Sub(now).Seconds() > c.service.mean(t.request.Class)*usefulPart
+	return t.request.Deadline.Sub(now) > c.Needed(t.request.Class)
 }
 
 func (c *Controller) free() int { return c.window.Size() - c.inFlight }
 
 func (c *Controller) waitingCount() int { return c.classes[0].waiting + c.classes[1].waiting }
 
-// rate returns the requests that the window serves in a second, 0 if unknown.
+// rate returns the requests that are served in a second, 0 if unknown. While
+// requests wait, it counts the slots that are truly held: replicas may have
+// refused to fill the window.
 func (c *Controller) rate() float64 {
 	mean := c.service.overall.value
 	if mean <= 0 {
 		return 0
 	}
-	return float64(c.window.Size()) / mean
+	slots := c.window.Size()
+	if c.waitingCount() > 0 {
+		slots = min(slots, max(c.inFlight, 1))
+	}
+	return float64(slots) / mean
 }
 
 // predictWait estimates how long the request at the position of the flow's
--- a/pkg/flowcontrol/window.go
+++ b/pkg/flowcontrol/window.go
@@ -4,15 +4,16 @@
 
 const (
 	// windowCut is what remains of the window after replicas refused work.
-	windowCut = 0.9
+	windowCut = 0.95
+	// windowGrowth is what one window of answers adds to the window.
+	windowGrowth = 4
 	// cutInterval is the shortest time between two cuts, so that the refusals
 	// of one burst count once.
 	cutInterval = 200 * time.Millisecond
 )
 
 // Window is the number of requests that one entry may have in flight at a
-// pool. It grows by one for each window of answers while requests wait, and
-// shrinks when replicas refuse work because other entries fill them. It never
+// pool. It grows with each answer while requests wait, and shrinks when replicas refuse work because other entries fill them. It never
 // falls below the entry's equal share nor exceeds the whole pool.
 type Window struct {
 	share, whole float64
@@ -34,15 +35,15 @@
 // back.
 func (w *Window) Grow(held bool) {
 	if held && w.size > 0 {
-		w.size = min(w.size+1/w.size, w.whole)
+		w.size = min(w.size+windowGrowth/w.size, w.whole)
 	}
 }
 
-// Cut takes a refusal by the replicas.
-func (w *Window) Cut(now time.Time) {
+// CutTo takes a refusal by the replicas while so many requests are in flight.
+func (w *Window) CutTo(now time.Time, inFlight int) {
 	if now.Sub(w.cutAt) < cutInterval {
 		return
 	}
 	w.cutAt = now
-	w.size = max(w.size*windowCut, w.share)
+	w.size = min(max(min(w.size*windowCut, float64(inFlight)), w.share), w.whole)
 }
--- a/pkg/measure/limits/overload.go
+++ b/pkg/measure/limits/overload.go
@@ -70,7 +70,8 @@
 	// WastedSlots is the part of the slot time spent on answers that came too
 	// late.
 	WastedSlots float64 `json:"wastedSlots"`
-	// LongestBatchWaitSeconds is the longest wait of a batch request that ran.
+	// LongestBatchWaitSeconds is the longest wait of a batch request for its
+	// slot or its refusal.
 	LongestBatchWaitSeconds float64 `json:"longestBatchWaitSeconds"`
 	// BatchAnswered is the part of the batch requests that was answered.
 	BatchAnswered float64 `json:"batchAnswered"`
@@ -83,7 +84,8 @@
 	policy policy
 
 	row                             OverloadRow
-	arrived, answered               int
+	arrived, finished               int
+	batchFinished                   int
 	smallArrived, smallAnswered     int
 	batchArrived, batchAnswered     int
 	smallTimes, smallWaits, refusal []float64
@@ -184,9 +186,7 @@
 		if r.counts(j) && j.small {
 			r.smallWaits = append(r.smallWaits, now.Sub(j.arrived).Seconds())
 		}
-		if j.class == tables.Batch {
-			r.row.LongestBatchWaitSeconds = max(r.row.LongestBatchWaitSeconds, now.Sub(j.arrived).Seconds())
-		}
+		r.noteBatchWait(j)
 		finish := now.Add(j.service)
 		if finish.After(j.deadline) {
 			r.waste(j.deadline.Sub(now))
@@ -198,8 +198,11 @@
 
 func (r *run) finish(j *job) {
 	j.left = true
+	if s := r.queue.Since(); s >= warmUp && s < warmUp+measured {
+		r.count(j, &r.finished, new(int), &r.batchFinished)
+	}
 	if r.counts(j) {
-		r.count(j, &r.answered, &r.smallAnswered, &r.batchAnswered)
+		r.count(j, new(int), &r.smallAnswered, &r.batchAnswered)
 		if j.small {
 			r.smallTimes = append(r.smallTimes, r.queue.Now().Sub(j.arrived).Seconds())
 		}
@@ -219,11 +222,20 @@
 
 func (r *run) leave(j *job) {
 	j.left = true
+	if !j.ran {
+		r.noteBatchWait(j)
+	}
 	if r.counts(j) && j.class == tables.Interactive && !j.ran {
 		r.refusal = append(r.refusal, r.queue.Now().Sub(j.arrived).Seconds())
 	}
 }
 
+func (r *run) noteBatchWait(j *job) {
+	if j.class == tables.Batch {
+		r.row.LongestBatchWaitSeconds = max(r.row.LongestBatchWaitSeconds, r.queue.Now().Sub(j.arrived).Seconds())
+	}
+}
+
 func (r *run) waste(d time.Duration) {
 	if s := r.queue.Since(); s >= warmUp && s < warmUp+measured {
 		r.wasted += d
@@ -244,7 +256,7 @@
 
 func (r *run) result() OverloadRow {
 	row := r.row
-	row.Goodput = float64(r.answered) / measured.Seconds() / capacity()
+	row.Goodput = float64(r.finished) / measured.Seconds() / capacity()
 	row.SmallP95Seconds = virtualtime.Percentile(r.smallTimes, 0.95)
 	row.SmallWaitP95Seconds = virtualtime.Percentile(r.smallWaits, 0.95)
 	row.SmallAnswered = part(r.smallAnswered, r.smallArrived)
