--- a/pkg/flowcontrol/flowcontrol.go
+++ b/pkg/flowcontrol/flowcontrol.go
@@ -118,7 +118,7 @@
 
 	// safeDeviations above the mean service time must be left of a deadline,
 	// after the predicted wait, for a request to be taken in.
-	safeDeviations = 3
+	safeDeviations = 4
 
 	// usefulDeviations above the mean must be left for a request to be worth a
 	// slot.
--- a/pkg/flowcontrol/flowcontrol_test.go
+++ b/pkg/flowcontrol/flowcontrol_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"runtime"
+	"strconv"
 	"testing"
 	"time"
 
@@ -352,3 +354,27 @@
 		})
 	}
 }
+
+// BenchmarkMemory gives the bytes held for each organisation that waits.
+func BenchmarkMemory(b *testing.B) {
+	for _, n := range []int{100, 1_000, 4_900} {
+		b.Run(fmt.Sprintf("organisations=%d", n), func(b *testing.B) {
+			var before, after runtime.MemStats
+			for range b.N {
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				c := New(Limits{QueueLimit: 2 * n})
+				c.SetCapacity(epoch, 8, 8, 0)
+				for i := range n + 8 {
+					c.Arrive(epoch, Request{Organisation: strconv.Itoa(i), Class: tables.Interactive, Deadline: epoch.Add(time.Hour)}, 0)
+				}
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				if c.Waiting() != n {
+					b.Fatalf("%d wait", c.Waiting())
+				}
+			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(n), "B/organisation")
+		})
+	}
+}
