--- a/pkg/measure/limits/limits.go
+++ b/pkg/measure/limits/limits.go
@@ -38,7 +38,7 @@
 		fmt.Fprintf(w, "%-21s  %7.2f  %20.1f  %16.2f  %6.1f%%\n", b.Policy, b.BatchPerSecond, b.LongestWaitSeconds, b.SmallWaitP95Seconds, 100*b.Goodput)
 	}
 	fmt.Fprintf(w, "\nRetry-After: %d callers within %v on a pool at load %.1f\n", burstCallers, burstTime, steadyLoad)
-	fmt.Fprintln(w, "policy      peak returns/s  tries  answered  95%% of the answers within s")
+	fmt.Fprintln(w, "policy      peak returns/s  tries  answered  95% of the answers within s")
 	for _, b := range r.Returns {
 		fmt.Fprintf(w, "%-10s  %14d  %5d  %7.1f%%  %27.1f\n", b.Policy, b.PeakPerSecond, b.Tries, 100*b.Answered, b.SecondsToAnswer95)
 	}
