--- a/pkg/drain/matrix_test.go
+++ b/pkg/drain/matrix_test.go
@@ -108,14 +108,14 @@
 			e.f.begun[m.id] = true
 		}
 		e.inFlight++
-		ctx.After(workTime, finished{m.id})
-		ctx.Send(from, accepted{m.id})
+		ctx.After(workTime, finished(m))
+		ctx.Send(from, accepted(m))
 		return
 	}
 	if held := ctx.Now.Sub(e.f.drained); held < lifetime && e.f.orders == 1 {
 		e.f.violate("refused a request %v after it was told to leave, within the lifetime of address answers", held)
 	}
-	ctx.Send(from, refused{m.id})
+	ctx.Send(from, refused(m))
 }
 
 func (e *entryNode) counted() int {
