--- a/pkg/drain/matrix_test.go
+++ b/pkg/drain/matrix_test.go
@@ -14,10 +14,10 @@
 	grace     = time.Second
 	bound     = 120 * time.Second
 	workTime  = 8 * time.Second
-	askPeriod = 3 * time.Second
+	askPeriod = 5 * time.Second
 	lastAsk   = 50 * time.Second
 	drainAt   = 10 * time.Second
-	advance   = 500 * time.Millisecond
+	advance   = 2 * time.Second
 )
 
 // Messages of the shutdown protocol.
