--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -37,6 +37,7 @@
 	backend     Backend
 	attempts    *attempts
 	maps        *expertMaps
+	bound       bound
 
 	mu        sync.Mutex
 	links     map[*rpc.Conn]struct{}
--- a/pkg/agent/serve.go
+++ b/pkg/agent/serve.go
@@ -34,6 +34,7 @@
 		return
 	}
 	defer a.life.Done()
+	defer a.bound.end()
 	defer a.attempts.finish(request.Attempt)
 	a.scope.Counter("attempts_started").Inc(1)
 	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(request.DeadlineMS)*time.Millisecond)
@@ -62,6 +63,11 @@
 		a.life.Done()
 		return err
 	}
+	if err := a.bound.begin(a.concurrency()); err != nil {
+		a.attempts.withdraw(request.Attempt)
+		a.life.Done()
+		return err
+	}
 	return nil
 }
 
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -50,6 +50,7 @@
 	attempts    *agentlink.Client
 	selector    routing.Selector
 	planners    *planners
+	admission   *admission
 }
 
 // New returns an entry that has opened nothing yet.
@@ -78,6 +79,7 @@
 		replicas:    replicas,
 		attempts:    agentlink.NewClient(),
 		selector:    selector,
+		admission:   newAdmission(scope.SubScope("pool")),
 	}
 	e.planners = newPlanners(e, logClient)
 	return e
@@ -114,6 +116,7 @@
 	group.Go(func() error { return e.members.run(ctx) })
 	group.Go(func() error { return e.replicas.run(ctx) })
 	group.Go(func() error { return e.planners.run(ctx) })
+	group.Go(func() error { return e.runAdmission(ctx) })
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
