Check the barrier's completeness from the rank that was missing last

Cause: each report received made a rank look at all reports again. Before 25.1 us a rank and step at 128 ranks (go test -bench Step ./pkg/expertmap), after 8.4 us, on the same busy machine.

--- a/pkg/expertmap/gate.go
+++ b/pkg/expertmap/gate.go
@@ -58,6 +58,8 @@
 	members []ident.Incarnation
 	// latest is the newest report of each rank.
 	latest []Report
+	// missing is the rank whose report was found missing last.
+	missing int
 	// running is true from the entry of a step to its end.
 	running bool
 	// step is the step that the rank runs or waits for.
@@ -103,9 +105,9 @@
 		return nil
 	}
 	var out []int
-	own := g.latest[g.rank]
-	for i, r := range g.latest {
-		if r.Step != g.step || r.Members != own.Members || g.complete() {
+	all := g.complete()
+	for i := range g.latest {
+		if all || !g.fits(i) {
 			out = append(out, i)
 		}
 	}
@@ -230,15 +232,24 @@
 	if !g.sent {
 		return false
 	}
-	own := g.latest[g.rank]
-	for _, r := range g.latest {
-		if r.Step != g.step || g.checks.Members && r.Members != own.Members {
+	if !g.fits(g.missing) {
+		return false
+	}
+	for i := range g.latest {
+		if !g.fits(i) {
+			g.missing = i
 			return false
 		}
 	}
 	return true
 }
 
+// fits reports whether the report of a rank is there for the step.
+func (g *Gate) fits(rank int) bool {
+	r := &g.latest[rank]
+	return r.Step == g.step && (!g.checks.Members || r.Members == g.latest[g.rank].Members)
+}
+
 // choose returns the newest map that is in every report of the step.
 func (g *Gate) choose() (Version, bool) {
 	var best Version
