Give each planner an incarnation of its own, so that a version names one map

Cause: a planner that an entry stops and starts again (its agents' links all gone for a moment) found its own old claim in the lease stream, held that lease and numbered its maps from 1 again: one version, two maps, which the gate can't tell apart. Ruled out: noticing it at the ranks (they see versions only). A publisher also makes no map behind a later lease, as after a log that started again at offset 0.

--- a/pkg/entry/planner.go
+++ b/pkg/entry/planner.go
@@ -101,7 +101,7 @@
 	}
 	scope := ps.entry.scope.SubScope("maps").Tagged(map[string]string{"pool": key.pool, "group": key.group})
 	agents := groupAgents{ps.entry.replicas, key}
-	p := mapplanner.New(options, ps.entry.incarnation, ps.entry.log, scope, ps.log, agents, time.Now())
+	p := mapplanner.New(options, s.Name, ps.entry.log, scope, ps.log, agents, time.Now())
 	ticker := time.NewTicker(mapplanner.RoundInterval)
 	defer ticker.Stop()
 	for {
--- a/pkg/expertmap/gate_test.go
+++ b/pkg/expertmap/gate_test.go
@@ -159,6 +159,27 @@
 	}
 }
 
+func TestPublisherBringsTheNewestMapToAllAndStopsBehindALaterLease(t *testing.T) {
+	p := expertmap.NewPublisher(2, 3)
+	left := expertmap.Version{Fencing: 2, Sequence: 7}
+	p.Observe(0, []expertmap.Version{left})
+	if p.Heard() || p.Settled() {
+		t.Fatal("one of two ranks is all that was heard")
+	}
+	p.Observe(1, nil)
+	if lacking := p.Lacking(); p.Target() != left || len(lacking) != 1 || lacking[0] != 1 {
+		t.Fatalf("target %s, lacking %v", p.Target(), lacking)
+	}
+	p.Observe(1, []expertmap.Version{left})
+	if v, ok := p.Next(); !ok || v.Compare(left) <= 0 || p.Settled() {
+		t.Fatalf("next is %s, %v", v, ok)
+	}
+	p.Observe(0, []expertmap.Version{{Fencing: 4, Sequence: 1}})
+	if v, ok := p.Next(); ok {
+		t.Fatalf("%s is made behind a later lease", v)
+	}
+}
+
 func TestMapCheckNamesTheFault(t *testing.T) {
 	good := expertmap.Map{Ranks: 2, Layers: []expertmap.Layer{{{{Rank: 0, Share: 0.5}, {Rank: 1, Share: 0.5}}}}}
 	if err := good.Check(); err != nil {
--- a/pkg/expertmap/matrix_test.go
+++ b/pkg/expertmap/matrix_test.go
@@ -33,6 +33,8 @@
 type variant struct {
 	checks   expertmap.Checks
 	fenceOff bool
+	// sameHolder lets a planner that restarts claim under its old name.
+	sameHolder bool
 }
 
 var whole = variant{checks: expertmap.AllChecks}
@@ -76,11 +78,13 @@
 	newest    expertmap.Version
 	published int
 	current   [matrixRanks]expertmap.Version
-	logUntil  time.Duration
-	logDelay  time.Duration
-	killed    bool
-	frozen    bool
-	wrong     []string
+	// made lists the versions that planners gave to maps.
+	made     map[expertmap.Version]bool
+	logUntil time.Duration
+	logDelay time.Duration
+	killed   bool
+	frozen   bool
+	wrong    []string
 }
 
 // Inject applies the faults of the platform: outage and slow answers of the
@@ -107,6 +111,14 @@
 	f.current[rank] = e.Version
 }
 
+// make notes the version of a new map.
+func (f *facts) make(v expertmap.Version) {
+	if f.made[v] {
+		f.wrong = append(f.wrong, fmt.Sprintf("version %s names two maps", v))
+	}
+	f.made[v] = true
+}
+
 // publish counts a map from the first agent on that takes it. A map that
 // reached no agent before its planner died does not count.
 func (f *facts) publish(v expertmap.Version) {
@@ -282,7 +294,9 @@
 	n.publisher.Observe(rank, m.loaded)
 	lacking := n.publisher.Lacking()
 	if n.publisher.Settled() && n.f.published < publications {
-		n.publisher.Next()
+		if v, ok := n.publisher.Next(); ok {
+			n.f.make(v)
+		}
 		lacking = n.publisher.Lacking()
 	} else if !slices.Contains(lacking, rank) {
 		return
@@ -384,7 +398,7 @@
 }
 
 func (v variant) build(w *faultmatrix.World) {
-	f := &facts{w: w, used: make(map[int64]map[expertmap.Version][]int)}
+	f := &facts{w: w, used: make(map[int64]map[expertmap.Version][]int), made: make(map[expertmap.Version]bool)}
 	w.Facts = f
 	for i := range matrixRanks {
 		w.Add(rankName(i), func(life int) faultmatrix.Node {
@@ -407,6 +421,9 @@
 	for i, name := range []string{"planner-a", "planner-b"} {
 		w.Add(name, func(life int) faultmatrix.Node {
 			id := ident.Incarnation(fmt.Sprintf("%s@%d", name, life))
+			if v.sameHolder {
+				id = ident.Incarnation(name)
+			}
 			return &plannerNode{f: f, lease: expertmap.NewLease(id, expertmap.DefaultLeaseTimes, w.Now())}
 		})
 		w.Start(name, time.Duration(i)*time.Second, begin{})
@@ -437,8 +454,9 @@
 		"common":  func(v *variant) { v.checks.Common = false },
 		"members": func(v *variant) { v.checks.Members = false },
 		"fence":   func(v *variant) { v.fenceOff = true },
+		"holder":  func(v *variant) { v.sameHolder = true },
 	}
-	enough := []faultmatrix.Fault{faultmatrix.Drop, faultmatrix.Delay}
+	enough := []faultmatrix.Fault{faultmatrix.Drop, faultmatrix.Delay, faultmatrix.Kill}
 	for name, turnOff := range off {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/pkg/expertmap/publisher.go
+++ b/pkg/expertmap/publisher.go
@@ -1,7 +1,9 @@
 package expertmap
 
 // Publisher brings one map to all ranks of a group under one lease. A map is
-// settled once every rank holds it; until then no other is published.
+// settled once every rank holds it; until then no other is published. There
+// must never be two publishers of one fencing number: each numbers its maps
+// from 1.
 type Publisher struct {
 	fencing  int64
 	sequence int64
@@ -69,9 +71,14 @@
 	return out
 }
 
-// Next makes the version of a new map, which becomes the target.
-func (p *Publisher) Next() Version {
+// Next makes the version of a new map, which becomes the target. It makes none
+// while a rank holds a map of a later lease: this one is over, or the log has
+// started again.
+func (p *Publisher) Next() (Version, bool) {
+	if p.target.Fencing > p.fencing {
+		return Version{}, false
+	}
 	p.sequence++
 	p.target = Version{Fencing: p.fencing, Sequence: p.sequence}
-	return p.target
+	return p.target, true
 }
--- a/pkg/mapplanner/mapplanner.go
+++ b/pkg/mapplanner/mapplanner.go
@@ -79,8 +79,10 @@
 	expertBytes int64
 }
 
-// New returns a planner that holds no lease.
-func New(o Options, self ident.Incarnation, log *zap.Logger, scope tally.Scope, client *logservice.Client, agents Agents, now time.Time) *Planner {
+// New returns a planner that holds no lease. It claims one under an
+// incarnation of its own, so that no two planners of one process share a
+// fencing number.
+func New(o Options, entry string, log *zap.Logger, scope tally.Scope, client *logservice.Client, agents Agents, now time.Time) *Planner {
 	return &Planner{
 		options:   o,
 		log:       log.With(zap.String("pool", o.Pool), zap.String("group", o.Group)),
@@ -88,7 +90,7 @@
 		stream:    streamPrefix + o.Pool + "." + o.Group,
 		client:    client,
 		agents:    agents,
-		lease:     expertmap.NewLease(self, o.Lease, now),
+		lease:     expertmap.NewLease(ident.NewIncarnation(entry), o.Lease, now),
 		speed:     make([]float64, o.Ranks),
 		reachable: true,
 	}
@@ -219,7 +221,11 @@
 	if !ok {
 		return
 	}
-	p.content = expertmap.Map{Version: p.publisher.Next(), Ranks: p.options.Ranks, Layers: plan.Layers}
+	version, ok := p.publisher.Next()
+	if !ok {
+		return
+	}
+	p.content = expertmap.Map{Version: version, Ranks: p.options.Ranks, Layers: plan.Layers}
 	p.scope.Counter("maps_published").Inc(1)
 	p.scope.Counter("experts_moved").Inc(int64(plan.Moves))
 	p.log.Info("expert map published", zap.String("map", p.content.Version.String()),
