--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -17,6 +17,7 @@
 	"github.com/fescuehub/fescuehub/pkg/ident"
 	"github.com/fescuehub/fescuehub/pkg/lifecycle"
 	"github.com/fescuehub/fescuehub/pkg/peer/agentlink"
+	"github.com/fescuehub/fescuehub/pkg/peer/logservice"
 	"github.com/fescuehub/fescuehub/pkg/rpc"
 	"github.com/fescuehub/fescuehub/pkg/settings"
 	"github.com/fescuehub/fescuehub/pkg/telemetry"
@@ -35,6 +36,8 @@
 	life        *lifecycle.Lifecycle
 	backend     Backend
 	attempts    *attempts
+	writes      *writes
+	started     time.Time
 
 	mu        sync.Mutex
 	links     map[*rpc.Conn]struct{}
@@ -44,17 +47,22 @@
 }
 
 // New returns an agent that has opened nothing yet.
-func New(s settings.Agent, log *zap.Logger, metrics *telemetry.Metrics, backend Backend) *Agent {
+func New(s settings.Agent, log *zap.Logger, metrics *telemetry.Metrics, backend Backend, logClient *logservice.Client) *Agent {
 	plan := drain.Plan{Bound: time.Duration(s.ShutdownSeconds) * time.Second}
+	started := time.Now()
+	incarnation := ident.NewIncarnation(s.Name)
+	scope := metrics.Scope.SubScope("agent")
 	return &Agent{
 		settings:    s,
 		log:         log,
 		metrics:     metrics,
-		scope:       metrics.Scope.SubScope("agent"),
-		incarnation: ident.NewIncarnation(s.Name),
+		scope:       scope,
+		incarnation: incarnation,
+		started:     started,
+		writes:      newWrites(s, incarnation, started, backend, log, scope, logClient),
 		life:        lifecycle.New(log, plan),
 		backend:     backend,
-		attempts:    newAttempts(),
+		attempts:    newAttempts(started),
 		links:       make(map[*rpc.Conn]struct{}),
 		part:        agentlink.PoolPart{Offset: -1},
 	}
@@ -98,6 +106,10 @@
 	group.Go(operatorServer.Run)
 	group.Go(func() error { return controlServer.Run(ctx) })
 	group.Go(func() error { return a.watchBackend(ctx) })
+	if a.settings.Backend.Kind == settings.ServiceBackend {
+		group.Go(func() error { return a.writes.run(ctx) })
+	}
+	group.Go(func() error { return a.forgetAttempts(ctx) })
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
@@ -116,6 +128,17 @@
 	return err
 }
 
+// WritesReady reports whether dated keys made now can be claimed.
+func (a *Agent) WritesReady() bool { return a.writes.status().Ready }
+
+func (a *Agent) forgetAttempts(ctx context.Context) error {
+	for ctx.Err() == nil {
+		sleep(ctx, forgetInterval)
+		a.attempts.forget(time.Since(a.started))
+	}
+	return nil
+}
+
 func (a *Agent) dataHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+agentlink.AttemptsPath, a.serveAttempt)
--- a/pkg/agent/control.go
+++ b/pkg/agent/control.go
@@ -16,6 +16,7 @@
 		agentlink.MethodHello:     rpc.Typed(a.hello),
 		agentlink.MethodConfigure: rpc.Typed(a.configure),
 		agentlink.MethodRefuse:    rpc.Typed(a.refuse),
+		agentlink.MethodPermits:   rpc.Typed(a.permits),
 	}
 }
 
@@ -45,13 +46,19 @@
 	return agentlink.PoolPart{Offset: a.part.Offset}, nil
 }
 
-// refuse certifies the outcome of an attempt.
+// refuse certifies the outcome of an unrepeatable call.
 func (a *Agent) refuse(_ context.Context, _ *rpc.Conn, request agentlink.RefuseRequest) (any, error) {
 	if request.Incarnation != a.incarnation {
 		return nil, problem.New(problem.WrongIncarnation, "look the action up at the service",
 			"the agent has restarted since the attempt was sent").WithOutcome(problem.NotKnown)
 	}
-	return agentlink.RefuseReply{Outcome: a.attempts.refuse(request.Attempt)}, nil
+	a.attempts.refuse(request.Attempt)
+	return a.writes.refuse(request.Key), nil
+}
+
+// permits issues keys that only this incarnation runs.
+func (a *Agent) permits(_ context.Context, _ *rpc.Conn, request agentlink.PermitRequest) (any, error) {
+	return a.writes.permits(request.Count), nil
 }
 
 func (a *Agent) status() agentlink.Status {
--- a/pkg/agent/operator.go
+++ b/pkg/agent/operator.go
@@ -18,6 +18,10 @@
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(a.status())
 	})
+	mux.HandleFunc("GET /v1/writes", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(a.writes.status())
+	})
 	mux.HandleFunc("POST /v1/drain", func(w http.ResponseWriter, _ *http.Request) {
 		a.Drain()
 		w.WriteHeader(http.StatusAccepted)
--- a/pkg/agent/providers.go
+++ b/pkg/agent/providers.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/fescuehub/fescuehub/pkg/peer/logservice"
 	"github.com/fescuehub/fescuehub/pkg/settings"
 	"github.com/fescuehub/fescuehub/pkg/telemetry"
 )
@@ -12,3 +13,7 @@
 func provideLogger(s settings.Agent, logs io.Writer) *zap.Logger {
 	return telemetry.NewLogger(logs, "agent", s.Name)
 }
+
+func provideLogClient(s settings.Agent) *logservice.Client {
+	return logservice.New(s.LogURL)
+}
--- a/pkg/agent/serve.go
+++ b/pkg/agent/serve.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/fescuehub/fescuehub/pkg/frame"
@@ -26,13 +27,16 @@
 		return
 	}
 	out := agentlink.NewFrameWriter(w, request.Attempt)
+	if request.Key != "" {
+		a.serveWrite(r.Context(), out, request, body)
+		return
+	}
 	if err := a.admit(request); err != nil {
 		a.scope.Counter("attempts_refused").Inc(1)
 		out.Fail(err)
 		return
 	}
 	defer a.life.Done()
-	defer a.attempts.finish(request.Attempt)
 	a.scope.Counter("attempts_started").Inc(1)
 	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(request.DeadlineMS)*time.Millisecond)
 	defer cancel()
@@ -42,8 +46,51 @@
 	}
 }
 
-// admit decides whether the attempt may run. A refused attempt stays refused.
-func (a *Agent) admit(request agentlink.AttemptRequest) error {
+// serveWrite serves a try of an unrepeatable call. The ledger of its key, not
+// the attempt, decides whether it runs.
+func (a *Agent) serveWrite(ctx context.Context, out *agentlink.FrameWriter, request agentlink.AttemptRequest, body []byte) {
+	if err := a.checkAttempt(request); err != nil {
+		a.scope.Counter("attempts_refused").Inc(1)
+		out.Fail(err)
+		return
+	}
+	accepting := a.life.Begin() == nil
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(request.DeadlineMS)*time.Millisecond)
+	defer cancel()
+	res := a.writes.do(ctx, request, body, accepting)
+	writeResult(out, res)
+	if !accepting {
+		return
+	}
+	if res.started == nil {
+		a.life.Done()
+		return
+	}
+	go func() {
+		<-res.started.done
+		a.life.Done()
+	}()
+}
+
+func writeResult(out *agentlink.FrameWriter, res result) {
+	if res.err != nil {
+		_ = out.Write(frame.Frame{Last: true, Failure: res.err, Owner: res.owner})
+		return
+	}
+	if out.Write(frame.Frame{Status: res.answer.Status, Header: res.answer.Header}) != nil {
+		return
+	}
+	for chunk := range slices.Chunk(res.answer.Body, relayBytes) {
+		if out.Write(frame.Frame{Data: chunk}) != nil {
+			return
+		}
+	}
+	_ = out.Write(frame.Frame{Last: true})
+}
+
+// checkAttempt refuses an attempt that is not for this incarnation, has no
+// time left, or was sent before.
+func (a *Agent) checkAttempt(request agentlink.AttemptRequest) error {
 	if request.Incarnation != a.incarnation {
 		return problem.New(problem.WrongIncarnation, "choose the replica again",
 			"the attempt is for another life of this agent").WithOutcome(problem.NotRun)
@@ -52,15 +99,15 @@
 		return problem.New(problem.DeadlineExceeded, "send the request with more time",
 			"no time was left for the attempt").WithOutcome(problem.NotRun)
 	}
-	if err := a.life.Begin(); err != nil {
-		a.attempts.refuse(request.Attempt)
-		return err
-	}
-	if err := a.attempts.begin(request.Attempt); err != nil {
-		a.life.Done()
+	return a.attempts.begin(time.Since(a.started), request.Attempt)
+}
+
+// admit decides whether the attempt may run. A refused attempt stays refused.
+func (a *Agent) admit(request agentlink.AttemptRequest) error {
+	if err := a.checkAttempt(request); err != nil {
 		return err
 	}
-	return nil
+	return a.life.Begin()
 }
 
 // run sends the attempt to the backend server and its answer to the entry.
--- a/pkg/agent/wire.go
+++ b/pkg/agent/wire.go
@@ -13,6 +13,7 @@
 
 // Initialize returns an agent with all that it needs. Logs go to logs.
 func Initialize(s settings.Agent, logs io.Writer) *Agent {
-	wire.Build(New, telemetry.NewMetrics, provideLogger, NewBackend)
+	wire.Build(New, telemetry.NewMetrics, provideLogger,
+		provideLogClient, NewBackend)
 	return nil
 }
--- a/pkg/agent/wire_gen.go
+++ b/pkg/agent/wire_gen.go
@@ -19,6 +19,7 @@
 	logger := provideLogger(s, logs)
 	metrics := telemetry.NewMetrics()
 	backend := NewBackend(s)
-	agent := New(s, logger, metrics, backend)
+	client := provideLogClient(s)
+	agent := New(s, logger, metrics, backend, client)
 	return agent
 }
--- /dev/null
+++ b/pkg/agent/writes.go
@@ -0,0 +1,280 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
+
+	"github.com/fescuehub/fescuehub/pkg/ident"
+	"github.com/fescuehub/fescuehub/pkg/peer/agentlink"
+	"github.com/fescuehub/fescuehub/pkg/peer/logservice"
+	"github.com/fescuehub/fescuehub/pkg/problem"
+	"github.com/fescuehub/fescuehub/pkg/settings"
+	"github.com/fescuehub/fescuehub/pkg/writeonce"
+)
+
+const (
+	// executionBound bounds the wait for a backend server's answer to an
+	// unrepeatable call, also after every caller has gone.
+	executionBound = 5 * time.Minute
+	// claimBound bounds the wait for a claim to be read back.
+	claimBound = 5 * time.Second
+	// maxAnswerBytes bounds an answer to an unrepeatable call.
+	maxAnswerBytes = 16 << 20
+	// maxPermits bounds one block of permits.
+	maxPermits = 64
+)
+
+// writes runs unrepeatable calls at most once.
+type writes struct {
+	self       ident.Incarnation
+	backend    Backend
+	scope      tally.Scope
+	started    time.Time
+	partitions [writeonce.Partitions]*partition
+	serial     atomic.Uint64
+}
+
+func newWrites(s settings.Agent, self ident.Incarnation, started time.Time, backend Backend, log *zap.Logger, scope tally.Scope, client *logservice.Client) *writes {
+	w := &writes{self: self, backend: backend, scope: scope, started: started}
+	limit := rate.NewLimiter(claimAppendsPerSecond, claimAppendsPerSecond)
+	for i := range w.partitions {
+		w.partitions[i] = &partition{
+			stream: fmt.Sprintf("claims.%s.%d", s.Pool, i), self: self, client: client, log: log, scope: scope, limit: limit,
+			used: make(chan struct{}), appendUp: make(chan struct{}, 1),
+			ledger: writeonce.NewLedger(self), changed: make(chan struct{}),
+			pending: make(map[string]*ticket), running: make(map[string]*execution),
+		}
+	}
+	return w
+}
+
+// run follows the claim streams and forgets old keys until ctx ends.
+func (w *writes) run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	for _, p := range w.partitions {
+		group.Go(func() error { return p.run(ctx) })
+	}
+	group.Go(func() error {
+		for ctx.Err() == nil {
+			sleep(ctx, forgetInterval)
+			for _, p := range w.partitions {
+				p.mu.Lock()
+				p.ledger.Forget(w.elapsed())
+				p.mu.Unlock()
+			}
+		}
+		return nil
+	})
+	return group.Wait()
+}
+
+func (w *writes) elapsed() time.Duration { return time.Since(w.started) }
+
+// permits issues a block of permits.
+func (w *writes) permits(count int) agentlink.PermitBlock {
+	n := max(1, min(count, maxPermits))
+	last := w.serial.Add(uint64(n))
+	return agentlink.PermitBlock{
+		Incarnation: w.self, IssuedMS: w.elapsed().Milliseconds(), First: last - uint64(n) + 1, Count: n,
+	}
+}
+
+// refuse certifies the outcome of a key.
+func (w *writes) refuse(text string) writeonce.Certificate {
+	key, err := writeonce.ParseKey(text)
+	if err != nil {
+		return writeonce.Certificate{Outcome: problem.NotRun, ForKey: true}
+	}
+	p := w.partitions[key.Partition()]
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	defer p.notify()
+	return p.ledger.Refuse(key)
+}
+
+// execution is one call at the backend server.
+type execution struct {
+	done chan struct{}
+	// answer is nil where there is none. It is set before done is closed.
+	answer *writeonce.Answer
+}
+
+// result is the end of one try.
+type result struct {
+	answer *writeonce.Answer
+	owner  ident.Incarnation
+	err    *problem.Error
+	// started is the execution that this try began, nil for any other try.
+	started *execution
+}
+
+// do takes one try to its end: it runs the call, or waits for the execution
+// that is under way, or refuses.
+func (w *writes) do(ctx context.Context, request agentlink.AttemptRequest, body []byte, accepting bool) result {
+	key, err := writeonce.ParseKey(request.Key)
+	if err != nil {
+		return result{err: problem.Of(err)}
+	}
+	t := &try{
+		writes: w, request: request, body: body, p: w.partitions[key.Partition()],
+		write: writeonce.Write{Key: key, Digest: writeonce.DigestOf(request.Method, request.Path, body), Accepting: accepting},
+	}
+	claimTimer := time.NewTimer(claimBound)
+	defer claimTimer.Stop()
+	for {
+		waitFor, end := t.step()
+		if end {
+			return t.result
+		}
+		select {
+		case <-waitFor:
+		case <-claimTimer.C:
+			t.giveUpClaim()
+		case <-ctx.Done():
+			t.result.err = problem.New(problem.DeadlineExceeded, "send the same call again under the same key",
+				"key %s has no answer yet", key).WithOutcome(problem.NotKnown)
+			return t.result
+		}
+	}
+}
+
+// try is the state of one call of do.
+type try struct {
+	writes  *writes
+	request agentlink.AttemptRequest
+	body    []byte
+	p       *partition
+	write   writeonce.Write
+	ticket  *ticket
+	// gaveUp is true once the claim was not read back in time.
+	gaveUp bool
+	exec   *execution
+	result result
+}
+
+// step decides once, in one critical section. It returns what to wait for.
+func (t *try) step() (<-chan struct{}, bool) {
+	t.p.mu.Lock()
+	defer t.p.mu.Unlock()
+	if t.exec != nil && t.exec.answer != nil {
+		t.result.answer = t.exec.answer
+		return nil, true
+	}
+	d := t.p.ledger.Open(t.writes.elapsed(), t.write)
+	switch d.Action {
+	case writeonce.Run:
+		t.exec = &execution{done: make(chan struct{})}
+		t.result.started = t.exec
+		t.p.running[t.write.Key.String()] = t.exec
+		go t.writes.execute(t.p, t.write.Key, t.exec, t.request, t.body)
+		return t.exec.done, false
+	case writeonce.Wait:
+		t.exec = t.p.running[t.write.Key.String()]
+		t.writes.scope.Counter("writes_joined").Inc(1)
+		return t.exec.done, false
+	case writeonce.MakeClaim:
+		return t.p.changed, t.claimed()
+	}
+	t.result.answer, t.result.err, t.result.owner = d.Answer, d.Problem, d.Owner
+	return nil, true
+}
+
+// claimed makes the claim if it has not been made, and reports whether the try
+// ends for want of one.
+func (t *try) claimed() bool {
+	if t.ticket == nil {
+		t.ticket = t.p.claim(t.write.Key, t.write.Digest, time.Now())
+	}
+	switch {
+	case t.gaveUp:
+		t.result.err = logDown()
+	case t.ticket.err != nil && t.ticket.err.Outcome == problem.NotRun:
+		t.result.err = logDown()
+	case t.ticket.offset >= 0 && t.ticket.offset < t.p.ledger.Claims().Next():
+		t.result.err = writeonce.ClockAhead(t.write.Key)
+	}
+	return t.result.err != nil
+}
+
+// giveUpClaim refuses the key for ever at this agent: the claim may stand, and
+// the caller is told that this agent does not run it.
+func (t *try) giveUpClaim() {
+	t.p.mu.Lock()
+	defer t.p.mu.Unlock()
+	if t.exec == nil && t.ticket != nil {
+		t.p.ledger.Refuse(t.write.Key)
+		t.gaveUp = true
+		t.p.notify()
+	}
+}
+
+// execute sends the call to the backend server, once, and keeps its answer. It
+// does not end with the try that began it.
+func (w *writes) execute(p *partition, key writeonce.Key, exec *execution, request agentlink.AttemptRequest, body []byte) {
+	ctx, cancel := context.WithTimeout(context.Background(), executionBound)
+	defer cancel()
+	w.scope.Counter("writes_run").Inc(1)
+	answer, err := w.send(ctx, request, body)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.running, key.String())
+	if err != nil {
+		w.scope.Counter("writes_without_answer").Inc(1)
+		p.ledger.Fail(key, problem.Of(err).Outcome)
+	} else {
+		exec.answer = &answer
+		p.ledger.Finish(key, answer)
+	}
+	close(exec.done)
+	p.notify()
+}
+
+func (w *writes) send(ctx context.Context, request agentlink.AttemptRequest, body []byte) (writeonce.Answer, error) {
+	res, err := w.backend.Send(ctx, request, body)
+	if err != nil {
+		return writeonce.Answer{}, err
+	}
+	defer res.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes+1))
+	if err == nil && len(data) > maxAnswerBytes {
+		err = fmt.Errorf("it is larger than %d bytes", maxAnswerBytes)
+	}
+	if err != nil {
+		return writeonce.Answer{}, truncated(err)
+	}
+	return writeonce.Answer{Status: res.StatusCode, Header: res.Header, Body: data}, nil
+}
+
+// WritesStatus tells operators of the agent's unrepeatable calls.
+type WritesStatus struct {
+	// Ready is true once dated keys made now are covered by every claim stream.
+	Ready bool `json:"ready"`
+	// Keys counts the keys remembered.
+	Keys int `json:"keys"`
+	// Behind counts the claim streams of which the log shows less than before.
+	Behind int `json:"behind"`
+}
+
+func (w *writes) status() WritesStatus {
+	s := WritesStatus{Ready: true}
+	for _, p := range w.partitions {
+		p.mu.Lock()
+		s.Keys += p.ledger.Len()
+		if p.ledger.Claims().Behind() {
+			s.Behind++
+		}
+		if p.opened.IsZero() || time.Since(p.opened) <= writeonce.MaxClockLead {
+			s.Ready = false
+		}
+		p.mu.Unlock()
+	}
+	return s
+}
--- a/pkg/entry/addresses.go
+++ b/pkg/entry/addresses.go
@@ -31,6 +31,10 @@
 type AddressAnswer struct {
 	Addresses       []Address `json:"addresses"`
 	LifetimeSeconds int       `json:"lifetimeSeconds"`
+	// Permits are keys for unrepeatable calls of the route that was asked for,
+	// each for one call. They are good for PermitSeconds.
+	Permits       []string `json:"permits,omitempty"`
+	PermitSeconds int      `json:"permitSeconds,omitempty"`
 }
 
 func (e *Entry) serveAddresses(w http.ResponseWriter, r *http.Request) {
@@ -43,6 +47,14 @@
 			"no entry is known to be serving").WithRetryAfter(time.Second))
 		return
 	}
+	if route := r.URL.Query().Get("permitsFor"); route != "" {
+		var err error
+		if answer.Permits, err = e.permitsFor(r.Context(), route); err != nil {
+			problem.Write(w, err)
+			return
+		}
+		answer.PermitSeconds = int(permitLifetime.Seconds())
+	}
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(answer)
 }
--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -25,12 +25,10 @@
 		return problem.New(problem.NoReplica, "nothing needs to be done", "replica %s has left", replica.Name).WithOutcome(problem.NotRun)
 	}
 	x.attempt = ident.NewAttemptID()
+	x.owner = ""
 	x.out.reset(x.attempt)
 	err := e.exchangeFrames(ctx, x, address, replica)
 	e.replicas.end(replica.Name, err != nil && ctx.Err() == nil)
-	if err != nil && x.key != "" {
-		return e.certify(ctx, x, replica, err)
-	}
 	return err
 }
 
@@ -55,6 +53,7 @@
 			continue
 		}
 		if f.Failure != nil {
+			x.owner = f.Owner
 			return f.Failure
 		}
 		if err := x.out.add(f); err != nil {
@@ -76,7 +75,7 @@
 		Organisation: x.organisation.Name,
 		Priority:     priority,
 		DeadlineMS:   time.Until(x.deadline).Milliseconds(),
-		Key:          x.key,
+		Key:          x.keyText(),
 		Method:       x.method,
 		Path:         x.path,
 		Header:       x.header,
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -41,6 +41,7 @@
 	follower    *configuration.Follower
 	members     *members
 	replicas    *replicas
+	permits     *permits
 	attempts    *agentlink.Client
 	selector    routing.Selector
 }
@@ -69,6 +70,7 @@
 		follower:    configuration.NewFollower(log, logClient, store),
 		members:     newMembers(log, instances, replicas),
 		replicas:    replicas,
+		permits:     newPermits(replicas),
 		attempts:    agentlink.NewClient(),
 		selector:    selector,
 	}
--- a/pkg/entry/exchange.go
+++ b/pkg/entry/exchange.go
@@ -8,6 +8,7 @@
 	"github.com/fescuehub/fescuehub/pkg/ident"
 	"github.com/fescuehub/fescuehub/pkg/problem"
 	"github.com/fescuehub/fescuehub/pkg/tables"
+	"github.com/fescuehub/fescuehub/pkg/writeonce"
 )
 
 // exchange is one request of a caller and the state of its answer.
@@ -24,8 +25,12 @@
 	stream bool
 	// idempotent requests may be sent again after an unknown outcome.
 	idempotent bool
-	// key is set on unrepeatable calls.
-	key string
+	// call is set on unrepeatable calls. keyless ones came without a key.
+	call     *writeonce.Call
+	keyless  bool
+	renewals int
+	// owner is the agent that the last failure named as owner of the key.
+	owner ident.Incarnation
 	// adapter and prefixHash describe a model request to routing.
 	adapter    string
 	prefixHash uint64
@@ -33,6 +38,14 @@
 	out        *answerWriter
 }
 
+// keyText returns the idempotency key, or empty for a call without one.
+func (x *exchange) keyText() string {
+	if x.call == nil {
+		return ""
+	}
+	return x.call.Key.String()
+}
+
 // readBody reads the body of a request. The error has the kind TooLarge.
 func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(e.settings.MaxBodyBytes)))
--- a/pkg/entry/serve.go
+++ b/pkg/entry/serve.go
@@ -29,6 +29,9 @@
 		defer cancel()
 		err = e.admitAndForward(ctx, x)
 	}
+	if err != nil && x.call != nil {
+		err = aboutKey(x.call.OnlyTry, err)
+	}
 	if err != nil {
 		e.countProblem(err)
 		x.out.fail(err)
@@ -40,6 +43,9 @@
 // forward tries replicas until one gives a whole answer or no further try is
 // allowed.
 func (e *Entry) forward(ctx context.Context, x *exchange) error {
+	if x.call != nil {
+		return e.forwardWrite(ctx, x)
+	}
 	var tried []string
 	for {
 		replica, ok := e.choose(x, tried)
--- a/pkg/entry/service.go
+++ b/pkg/entry/service.go
@@ -4,7 +4,6 @@
 	"net/http"
 	"strings"
 
-	"github.com/fescuehub/fescuehub/pkg/ident"
 	"github.com/fescuehub/fescuehub/pkg/peer/plainservice"
 	"github.com/fescuehub/fescuehub/pkg/tables"
 )
@@ -18,10 +17,13 @@
 func (e *Entry) serveService(w http.ResponseWriter, r *http.Request) {
 	x, err := e.openService(w, r)
 	if err != nil {
-		e.refuse(w, err)
+		e.refuse(w, aboutKey(onlyTry(r), err))
 		return
 	}
 	x.out = newAnswerWriter(w, false)
+	if x.call != nil {
+		w.Header().Set(plainservice.KeyHeader, x.call.Key.String())
+	}
 	e.serve(r.Context(), x)
 }
 
@@ -45,11 +47,7 @@
 	}
 	x.header = forwarded(r.Header)
 	if x.route.RunsAtMostOnce(r.Method) {
-		x.key = r.Header.Get(plainservice.KeyHeader)
-		if x.key == "" {
-			x.key = ident.NewKey()
-		}
-		return x, nil
+		return x, x.openKey(r)
 	}
 	x.idempotent = isIdempotent(r.Method)
 	return x, nil
--- a/pkg/entry/writes.go
+++ b/pkg/entry/writes.go
@@ -2,30 +2,190 @@
 
 import (
 	"context"
+	"net/http"
+	"slices"
+	"time"
 
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/fescuehub/fescuehub/pkg/ident"
 	"github.com/fescuehub/fescuehub/pkg/peer/agentlink"
+	"github.com/fescuehub/fescuehub/pkg/peer/plainservice"
 	"github.com/fescuehub/fescuehub/pkg/problem"
 	"github.com/fescuehub/fescuehub/pkg/routing"
+	"github.com/fescuehub/fescuehub/pkg/writeonce"
 )
 
-// certify asks the agent whether an attempt that failed ran. Only the agent
-// can say that it did not.
-func (e *Entry) certify(ctx context.Context, x *exchange, replica routing.Replica, cause error) error {
-	p := problem.Of(cause)
-	if p.Outcome == problem.NotRun {
-		return p
+// FirstTryHeader tells that the caller has sent no other request under the
+// key. A refusal then speaks for the key, not only for this request.
+const FirstTryHeader = "Fescue-First-Try"
+
+// refuseTimeout bounds the question whether an agent refuses a key.
+const refuseTimeout = 500 * time.Millisecond
+
+// openKey reads the key of an unrepeatable call, or makes one. The error kind
+// is KeyUndated.
+func (x *exchange) openKey(r *http.Request) error {
+	text := r.Header.Get(plainservice.KeyHeader)
+	x.keyless = text == ""
+	if x.keyless {
+		text = ident.NewKey()
 	}
-	conn, ok := e.replicas.conn(replica.Name)
+	key, err := writeonce.ParseKey(text)
+	if err != nil {
+		return err
+	}
+	x.call = writeonce.NewCall(key, onlyTry(r))
+	return nil
+}
+
+// onlyTry reports whether no other request can have been sent under the key.
+func onlyTry(r *http.Request) bool {
+	return r.Header.Get(plainservice.KeyHeader) == "" || r.Header.Get(FirstTryHeader) == "true"
+}
+
+// aboutKey returns what the caller is told of an error that came before the
+// call was sent: without a certificate, a refusal of this request says nothing
+// of an earlier one under the same key.
+func aboutKey(onlyTry bool, err error) error {
+	p := problem.Of(err)
+	if p.Outcome != problem.NotRun || onlyTry || writeonce.CertifiesKey(p) {
+		return err
+	}
+	return p.WithOutcome(problem.NotKnown)
+}
+
+// forwardWrite tries agents until one gives the answer of the call or no
+// further try is allowed.
+func (e *Entry) forwardWrite(ctx context.Context, x *exchange) error {
+	var tried []string
+	for {
+		replica, err := e.chooseWriter(ctx, x, tried)
+		if err != nil {
+			return e.settle(ctx, x, problem.Of(err))
+		}
+		tried = append(tried, replica.Name)
+		err = e.attemptAt(ctx, x, replica)
+		if err == nil {
+			return nil
+		}
+		p := problem.Of(err)
+		again := x.call.Failed(replica.Incarnation, p, x.owner)
+		if x.out.committed || ctx.Err() != nil {
+			return e.settle(ctx, x, p)
+		}
+		if again || x.keyless && e.renewKey(x, p) {
+			e.scope.Counter("write_retries").Inc(1)
+			continue
+		}
+		return e.settle(ctx, x, p)
+	}
+}
+
+// renewKey lets a call without a key of its caller go on under another key,
+// where its first one was certainly not run.
+func (e *Entry) renewKey(x *exchange, p *problem.Error) bool {
+	if p.Outcome != problem.NotRun || len(x.call.Doubt()) > 0 || p.Kind == problem.KeyReused || x.renewals >= maxTries {
+		return false
+	}
+	key, err := writeonce.ParseKey(ident.NewKey())
+	if err != nil {
+		return false
+	}
+	x.renewals++
+	x.setKey(key)
+	return true
+}
+
+// setKey changes the key of a call whose key the entry makes.
+func (x *exchange) setKey(key writeonce.Key) {
+	x.call = writeonce.NewCall(key, true)
+	x.out.w.Header().Set(plainservice.KeyHeader, key.String())
+}
+
+// chooseWriter selects the agent of the next try. A call without a key of its
+// caller gets a permit of the agent.
+func (e *Entry) chooseWriter(ctx context.Context, x *exchange, tried []string) (routing.Replica, error) {
+	if target := x.call.Target(); target != "" {
+		return e.replicaOf(x, target)
+	}
+	if !x.keyless {
+		return e.claimant(x, tried)
+	}
+	replica, ok := e.choose(x, tried)
 	if !ok {
-		return p.WithOutcome(problem.NotKnown)
+		return replica, noReplica(x, tried)
 	}
-	var reply agentlink.RefuseReply
-	request := agentlink.RefuseRequest{Attempt: x.attempt, Incarnation: replica.Incarnation}
-	if err := conn.Call(context.WithoutCancel(ctx), agentlink.MethodRefuse, request, &reply); err != nil {
-		return p.WithOutcome(problem.NotKnown)
+	if permit, ok := e.permits.take(ctx, replica); ok {
+		x.setKey(permit)
 	}
-	if reply.Outcome == problem.NotRun {
-		return p.WithOutcome(problem.NotRun)
+	return replica, nil
+}
+
+// replicaOf finds an agent by its incarnation. A leaving one still answers for
+// its keys.
+func (e *Entry) replicaOf(x *exchange, agent ident.Incarnation) (routing.Replica, error) {
+	for _, r := range e.replicas.snapshot(x.pool.Name, x.pool.Concurrency) {
+		if r.Incarnation == agent {
+			return r, nil
+		}
 	}
-	return p.WithOutcome(problem.NotKnown)
+	return routing.Replica{}, x.call.Unreachable()
+}
+
+// claimant selects the agent that claims the key: the same at every entry that
+// sees the same agents, so that few agents follow each claim stream.
+func (e *Entry) claimant(x *exchange, tried []string) (routing.Replica, error) {
+	var best, again *routing.Replica
+	for _, r := range e.replicas.snapshot(x.pool.Name, x.pool.Concurrency) {
+		switch {
+		case r.Leaving:
+		case slices.Contains(tried, r.Name):
+			again = &r
+		case best == nil || claimRank(x.call.Key, r.Name) > claimRank(x.call.Key, best.Name):
+			best = &r
+		}
+	}
+	if best == nil {
+		best = again
+	}
+	if best == nil {
+		return routing.Replica{}, noReplica(x, tried)
+	}
+	return *best, nil
+}
+
+func claimRank(k writeonce.Key, agent string) uint64 {
+	return xxhash.Sum64String(string(rune('a'+k.Partition())) + "\x00" + agent)
+}
+
+// settle returns what the caller is told. Every agent that may still run the
+// call is asked to refuse its key first: only that agent can say that it did
+// not and will not run it.
+func (e *Entry) settle(ctx context.Context, x *exchange, p *problem.Error) error {
+	var certificates []writeonce.Certificate
+	for _, agent := range x.call.Doubt() {
+		if cert, ok := e.askRefusal(context.WithoutCancel(ctx), x, agent); ok {
+			certificates = append(certificates, cert)
+		}
+	}
+	told := x.call.Settle(p, certificates)
+	e.scope.Tagged(map[string]string{"outcome": string(told.Outcome)}).Counter("writes_failed").Inc(1)
+	return told
+}
+
+func (e *Entry) askRefusal(ctx context.Context, x *exchange, agent ident.Incarnation) (writeonce.Certificate, bool) {
+	var cert writeonce.Certificate
+	replica, err := e.replicaOf(x, agent)
+	if err != nil {
+		return cert, false
+	}
+	conn, ok := e.replicas.conn(replica.Name)
+	if !ok {
+		return cert, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, refuseTimeout)
+	defer cancel()
+	request := agentlink.RefuseRequest{Attempt: x.attempt, Key: x.call.Key.String(), Incarnation: agent}
+	return cert, conn.Call(ctx, agentlink.MethodRefuse, request, &cert) == nil
 }
--- a/pkg/frame/frame.go
+++ b/pkg/frame/frame.go
@@ -21,6 +21,9 @@
 	Last    bool            `json:"last,omitempty"`
 	// Failure is set on a last frame that ends the answer with an error.
 	Failure *problem.Error `json:"failure,omitempty"`
+	// Owner is the agent that the key of an unrepeatable call belongs to, where
+	// Failure has the kind OwnerElsewhere.
+	Owner ident.Incarnation `json:"owner,omitempty"`
 }
 
 // Sequencer accepts the frames of one attempt in order. It is not safe for
--- a/pkg/peer/agentlink/messages.go
+++ b/pkg/peer/agentlink/messages.go
@@ -7,7 +7,6 @@
 	"net/http"
 
 	"github.com/fescuehub/fescuehub/pkg/ident"
-	"github.com/fescuehub/fescuehub/pkg/problem"
 	"github.com/fescuehub/fescuehub/pkg/routing"
 	"github.com/fescuehub/fescuehub/pkg/tables"
 )
@@ -20,9 +19,12 @@
 	MethodStatus = "status"
 	// MethodConfigure hands an agent its pool's part: PoolPart.
 	MethodConfigure = "configure"
-	// MethodRefuse asks for the outcome of an attempt: RefuseRequest, answered
-	// by RefuseReply.
+	// MethodRefuse asks for the outcome of an unrepeatable call: RefuseRequest,
+	// answered by writeonce.Certificate.
 	MethodRefuse = "refuse"
+	// MethodPermits asks for a block of permits: PermitRequest, answered by
+	// PermitBlock.
+	MethodPermits = "permits"
 )
 
 // Hello introduces an entry.
@@ -53,15 +55,26 @@
 	Pool *tables.Pool `json:"pool,omitempty"`
 }
 
-// RefuseRequest asks an agent to refuse an attempt for ever, unless it has run.
+// RefuseRequest asks an agent to refuse an attempt and its key for ever, unless
+// the call has run.
 type RefuseRequest struct {
 	Attempt     ident.AttemptID   `json:"attempt"`
+	Key         string            `json:"key"`
 	Incarnation ident.Incarnation `json:"incarnation"`
 }
 
-// RefuseReply certifies the outcome of an attempt.
-type RefuseReply struct {
-	Outcome problem.Outcome `json:"outcome"`
+// PermitRequest asks for a number of permits.
+type PermitRequest struct {
+	Count int `json:"count"`
+}
+
+// PermitBlock is a run of permits with consecutive serial numbers.
+type PermitBlock struct {
+	Incarnation ident.Incarnation `json:"incarnation"`
+	// IssuedMS is the time of issue in milliseconds since the agent started.
+	IssuedMS int64  `json:"issuedMS"`
+	First    uint64 `json:"first"`
+	Count    int    `json:"count"`
 }
 
 // AttemptRequest describes one attempt. It travels as one line of JSON before
--- a/pkg/peer/logservice/logservice.go
+++ b/pkg/peer/logservice/logservice.go
@@ -8,10 +8,13 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/fescuehub/fescuehub/pkg/problem"
 )
 
@@ -63,7 +66,7 @@
 
 // Append adds a record to the stream and returns its offset. The error has
 // the kind LogUnavailable. Its outcome is NotRun where the service refused the
-// record, and NotKnown where the reply was lost.
+// record or could not be reached, and NotKnown where the reply was lost.
 func (c *Client) Append(ctx context.Context, stream string, data []byte) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, AppendTimeout)
 	defer cancel()
@@ -72,6 +75,10 @@
 		return 0, unavailable(problem.NotRun, err)
 	}
 	res, err := c.http.Do(req)
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return 0, unavailable(problem.NotRun, err)
+	}
 	if err != nil {
 		return 0, unavailable(problem.NotKnown, err)
 	}
--- a/pkg/peer/plainservice/plainservice.go
+++ b/pkg/peer/plainservice/plainservice.go
@@ -4,8 +4,11 @@
 import (
 	"bytes"
 	"context"
+	"net"
 	"net/http"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/fescuehub/fescuehub/pkg/problem"
 )
 
@@ -40,7 +43,8 @@
 }
 
 // Do sends the call once. The caller closes the body of the response. The
-// error has the kind BackendUnreachable and the outcome NotKnown.
+// error has the kind BackendUnreachable, and the outcome NotRun only where no
+// connection could be made.
 func (c *Client) Do(ctx context.Context, call Call) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(ctx, call.Method, c.base+call.Path, bytes.NewReader(call.Body))
 	if err != nil {
@@ -51,6 +55,10 @@
 		req.Header = make(http.Header)
 	}
 	res, err := c.http.Do(req)
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return nil, unreachable(err).WithOutcome(problem.NotRun)
+	}
 	if err != nil {
 		return nil, unreachable(err)
 	}
--- a/pkg/problem/http.go
+++ b/pkg/problem/http.go
@@ -50,13 +50,13 @@
 		return http.StatusNotFound
 	case UnknownOrganisation:
 		return http.StatusForbidden
-	case KeyReused, EditConflict, KeyExpired, RefusedForEver, FencedOff, OwnerElsewhere, WrongIncarnation:
+	case KeyReused, EditConflict, KeyExpired, AnswerNotKept, RefusedForEver, FencedOff, OwnerElsewhere, WrongIncarnation:
 		return http.StatusConflict
 	case Overloaded:
 		return http.StatusTooManyRequests
 	case DeadlineExceeded:
 		return http.StatusGatewayTimeout
-	case BackendUnreachable, TruncatedAnswer, BrokenFrame:
+	case BackendUnreachable, TruncatedAnswer, AnswerLost, BrokenFrame:
 		return http.StatusBadGateway
 	case Internal:
 		return http.StatusInternalServerError
--- a/pkg/problem/problem.go
+++ b/pkg/problem/problem.go
@@ -32,6 +32,8 @@
 	KeyReused           Kind = "key-reused"
 	KeyExpired          Kind = "key-expired"
 	KeyUndated          Kind = "key-undated"
+	AnswerNotKept       Kind = "answer-not-kept"
+	AnswerLost          Kind = "answer-lost"
 	RefusedForEver      Kind = "refused-for-ever"
 	OwnerElsewhere      Kind = "owner-elsewhere"
 	Unavailable         Kind = "unavailable"
--- /dev/null
+++ b/pkg/writeonce/key.go
@@ -0,0 +1,87 @@
+package writeonce
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/fescuehub/fescuehub/pkg/ident"
+	"github.com/fescuehub/fescuehub/pkg/problem"
+)
+
+const permitPrefix = "permit:"
+
+// Key is a parsed idempotency key.
+type Key struct {
+	text string
+	// owner is the incarnation that issued a permit, empty for a dated key.
+	owner ident.Incarnation
+	// issued is when a permit was issued, counted from the start of its owner.
+	issued time.Duration
+	// made is when a dated key was made, by the clock of its maker.
+	made time.Time
+}
+
+// NewPermit returns the permit with a serial number that the incarnation
+// issues at a time counted from its start.
+func NewPermit(owner ident.Incarnation, issued time.Duration, serial uint64) Key {
+	issued = issued.Truncate(time.Millisecond)
+	text := fmt.Sprintf("%s%s/%d/%d", permitPrefix, owner, issued.Milliseconds(), serial)
+	return Key{text: text, owner: owner, issued: issued}
+}
+
+// ParseKey reads an idempotency key. The error kind is KeyUndated; a key that
+// cannot be read runs nowhere.
+func ParseKey(text string) (Key, error) {
+	if rest, ok := strings.CutPrefix(text, permitPrefix); ok {
+		return parsePermit(text, rest)
+	}
+	made, err := ident.KeyTime(text)
+	if err != nil {
+		return Key{}, problem.Of(err).WithOutcome(problem.NotRun)
+	}
+	return Key{text: text, made: made}, nil
+}
+
+func parsePermit(text, rest string) (Key, error) {
+	parts := strings.Split(rest, "/")
+	if len(parts) == 3 && strings.Contains(parts[0], "@") {
+		issued, err := strconv.ParseUint(parts[1], 10, 40)
+		serial, serialErr := strconv.ParseUint(parts[2], 10, 64)
+		if err == nil && serialErr == nil {
+			key := NewPermit(ident.Incarnation(parts[0]), time.Duration(issued)*time.Millisecond, serial)
+			if key.text == text {
+				return key, nil
+			}
+		}
+	}
+	return Key{}, problem.New(problem.KeyUndated, "send a permit exactly as the address answer gave it, or a UUID version 7",
+		"the permit %q is malformed", text).WithOutcome(problem.NotRun)
+}
+
+// String returns the key as callers send it.
+func (k Key) String() string { return k.text }
+
+// Owner returns the incarnation that a permit names, empty for a dated key.
+func (k Key) Owner() ident.Incarnation { return k.owner }
+
+// IsPermit reports whether the key is a permit.
+func (k Key) IsPermit() bool { return k.owner != "" }
+
+// Partition returns the claim stream that the key belongs to.
+func (k Key) Partition() int { return int(xxhash.Sum64String(k.text) % Partitions) }
+
+// Digest identifies the content of a call.
+type Digest [16]byte
+
+// DigestOf returns the digest of a call. Tries of one call have the same.
+func DigestOf(method, path string, body []byte) Digest {
+	h := sha256.New()
+	fmt.Fprintf(h, "%s %q\n", method, path)
+	h.Write(body)
+	return Digest(h.Sum(nil)[:len(Digest{})])
+}
