--- a/pkg/entry/service.go
+++ b/pkg/entry/service.go
@@ -20,7 +20,7 @@
 		e.refuse(w, aboutKey(onlyTry(r), err))
 		return
 	}
-	x.out = newAnswerWriter(w, false)
+	x.answerTo(w)
 	if x.call != nil {
 		w.Header().Set(plainservice.KeyHeader, x.call.Key.String())
 	}
--- a/pkg/entry/writes.go
+++ b/pkg/entry/writes.go
@@ -71,7 +71,7 @@
 		}
 		p := problem.Of(err)
 		again := x.call.Failed(replica.Incarnation, p, x.owner)
-		if x.out.committed || ctx.Err() != nil {
+		if x.answer.Committed() || ctx.Err() != nil {
 			return e.settle(ctx, x, p)
 		}
 		if again || x.keyless && e.renewKey(x, p) {
--- a/pkg/writeonce/call.go
+++ b/pkg/writeonce/call.go
@@ -60,7 +60,7 @@
 		return false
 	case p.Outcome == problem.NotRun:
 		return c.target == ""
-	case p.Kind == problem.WrongIncarnation, p.Kind == problem.AnswerLost, p.Kind == problem.DeadlineExceeded:
+	case p.Kind == problem.WrongIncarnation, p.Kind == problem.AnswerLost, p.Kind == problem.DeadlineExceeded, p.Kind == problem.CallerGone:
 		return false
 	}
 	return true
