--- a/cmd/fescuehub/scenario_commands_test.go
+++ b/cmd/fescuehub/scenario_commands_test.go
@@ -212,5 +212,9 @@
 	}
 	defer res.Body.Close()
 	data, err := io.ReadAll(res.Body)
-	return res.StatusCode, string(data), res.Header.Get("Fescue-Outcome"), err
+	outcome := res.Header.Get("Fescue-Outcome")
+	if key := res.Header.Get("Idempotency-Key"); key != "" {
+		outcome += " key " + key
+	}
+	return res.StatusCode, string(data), outcome, err
 }
--- a/cmd/fescuehub/scenario_test.go
+++ b/cmd/fescuehub/scenario_test.go
@@ -29,6 +29,10 @@
 			"sees":   cmdSees,
 			"cut":    cmdCut,
 			"mend":   cmdMend,
+
+			"newkey":     cmdNewKey,
+			"permit":     cmdPermit,
+			"executions": cmdExecutions,
 		},
 	})
 }
--- /dev/null
+++ b/cmd/fescuehub/scenario_writes_test.go
@@ -0,0 +1,95 @@
+package main
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/fescuehub/fescuehub/pkg/entry"
+	"github.com/fescuehub/fescuehub/pkg/standin/plainservice"
+)
+
+// newkey VAR [OFFSET]: sets VAR to a dated idempotency key made OFFSET from now.
+func cmdNewKey(ts *testscript.TestScript, _ bool, args []string) {
+	offset := time.Duration(0)
+	if len(args) > 1 {
+		var err error
+		offset, err = time.ParseDuration(args[1])
+		ts.Check(err)
+	}
+	ts.Setenv(args[0], keyMadeAt(time.Now().Add(offset)))
+}
+
+func keyMadeAt(at time.Time) string {
+	id := uuid.Must(uuid.NewV7())
+	ms := at.UnixMilli()
+	for i := range 6 {
+		id[i] = byte(ms >> (40 - 8*i))
+	}
+	return id.String()
+}
+
+// permit VAR ENTRY ROUTE [AGENT]: sets VAR to a permit for the route, of the
+// agent if one is named.
+func cmdPermit(ts *testscript.TestScript, _ bool, args []string) {
+	prefix := "permit:"
+	if len(args) > 3 {
+		prefix += args[3] + "@"
+	}
+	deadline := time.Now().Add(awaitBound)
+	for time.Now().Before(deadline) {
+		_, body, _, err := request(http.MethodGet, args[1]+"/v1/addresses?permitsFor="+args[2], nil, "")
+		var answer entry.AddressAnswer
+		if err == nil && json.Unmarshal([]byte(body), &answer) == nil {
+			for _, p := range answer.Permits {
+				if strings.HasPrefix(p, prefix) {
+					ts.Setenv(args[0], p)
+					return
+				}
+			}
+		}
+		time.Sleep(awaitPause)
+	}
+	ts.Fatalf("no permit %s", prefix)
+}
+
+// executions KEY N: the services of the site have executed the key N times in
+// all; awaits it where fewer are seen.
+func cmdExecutions(ts *testscript.TestScript, _ bool, args []string) {
+	want, err := strconv.Atoi(args[1])
+	ts.Check(err)
+	deadline := time.Now().Add(awaitBound)
+	for {
+		got := executionsOf(ts, args[0])
+		if got == want {
+			return
+		}
+		if got > want || time.Now().After(deadline) {
+			ts.Fatalf("key %s was executed %d times, not %d", args[0], got, want)
+		}
+		time.Sleep(awaitPause)
+	}
+}
+
+func executionsOf(ts *testscript.TestScript, key string) int {
+	n := 0
+	for i := 1; ts.Getenv("SERVICE"+strconv.Itoa(i)) != ""; i++ {
+		_, body, _, err := request(http.MethodGet, ts.Getenv("SERVICE"+strconv.Itoa(i))+"/executions", nil, "")
+		if err != nil {
+			continue
+		}
+		var list []plainservice.Execution
+		ts.Check(json.Unmarshal([]byte(body), &list))
+		for _, e := range list {
+			if e.Key == key {
+				n += e.Count
+			}
+		}
+	}
+	return n
+}
--- a/pkg/demo/site.go
+++ b/pkg/demo/site.go
@@ -169,7 +169,12 @@
 	if err := s.awaitVersion(ctx, 1); err != nil {
 		return err
 	}
-	return await(ctx, "readiness of every entry", func() bool {
+	return await(ctx, "readiness of every entry and agent", func() bool {
+		for _, a := range s.agents[engineCount:] {
+			if !a.WritesReady() {
+				return false
+			}
+		}
 		for _, e := range s.entries {
 			if e.ReplicaCount() < len(s.agents) {
 				return false
