--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -59,7 +59,7 @@
 		scope:       scope,
 		incarnation: incarnation,
 		started:     started,
-		writes:      newWrites(s, incarnation, started, backend, log, scope, logClient),
+		writes:      newWrites(incarnation, started, backend, log, scope, logClient),
 		life:        lifecycle.New(log, plan),
 		backend:     backend,
 		attempts:    newAttempts(started),
@@ -107,9 +107,7 @@
 	group.Go(operatorServer.Run)
 	group.Go(func() error { return controlServer.Run(ctx) })
 	group.Go(func() error { return a.watchBackend(ctx) })
-	if a.settings.Backend.Kind == settings.ServiceBackend {
-		group.Go(func() error { return a.writes.run(ctx) })
-	}
+	group.Go(func() error { return a.writes.run(ctx) })
 	group.Go(func() error { return a.forgetAttempts(ctx) })
 	group.Go(func() error {
 		select {
--- a/pkg/agent/claims.go
+++ b/pkg/agent/claims.go
@@ -6,11 +6,8 @@
 	"time"
 
 	"github.com/google/uuid"
-	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
-	"golang.org/x/time/rate"
 
-	"github.com/fescuehub/fescuehub/pkg/ident"
 	"github.com/fescuehub/fescuehub/pkg/peer/logservice"
 	"github.com/fescuehub/fescuehub/pkg/problem"
 	"github.com/fescuehub/fescuehub/pkg/writeonce"
@@ -41,12 +38,9 @@
 
 // partition is one claim stream and the ledger of its keys.
 type partition struct {
+	writes *writes
+	// stream is empty where the keys are permits.
 	stream string
-	self   ident.Incarnation
-	client *logservice.Client
-	log    *zap.Logger
-	scope  tally.Scope
-	limit  *rate.Limiter
 	// used is closed when the first claim arrives.
 	used     chan struct{}
 	useOnce  sync.Once
@@ -65,11 +59,11 @@
 }
 
 // run appends and reads the stream until ctx ends.
-func (p *partition) run(ctx context.Context) error {
+func (p *partition) run(ctx context.Context) {
 	p.openStream(ctx)
 	select {
 	case <-ctx.Done():
-		return nil
+		return
 	case <-p.used:
 	}
 	go p.appendAll(ctx)
@@ -78,14 +72,21 @@
 			sleep(ctx, claimRetryPause)
 		}
 	}
-	return nil
+}
+
+// counted keeps the count of all keys over a change of the ledger. The caller
+// holds the lock.
+func (p *partition) counted(change func()) {
+	before := p.ledger.Len()
+	change()
+	p.writes.keys.Add(int64(p.ledger.Len() - before))
 }
 
 // openStream makes sure that the stream holds a record, so that keys made
 // later are covered.
 func (p *partition) openStream(ctx context.Context) {
 	for ctx.Err() == nil {
-		page, err := p.client.Read(ctx, p.stream, 0, 1, 0)
+		page, err := p.writes.client.Read(ctx, p.stream, 0, 1, 0)
 		if err == nil && len(page.Records) > 0 {
 			p.mu.Lock()
 			p.opened = time.UnixMilli(page.Records[0].TimeMS)
@@ -102,11 +103,11 @@
 }
 
 func (p *partition) appendMarker(ctx context.Context) error {
-	data, err := writeonce.EncodeBatch(writeonce.Batch{ID: uuid.NewString(), Agent: p.self})
+	data, err := writeonce.EncodeBatch(writeonce.Batch{ID: uuid.NewString(), Agent: p.writes.self})
 	if err != nil {
 		return err
 	}
-	_, err = p.client.Append(ctx, p.stream, data)
+	_, err = p.writes.client.Append(ctx, p.stream, data)
 	return err
 }
 
@@ -116,18 +117,18 @@
 	next, from, open, behind := p.ledger.Claims().Next(), p.ledger.Claims().From(), p.ledger.Claims().Open(), p.ledger.Claims().Behind()
 	p.mu.Unlock()
 	if open && !behind {
-		page, err := p.client.Read(ctx, p.stream, next, 1, claimReadWait)
+		page, err := p.writes.client.Read(ctx, p.stream, next, 1, claimReadWait)
 		if err != nil || len(page.Records) == 0 && page.Next >= next {
 			return err
 		}
 	}
-	page, err := p.client.Read(ctx, p.stream, from, claimPage, 0)
+	page, err := p.writes.client.Read(ctx, p.stream, from, claimPage, 0)
 	if err != nil {
 		return err
 	}
 	if p.observe(page) {
-		p.scope.Counter("claims_stream_lost").Inc(1)
-		p.log.Warn("claim stream lost records; keys made before are refused", zap.String("stream", p.stream))
+		p.writes.scope.Counter("claims_stream_lost").Inc(1)
+		p.writes.log.Warn("claim stream lost records; keys made before are refused", zap.String("stream", p.stream))
 	}
 	if !open && len(page.Records) == 0 {
 		return p.appendMarker(ctx)
@@ -141,7 +142,7 @@
 func (p *partition) observe(page logservice.Page) (lost bool) {
 	in := writeonce.Page{First: page.First, Next: page.Next, Records: make([]writeonce.Record, len(page.Records))}
 	for i, r := range page.Records {
-		p.scope.Counter("claim_bytes_read").Inc(int64(len(r.Data)))
+		p.writes.scope.Counter("claim_bytes_read").Inc(int64(len(r.Data)))
 		in.Records[i] = writeonce.Record{Offset: r.Offset, Time: time.UnixMilli(r.TimeMS), Data: r.Data}
 	}
 	p.mu.Lock()
@@ -190,11 +191,11 @@
 			return
 		case <-p.appendUp:
 		}
-		if p.limit.Wait(ctx) != nil {
+		if p.writes.limit.Wait(ctx) != nil {
 			return
 		}
 		for p.appendBatch(ctx) {
-			if p.limit.Wait(ctx) != nil {
+			if p.writes.limit.Wait(ctx) != nil {
 				return
 			}
 		}
@@ -211,14 +212,14 @@
 	if n == 0 {
 		return false
 	}
-	data, err := writeonce.EncodeBatch(writeonce.Batch{ID: uuid.NewString(), Agent: p.self, Claims: claims})
+	data, err := writeonce.EncodeBatch(writeonce.Batch{ID: uuid.NewString(), Agent: p.writes.self, Claims: claims})
 	var offset int64
 	if err == nil {
-		offset, err = p.client.Append(ctx, p.stream, data)
+		offset, err = p.writes.client.Append(ctx, p.stream, data)
 	}
-	p.scope.Counter("claim_records_appended").Inc(1)
-	p.scope.Counter("claims_appended").Inc(int64(n))
-	p.scope.Counter("claim_bytes_appended").Inc(int64(len(data)))
+	p.writes.scope.Counter("claim_records_appended").Inc(1)
+	p.writes.scope.Counter("claims_appended").Inc(int64(n))
+	p.writes.scope.Counter("claim_bytes_appended").Inc(int64(len(data)))
 	return p.appended(claims, offset, err)
 }
 
@@ -227,7 +228,7 @@
 	defer p.mu.Unlock()
 	if err != nil {
 		p.pausedUntil = time.Now().Add(claimPause)
-		p.scope.Counter("claim_appends_failed").Inc(1)
+		p.writes.scope.Counter("claim_appends_failed").Inc(1)
 	}
 	for _, c := range claims {
 		t, ok := p.pending[c.Key]
--- a/pkg/agent/control.go
+++ b/pkg/agent/control.go
@@ -17,6 +17,7 @@
 		agentlink.MethodConfigure: rpc.Typed(a.configure),
 		agentlink.MethodRefuse:    rpc.Typed(a.refuse),
 		agentlink.MethodPermits:   rpc.Typed(a.permits),
+		agentlink.MethodClaims:    rpc.Typed(a.openClaims),
 	}
 }
 
@@ -53,12 +54,22 @@
 			"the agent has restarted since the attempt was sent").WithOutcome(problem.NotKnown)
 	}
 	a.attempts.refuse(request.Attempt)
-	return a.writes.refuse(request.Key), nil
+	return a.writes.refuse(request.Route, request.Key)
+}
+
+// openClaims opens the claim streams of routes before their first call comes.
+func (a *Agent) openClaims(_ context.Context, _ *rpc.Conn, request agentlink.Claims) (any, error) {
+	for _, route := range request.Routes {
+		if _, err := a.writes.streams(route); err != nil {
+			return nil, err
+		}
+	}
+	return nil, nil
 }
 
 // permits issues keys that only this incarnation runs.
 func (a *Agent) permits(_ context.Context, _ *rpc.Conn, request agentlink.PermitRequest) (any, error) {
-	return a.writes.permits(request.Count), nil
+	return a.writes.issue(request.Count), nil
 }
 
 func (a *Agent) status() agentlink.Status {
--- a/pkg/agent/serve.go
+++ b/pkg/agent/serve.go
@@ -57,7 +57,7 @@
 	accepting := a.life.Begin() == nil
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(request.DeadlineMS)*time.Millisecond)
 	defer cancel()
-	res := a.writes.do(ctx, request, body, accepting)
+	res := a.writes.do(ctx, request, body, accepting && request.Pool == a.settings.Pool)
 	writeResult(out, res)
 	if !accepting {
 		return
--- a/pkg/agent/writes.go
+++ b/pkg/agent/writes.go
@@ -4,19 +4,20 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
-	"golang.org/x/sync/errgroup"
 	"golang.org/x/time/rate"
 
 	"github.com/fescuehub/fescuehub/pkg/ident"
 	"github.com/fescuehub/fescuehub/pkg/peer/agentlink"
 	"github.com/fescuehub/fescuehub/pkg/peer/logservice"
 	"github.com/fescuehub/fescuehub/pkg/problem"
-	"github.com/fescuehub/fescuehub/pkg/settings"
 	"github.com/fescuehub/fescuehub/pkg/writeonce"
 )
 
@@ -30,56 +31,123 @@
 	maxAnswerBytes = 16 << 20
 	// maxPermits bounds one block of permits.
 	maxPermits = 64
+	// maxKeys bounds the keys that the agent remembers.
+	maxKeys = 60_000
+	// maxClaimRoutes bounds the routes whose keys the agent claims.
+	maxClaimRoutes = 16
 )
 
 // writes runs unrepeatable calls at most once.
 type writes struct {
-	self       ident.Incarnation
-	backend    Backend
-	scope      tally.Scope
-	started    time.Time
-	partitions [writeonce.Partitions]*partition
-	serial     atomic.Uint64
+	self    ident.Incarnation
+	backend Backend
+	log     *zap.Logger
+	scope   tally.Scope
+	client  *logservice.Client
+	started time.Time
+	limit   *rate.Limiter
+	serial  atomic.Uint64
+	// keys counts the keys remembered by all ledgers.
+	keys atomic.Int64
+	// ended is closed when the agent ends.
+	ended   chan struct{}
+	permits partitions
+
+	mu     sync.Mutex
+	routes map[string]*partitions
 }
 
-func newWrites(s settings.Agent, self ident.Incarnation, started time.Time, backend Backend, log *zap.Logger, scope tally.Scope, client *logservice.Client) *writes {
-	w := &writes{self: self, backend: backend, scope: scope, started: started}
-	limit := rate.NewLimiter(claimAppendsPerSecond, claimAppendsPerSecond)
-	for i := range w.partitions {
-		w.partitions[i] = &partition{
-			stream: fmt.Sprintf("claims.%s.%d", s.Pool, i), self: self, client: client, log: log, scope: scope, limit: limit,
-			used: make(chan struct{}), appendUp: make(chan struct{}, 1),
-			ledger: writeonce.NewLedger(self), changed: make(chan struct{}),
-			pending: make(map[string]*ticket), running: make(map[string]*execution),
-		}
+// partitions are the ledgers of the permits, or of the dated keys of a route.
+type partitions [writeonce.Partitions]*partition
+
+func newWrites(self ident.Incarnation, started time.Time, backend Backend, log *zap.Logger, scope tally.Scope, client *logservice.Client) *writes {
+	w := &writes{
+		self: self, backend: backend, log: log, scope: scope, client: client, started: started,
+		limit: rate.NewLimiter(claimAppendsPerSecond, claimAppendsPerSecond),
+		ended: make(chan struct{}), routes: make(map[string]*partitions),
+	}
+	for i := range w.permits {
+		w.permits[i] = w.newPartition("")
 	}
 	return w
 }
 
-// run follows the claim streams and forgets old keys until ctx ends.
-func (w *writes) run(ctx context.Context) error {
-	group, ctx := errgroup.WithContext(ctx)
-	for _, p := range w.partitions {
-		group.Go(func() error { return p.run(ctx) })
+func (w *writes) newPartition(stream string) *partition {
+	return &partition{
+		writes: w, stream: stream,
+		used: make(chan struct{}), appendUp: make(chan struct{}, 1),
+		ledger: writeonce.NewLedger(w.self), changed: make(chan struct{}),
+		pending: make(map[string]*ticket), running: make(map[string]*execution),
+	}
+}
+
+// streams returns the partitions of a route and begins to follow its claim
+// streams the first time. The error kind is Overloaded.
+func (w *writes) streams(route string) (*partitions, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if ps, ok := w.routes[route]; ok {
+		return ps, nil
+	}
+	if len(w.routes) >= maxClaimRoutes {
+		return nil, problem.New(problem.Overloaded, "use permits, or fewer routes to one pool",
+			"this agent claims keys of at most %d routes", maxClaimRoutes).WithOutcome(problem.NotRun)
+	}
+	ps := &partitions{}
+	ctx, stop := context.WithCancel(context.Background())
+	for i := range ps {
+		ps[i] = w.newPartition(fmt.Sprintf("claims.%s.%d", route, i))
+		go ps[i].run(ctx)
+	}
+	go func() {
+		<-w.ended
+		stop()
+	}()
+	w.routes[route] = ps
+	return ps, nil
+}
+
+// partition returns the ledger of a key. The error kind is Overloaded.
+func (w *writes) partition(route string, key writeonce.Key) (*partition, error) {
+	if key.IsPermit() {
+		return w.permits[key.Partition()], nil
+	}
+	ps, err := w.streams(route)
+	if err != nil {
+		return nil, err
 	}
-	group.Go(func() error {
-		for ctx.Err() == nil {
-			sleep(ctx, forgetInterval)
-			for _, p := range w.partitions {
-				p.mu.Lock()
-				p.ledger.Forget(w.elapsed())
-				p.mu.Unlock()
-			}
+	return ps[key.Partition()], nil
+}
+
+// all returns every partition.
+func (w *writes) all() []*partition {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	out := slices.Clone(w.permits[:])
+	for _, ps := range w.routes {
+		out = append(out, ps[:]...)
+	}
+	return out
+}
+
+// run forgets old keys until ctx ends.
+func (w *writes) run(ctx context.Context) error {
+	defer close(w.ended)
+	for ctx.Err() == nil {
+		sleep(ctx, forgetInterval)
+		for _, p := range w.all() {
+			p.mu.Lock()
+			p.counted(func() { p.ledger.Forget(w.elapsed()) })
+			p.mu.Unlock()
 		}
-		return nil
-	})
-	return group.Wait()
+	}
+	return nil
 }
 
 func (w *writes) elapsed() time.Duration { return time.Since(w.started) }
 
-// permits issues a block of permits.
-func (w *writes) permits(count int) agentlink.PermitBlock {
+// issue issues a block of permits.
+func (w *writes) issue(count int) agentlink.PermitBlock {
 	n := max(1, min(count, maxPermits))
 	last := w.serial.Add(uint64(n))
 	return agentlink.PermitBlock{
@@ -88,16 +156,21 @@
 }
 
 // refuse certifies the outcome of a key.
-func (w *writes) refuse(text string) writeonce.Certificate {
+func (w *writes) refuse(route, text string) (writeonce.Certificate, error) {
 	key, err := writeonce.ParseKey(text)
 	if err != nil {
-		return writeonce.Certificate{Outcome: problem.NotRun, ForKey: true}
+		return writeonce.Certificate{Outcome: problem.NotRun, ForKey: true}, nil
+	}
+	p, err := w.partition(route, key)
+	if err != nil {
+		return writeonce.Certificate{}, err
 	}
-	p := w.partitions[key.Partition()]
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	defer p.notify()
-	return p.ledger.Refuse(key)
+	var cert writeonce.Certificate
+	p.counted(func() { cert = p.ledger.Refuse(key) })
+	return cert, nil
 }
 
 // execution is one call at the backend server.
@@ -123,9 +196,16 @@
 	if err != nil {
 		return result{err: problem.Of(err)}
 	}
+	p, err := w.partition(request.Route, key)
+	if err != nil {
+		return result{err: problem.Of(err)}
+	}
+	content := writeonce.Content{
+		Route: request.Route, Organisation: request.Organisation, Method: request.Method, Path: request.Path, Body: body,
+	}
 	t := &try{
-		writes: w, request: request, body: body, p: w.partitions[key.Partition()],
-		write: writeonce.Write{Key: key, Digest: writeonce.DigestOf(request.Method, request.Path, body), Accepting: accepting},
+		writes: w, request: request, body: body, p: p,
+		write: writeonce.Write{Key: key, Digest: content.Digest(), Accepting: accepting},
 	}
 	claimTimer := time.NewTimer(claimBound)
 	defer claimTimer.Stop()
@@ -168,7 +248,9 @@
 		t.result.answer = t.exec.answer
 		return nil, true
 	}
-	d := t.p.ledger.Open(t.writes.elapsed(), t.write)
+	t.write.Full = t.writes.keys.Load() >= maxKeys
+	var d writeonce.Decision
+	t.p.counted(func() { d = t.p.ledger.Open(t.writes.elapsed(), t.write) })
 	switch d.Action {
 	case writeonce.Run:
 		t.exec = &execution{done: make(chan struct{})}
@@ -210,7 +292,7 @@
 	t.p.mu.Lock()
 	defer t.p.mu.Unlock()
 	if t.exec == nil && t.ticket != nil {
-		t.p.ledger.Refuse(t.write.Key)
+		t.p.counted(func() { t.p.ledger.Refuse(t.write.Key) })
 		t.gaveUp = true
 		t.p.notify()
 	}
@@ -255,26 +337,35 @@
 
 // WritesStatus tells operators of the agent's unrepeatable calls.
 type WritesStatus struct {
-	// Ready is true once dated keys made now are covered by every claim stream.
+	// Routes are those whose dated keys the agent claims.
+	Routes []string `json:"routes"`
+	// Ready is true once dated keys made now are covered by the claim streams
+	// of every route.
 	Ready bool `json:"ready"`
 	// Keys counts the keys remembered.
-	Keys int `json:"keys"`
+	Keys int64 `json:"keys"`
 	// Behind counts the claim streams of which the log shows less than before.
 	Behind int `json:"behind"`
 }
 
 func (w *writes) status() WritesStatus {
-	s := WritesStatus{Ready: true}
-	for _, p := range w.partitions {
+	s := WritesStatus{Keys: w.keys.Load(), Routes: w.routeNames()}
+	s.Ready = len(s.Routes) > 0
+	for _, p := range w.all() {
 		p.mu.Lock()
-		s.Keys += p.ledger.Len()
 		if p.ledger.Claims().Behind() {
 			s.Behind++
 		}
-		if p.opened.IsZero() || time.Since(p.opened) <= writeonce.MaxClockLead {
+		if p.stream != "" && (p.opened.IsZero() || time.Since(p.opened) <= writeonce.MaxClockLead) {
 			s.Ready = false
 		}
 		p.mu.Unlock()
 	}
 	return s
 }
+
+func (w *writes) routeNames() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Sorted(maps.Keys(w.routes))
+}
--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -72,6 +72,7 @@
 		Attempt:      x.attempt,
 		Incarnation:  replica.Incarnation,
 		Route:        x.route.Name,
+		Pool:         x.pool.Name,
 		Organisation: x.organisation.Name,
 		Priority:     priority,
 		DeadlineMS:   time.Until(x.deadline).Milliseconds(),
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -104,6 +104,7 @@
 	group.Go(func() error { return e.follower.Run(ctx) })
 	group.Go(func() error { return e.members.run(ctx) })
 	group.Go(func() error { return e.replicas.run(ctx) })
+	group.Go(func() error { return e.openClaims(ctx) })
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
--- a/pkg/entry/writes.go
+++ b/pkg/entry/writes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"slices"
 	"time"
@@ -122,17 +123,26 @@
 	return replica, nil
 }
 
-// replicaOf finds an agent by its incarnation. A leaving one still answers for
-// its keys.
+// replicaOf finds an agent by its incarnation, in any pool. A leaving one, and
+// one of the pool that the route led to before, still answers for its keys.
 func (e *Entry) replicaOf(x *exchange, agent ident.Incarnation) (routing.Replica, error) {
-	for _, r := range e.replicas.snapshot(x.pool.Name, x.pool.Concurrency) {
-		if r.Incarnation == agent {
-			return r, nil
-		}
+	if r, ok := e.replicas.find(agent); ok {
+		return r, nil
 	}
 	return routing.Replica{}, x.call.Unreachable()
 }
 
+func (rs *replicas) find(agent ident.Incarnation) (routing.Replica, bool) {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	for name, r := range rs.byKey {
+		if r.status.Incarnation == agent && r.conn != nil {
+			return routing.Replica{Name: name, Incarnation: agent}, true
+		}
+	}
+	return routing.Replica{}, false
+}
+
 // claimant selects the agent that claims the key: the same at every entry that
 // sees the same agents, so that few agents follow each claim stream.
 func (e *Entry) claimant(x *exchange, tried []string) (routing.Replica, error) {
@@ -142,7 +152,7 @@
 		case r.Leaving:
 		case slices.Contains(tried, r.Name):
 			again = &r
-		case best == nil || claimRank(x.call.Key, r.Name) > claimRank(x.call.Key, best.Name):
+		case best == nil || claimRank(x, r.Name) > claimRank(x, best.Name):
 			best = &r
 		}
 	}
@@ -155,8 +165,8 @@
 	return *best, nil
 }
 
-func claimRank(k writeonce.Key, agent string) uint64 {
-	return xxhash.Sum64String(string(rune('a'+k.Partition())) + "\x00" + agent)
+func claimRank(x *exchange, agent string) uint64 {
+	return xxhash.Sum64String(fmt.Sprintf("%s\x00%d\x00%s", x.route.Name, x.call.Key.Partition(), agent))
 }
 
 // settle returns what the caller is told. Every agent that may still run the
@@ -186,6 +196,6 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, refuseTimeout)
 	defer cancel()
-	request := agentlink.RefuseRequest{Attempt: x.attempt, Key: x.call.Key.String(), Incarnation: agent}
+	request := agentlink.RefuseRequest{Attempt: x.attempt, Route: x.route.Name, Key: x.call.Key.String(), Incarnation: agent}
 	return cert, conn.Call(ctx, agentlink.MethodRefuse, request, &cert) == nil
 }
--- a/pkg/peer/agentlink/messages.go
+++ b/pkg/peer/agentlink/messages.go
@@ -22,6 +22,8 @@
 	// MethodRefuse asks for the outcome of an unrepeatable call: RefuseRequest,
 	// answered by writeonce.Certificate.
 	MethodRefuse = "refuse"
+	// MethodClaims names the routes whose keys are claimed in the log: Claims.
+	MethodClaims = "claims"
 	// MethodPermits asks for a block of permits: PermitRequest, answered by
 	// PermitBlock.
 	MethodPermits = "permits"
@@ -59,10 +61,16 @@
 // the call has run.
 type RefuseRequest struct {
 	Attempt     ident.AttemptID   `json:"attempt"`
+	Route       string            `json:"route"`
 	Key         string            `json:"key"`
 	Incarnation ident.Incarnation `json:"incarnation"`
 }
 
+// Claims names the routes of a pool that have unrepeatable calls.
+type Claims struct {
+	Routes []string `json:"routes"`
+}
+
 // PermitRequest asks for a number of permits.
 type PermitRequest struct {
 	Count int `json:"count"`
@@ -82,10 +90,13 @@
 type AttemptRequest struct {
 	Attempt ident.AttemptID `json:"attempt"`
 	// Incarnation of the agent that the attempt is meant for.
-	Incarnation  ident.Incarnation `json:"incarnation"`
-	Route        string            `json:"route"`
-	Organisation string            `json:"organisation,omitempty"`
-	Priority     int               `json:"priority,omitempty"`
+	Incarnation ident.Incarnation `json:"incarnation"`
+	Route       string            `json:"route"`
+	// Pool that the route leads to now. An agent of another pool runs nothing
+	// new for the route and still answers for the keys that it has run.
+	Pool         string `json:"pool,omitempty"`
+	Organisation string `json:"organisation,omitempty"`
+	Priority     int    `json:"priority,omitempty"`
 	// DeadlineMS is the time left for the attempt, in milliseconds.
 	DeadlineMS int64 `json:"deadlineMS"`
 	// Key is the idempotency key of an unrepeatable call, empty otherwise.
--- a/pkg/writeonce/doc.go
+++ b/pkg/writeonce/doc.go
@@ -6,7 +6,9 @@
 // only that incarnation may run its call, and no other process has to be
 // asked. A dated key (UUID version 7) is made by the caller: the agent that
 // gets the call appends a claim to the platform's log and runs it only if the
-// first valid claim of the key in the stream is its own.
+// first valid claim of the key in the stream is its own. Streams belong to
+// routes, so that a route may be moved to another pool; a dated key is scoped
+// to its route.
 //
 // Safety rests on no clock but the log's: a claim counts only if the log's own
 // time of its record is within Window of the time in the key.
@@ -21,13 +23,11 @@
 	MemoryTime = 2 * Window
 	// MaxClockLead is how far the clock of a caller may be ahead of the log's.
 	MaxClockLead = 2 * time.Second
-	// Partitions is the number of claim streams of a pool.
+	// Partitions is the number of claim streams of a route.
 	Partitions = 8
-	// MaxKeys bounds the keys that one ledger remembers.
-	MaxKeys = 8_000
 	// MaxKeptAnswerBytes bounds an answer that is kept for later tries.
 	MaxKeptAnswerBytes = 64 << 10
 	// MaxKeptBytes bounds the answers that one ledger keeps. The oldest are
 	// dropped first; their keys are remembered as having run.
-	MaxKeptBytes = 1 << 20
+	MaxKeptBytes = 256 << 10
 )
--- a/pkg/writeonce/key.go
+++ b/pkg/writeonce/key.go
@@ -78,10 +78,17 @@
 // Digest identifies the content of a call.
 type Digest [16]byte
 
-// DigestOf returns the digest of a call. Tries of one call have the same.
-func DigestOf(method, path string, body []byte) Digest {
+// Content is what a key stands for. Two tries of one call have the same.
+type Content struct {
+	Route, Organisation string
+	Method, Path        string
+	Body                []byte
+}
+
+// Digest returns the digest of the content.
+func (c Content) Digest() Digest {
 	h := sha256.New()
-	fmt.Fprintf(h, "%s %q\n", method, path)
-	h.Write(body)
+	fmt.Fprintf(h, "%q %q %q %q\n", c.Route, c.Organisation, c.Method, c.Path)
+	h.Write(c.Body)
 	return Digest(h.Sum(nil)[:len(Digest{})])
 }
--- a/pkg/writeonce/ledger.go
+++ b/pkg/writeonce/ledger.go
@@ -30,6 +30,8 @@
 	Digest Digest
 	// Accepting is false where the agent takes no new work.
 	Accepting bool
+	// Full is true where the agent remembers as many keys as it may.
+	Full bool
 }
 
 // Action is what an agent does with a try.
@@ -197,7 +199,7 @@
 		l.refuse(w.Key)
 		return reply(refusedForEver(w.Key))
 	}
-	if len(l.keys) >= MaxKeys {
+	if w.Full {
 		return reply(overloaded())
 	}
 	l.keys[w.Key.text] = &memory{key: w.Key, phase: running, digest: w.Digest}
