--- a/pkg/agent/claims.go
+++ b/pkg/agent/claims.go
@@ -17,25 +17,11 @@
 	// claimAppendsPerSecond bounds the records that one agent appends, over all
 	// partitions. Claims that arrive meanwhile go into one record.
 	claimAppendsPerSecond = 4
-	// claimsPerRecord bounds one record.
-	claimsPerRecord = 2000
-	claimPage       = 1000
-	claimReadWait   = 10 * time.Second
-	claimRetryPause = 300 * time.Millisecond
-	// claimPause is how long new claims are refused after a failed append.
-	claimPause = time.Second
-	// logRetryAfter is when a caller may come back while the log is down.
-	logRetryAfter = 5 * time.Second
+	claimPage             = 1000
+	claimReadWait         = 10 * time.Second
+	claimRetryPause       = 300 * time.Millisecond
 )
 
-// ticket is a claim on its way to the log. It is guarded by the lock of its
-// partition.
-type ticket struct {
-	// offset of the record, -1 until the log has confirmed it.
-	offset int64
-	err    *problem.Error
-}
-
 // partition is one claim stream and the ledger of its keys.
 type partition struct {
 	writes *writes
@@ -47,15 +33,11 @@
 	appendUp chan struct{}
 
 	mu      sync.Mutex
-	ledger  *writeonce.Ledger
+	ledger  *writeonce.Partition
 	changed chan struct{}
 	// opened is when the stream was first seen with a record.
 	opened  time.Time
-	queue   []writeonce.Claim
-	pending map[string]*ticket
 	running map[string]*execution
-	// pausedUntil refuses new claims at once after a failed append.
-	pausedUntil time.Time
 }
 
 // run appends and reads the stream until ctx ends.
@@ -147,12 +129,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	lost = p.ledger.Claims().Observe(in)
-	for key, t := range p.pending {
-		if t.offset >= 0 && t.offset < p.ledger.Claims().Next() {
-			delete(p.pending, key)
-		}
-	}
+	lost = p.ledger.Observe(in)
 	p.notify()
 	return lost
 }
@@ -163,24 +140,14 @@
 	p.changed = make(chan struct{})
 }
 
-// claim queues a claim of the key, or joins one that is on its way. The caller
-// holds the lock.
-func (p *partition) claim(k writeonce.Key, d writeonce.Digest, now time.Time) *ticket {
+// claimQueued wakes the goroutines that follow and append. The caller holds the
+// lock.
+func (p *partition) claimQueued() {
 	p.useOnce.Do(func() { close(p.used) })
-	if t, ok := p.pending[k.String()]; ok {
-		return t
-	}
-	if now.Before(p.pausedUntil) {
-		return &ticket{offset: -1, err: logDown()}
-	}
-	t := &ticket{offset: -1}
-	p.pending[k.String()] = t
-	p.queue = append(p.queue, writeonce.Claim{Key: k.String(), Digest: d[:]})
 	select {
 	case p.appendUp <- struct{}{}:
 	default:
 	}
-	return t
 }
 
 // appendAll appends queued claims until ctx ends.
@@ -191,63 +158,44 @@
 			return
 		case <-p.appendUp:
 		}
-		if p.writes.limit.Wait(ctx) != nil {
-			return
-		}
-		for p.appendBatch(ctx) {
-			if p.writes.limit.Wait(ctx) != nil {
-				return
-			}
+		for p.queued() && p.writes.limit.Wait(ctx) == nil {
+			p.appendBatch(ctx)
 		}
 	}
 }
 
-// appendBatch appends one record and reports whether more claims are queued.
-func (p *partition) appendBatch(ctx context.Context) bool {
+func (p *partition) queued() bool {
 	p.mu.Lock()
-	n := min(len(p.queue), claimsPerRecord)
-	claims := p.queue[:n:n]
-	p.queue = p.queue[n:]
+	defer p.mu.Unlock()
+	return p.ledger.Queued() > 0
+}
+
+// appendBatch appends one record.
+func (p *partition) appendBatch(ctx context.Context) {
+	p.mu.Lock()
+	claims := p.ledger.NextClaims()
 	p.mu.Unlock()
-	if n == 0 {
-		return false
-	}
 	data, err := writeonce.EncodeBatch(writeonce.Batch{ID: uuid.NewString(), Agent: p.writes.self, Claims: claims})
 	var offset int64
 	if err == nil {
 		offset, err = p.writes.client.Append(ctx, p.stream, data)
 	}
 	p.writes.scope.Counter("claim_records_appended").Inc(1)
-	p.writes.scope.Counter("claims_appended").Inc(int64(n))
+	p.writes.scope.Counter("claims_appended").Inc(int64(len(claims)))
 	p.writes.scope.Counter("claim_bytes_appended").Inc(int64(len(data)))
-	return p.appended(claims, offset, err)
+	p.appended(claims, offset, err)
 }
 
-func (p *partition) appended(claims []writeonce.Claim, offset int64, err error) bool {
+func (p *partition) appended(claims []writeonce.Claim, offset int64, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	var failure *problem.Error
 	if err != nil {
-		p.pausedUntil = time.Now().Add(claimPause)
+		failure = problem.Of(err)
 		p.writes.scope.Counter("claim_appends_failed").Inc(1)
 	}
-	for _, c := range claims {
-		t, ok := p.pending[c.Key]
-		switch {
-		case !ok:
-		case err != nil:
-			t.err = problem.Of(err)
-			delete(p.pending, c.Key)
-		default:
-			t.offset = offset
-		}
-	}
+	p.ledger.Appended(p.writes.elapsed(), claims, offset, failure)
 	p.notify()
-	return len(p.queue) > 0
-}
-
-func logDown() *problem.Error {
-	return problem.New(problem.LogUnavailable, "come back later, or use a permit",
-		"the log service does not take claims").WithOutcome(problem.NotRun).WithRetryAfter(logRetryAfter)
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/pkg/agent/control.go
+++ b/pkg/agent/control.go
@@ -54,7 +54,7 @@
 			"the agent has restarted since the attempt was sent").WithOutcome(problem.NotKnown)
 	}
 	a.attempts.refuse(request.Attempt)
-	return a.writes.refuse(request.Route, request.Key)
+	return a.writes.refuse(request.Route, request.Key, request.Digest)
 }
 
 // openClaims opens the claim streams of routes before their first call comes.
--- a/pkg/agent/writes.go
+++ b/pkg/agent/writes.go
@@ -76,8 +76,8 @@
 	return &partition{
 		writes: w, stream: stream,
 		used: make(chan struct{}), appendUp: make(chan struct{}, 1),
-		ledger: writeonce.NewLedger(w.self), changed: make(chan struct{}),
-		pending: make(map[string]*ticket), running: make(map[string]*execution),
+		ledger: writeonce.NewPartition(w.self), changed: make(chan struct{}),
+		running: make(map[string]*execution),
 	}
 }
 
@@ -156,7 +156,7 @@
 }
 
 // refuse certifies the outcome of a key.
-func (w *writes) refuse(route, text string) (writeonce.Certificate, error) {
+func (w *writes) refuse(route, text string, digest writeonce.Digest) (writeonce.Certificate, error) {
 	key, err := writeonce.ParseKey(text)
 	if err != nil {
 		return writeonce.Certificate{Outcome: problem.NotRun, ForKey: true}, nil
@@ -169,7 +169,7 @@
 	defer p.mu.Unlock()
 	defer p.notify()
 	var cert writeonce.Certificate
-	p.counted(func() { cert = p.ledger.Refuse(key) })
+	p.counted(func() { cert = p.ledger.Refuse(w.elapsed(), key, digest) })
 	return cert, nil
 }
 
@@ -205,7 +205,7 @@
 	}
 	t := &try{
 		writes: w, request: request, body: body, p: p,
-		write: writeonce.Write{Key: key, Digest: content.Digest(), Accepting: accepting},
+		once: &writeonce.Try{Write: writeonce.Write{Key: key, Digest: content.Digest(), Accepting: accepting}},
 	}
 	claimTimer := time.NewTimer(claimBound)
 	defer claimTimer.Stop()
@@ -232,12 +232,9 @@
 	request agentlink.AttemptRequest
 	body    []byte
 	p       *partition
-	write   writeonce.Write
-	ticket  *ticket
-	// gaveUp is true once the claim was not read back in time.
-	gaveUp bool
-	exec   *execution
-	result result
+	once    *writeonce.Try
+	exec    *execution
+	result  result
 }
 
 // step decides once, in one critical section. It returns what to wait for.
@@ -248,54 +245,34 @@
 		t.result.answer = t.exec.answer
 		return nil, true
 	}
-	t.write.Full = t.writes.keys.Load() >= maxKeys
+	t.once.Write.Full = t.writes.keys.Load() >= maxKeys
 	var d writeonce.Decision
-	t.p.counted(func() { d = t.p.ledger.Open(t.writes.elapsed(), t.write) })
+	t.p.counted(func() { d = t.p.ledger.Step(t.writes.elapsed(), t.once) })
 	switch d.Action {
 	case writeonce.Run:
 		t.exec = &execution{done: make(chan struct{})}
 		t.result.started = t.exec
-		t.p.running[t.write.Key.String()] = t.exec
-		go t.writes.execute(t.p, t.write.Key, t.exec, t.request, t.body)
+		t.p.running[t.once.Write.Key.String()] = t.exec
+		go t.writes.execute(t.p, t.once.Write.Key, t.exec, t.request, t.body)
 		return t.exec.done, false
 	case writeonce.Wait:
-		t.exec = t.p.running[t.write.Key.String()]
+		t.exec = t.p.running[t.once.Write.Key.String()]
 		t.writes.scope.Counter("writes_joined").Inc(1)
 		return t.exec.done, false
 	case writeonce.MakeClaim:
-		return t.p.changed, t.claimed()
+		t.p.claimQueued()
+		return t.p.changed, false
 	}
 	t.result.answer, t.result.err, t.result.owner = d.Answer, d.Problem, d.Owner
 	return nil, true
 }
 
-// claimed makes the claim if it has not been made, and reports whether the try
-// ends for want of one.
-func (t *try) claimed() bool {
-	if t.ticket == nil {
-		t.ticket = t.p.claim(t.write.Key, t.write.Digest, time.Now())
-	}
-	switch {
-	case t.gaveUp:
-		t.result.err = logDown()
-	case t.ticket.err != nil && t.ticket.err.Outcome == problem.NotRun:
-		t.result.err = logDown()
-	case t.ticket.offset >= 0 && t.ticket.offset < t.p.ledger.Claims().Next():
-		t.result.err = writeonce.ClockAhead(t.write.Key)
-	}
-	return t.result.err != nil
-}
-
-// giveUpClaim refuses the key for ever at this agent: the claim may stand, and
-// the caller is told that this agent does not run it.
+// giveUpClaim ends the wait for the claim.
 func (t *try) giveUpClaim() {
 	t.p.mu.Lock()
 	defer t.p.mu.Unlock()
-	if t.exec == nil && t.ticket != nil {
-		t.p.counted(func() { t.p.ledger.Refuse(t.write.Key) })
-		t.gaveUp = true
-		t.p.notify()
-	}
+	t.p.counted(func() { t.p.ledger.GiveUp(t.writes.elapsed(), t.once) })
+	t.p.notify()
 }
 
 // execute sends the call to the backend server, once, and keeps its answer. It
--- a/pkg/entry/writes.go
+++ b/pkg/entry/writes.go
@@ -184,6 +184,11 @@
 	return told
 }
 
+// content returns what the key of the call stands for.
+func (x *exchange) content() writeonce.Content {
+	return writeonce.Content{Route: x.route.Name, Organisation: x.organisation.Name, Method: x.method, Path: x.path, Body: x.body}
+}
+
 func (e *Entry) askRefusal(ctx context.Context, x *exchange, agent ident.Incarnation) (writeonce.Certificate, bool) {
 	var cert writeonce.Certificate
 	replica, err := e.replicaOf(x, agent)
@@ -196,6 +201,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, refuseTimeout)
 	defer cancel()
-	request := agentlink.RefuseRequest{Attempt: x.attempt, Route: x.route.Name, Key: x.call.Key.String(), Incarnation: agent}
+	request := agentlink.RefuseRequest{
+		Attempt: x.attempt, Route: x.route.Name, Key: x.call.Key.String(), Digest: x.content().Digest(), Incarnation: agent,
+	}
 	return cert, conn.Call(ctx, agentlink.MethodRefuse, request, &cert) == nil
 }
--- a/pkg/faultmatrix/testing.go
+++ b/pkg/faultmatrix/testing.go
@@ -43,33 +43,48 @@
 	}
 }
 
-// MustFail runs the matrix of a scenario whose mechanism is off, and fails the
-// test if no cell has a violation.
+// MustFail runs the matrix of a scenario whose mechanism is off, one seed after
+// another until a cell has a violation, and fails the test if none has.
 func MustFail(t *testing.T, s Scenario) {
 	t.Helper()
-	report := mustRun(t, s)
-	if len(report.Failed) == 0 {
-		t.Fatalf("protocol %s without its mechanism: %d runs and no violation found", s.Protocol, report.Runs)
+	runs := 0
+	for _, seed := range seeds() {
+		report, err := Run(s, Options{Seeds: []uint64{seed}, Pairs: defaultPairs})
+		if err != nil {
+			t.Fatal(err)
+		}
+		runs += report.Runs
+		if len(report.Failed) == 0 {
+			continue
+		}
+		first := report.Failed[0]
+		t.Logf("%d of %d runs violate; first: step %q: %s (%s)", len(report.Failed), report.Runs, first.Step, strings.Join(first.Violations, "; "), first.Replay())
+		return
 	}
-	first := report.Failed[0]
-	t.Logf("%d of %d runs violate; first: step %q: %s (%s)", len(report.Failed), report.Runs, first.Step, strings.Join(first.Violations, "; "), first.Replay())
+	t.Fatalf("protocol %s without its mechanism: %d runs and no violation found", s.Protocol, runs)
 }
 
 func mustRun(t *testing.T, s Scenario) Report {
 	t.Helper()
+	report, err := Run(s, Options{Seeds: seeds(), Pairs: defaultPairs})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return report
+}
+
+// seeds returns the seeds of a run: defaultSeeds, or as many as the variable
+// says.
+func seeds() []uint64 {
 	n := defaultSeeds
 	if v, err := strconv.Atoi(os.Getenv(SeedsVariable)); err == nil && v > 0 {
 		n = v
 	}
-	seeds := make([]uint64, n)
-	for i := range seeds {
-		seeds[i] = uint64(i + 1)
+	out := make([]uint64, n)
+	for i := range out {
+		out[i] = uint64(i + 1)
 	}
-	report, err := Run(s, Options{Seeds: seeds, Pairs: defaultPairs})
-	if err != nil {
-		t.Fatal(err)
-	}
-	return report
+	return out
 }
 
 func replay(t *testing.T, s Scenario, cell string) {
--- a/pkg/peer/agentlink/messages.go
+++ b/pkg/peer/agentlink/messages.go
@@ -9,6 +9,7 @@
 	"github.com/fescuehub/fescuehub/pkg/ident"
 	"github.com/fescuehub/fescuehub/pkg/routing"
 	"github.com/fescuehub/fescuehub/pkg/tables"
+	"github.com/fescuehub/fescuehub/pkg/writeonce"
 )
 
 // Names of the control methods.
@@ -63,6 +64,7 @@
 	Attempt     ident.AttemptID   `json:"attempt"`
 	Route       string            `json:"route"`
 	Key         string            `json:"key"`
+	Digest      writeonce.Digest  `json:"digest"`
 	Incarnation ident.Incarnation `json:"incarnation"`
 }
 
--- a/pkg/writeonce/call.go
+++ b/pkg/writeonce/call.go
@@ -90,6 +90,9 @@
 	}
 	refusals := 0
 	for _, cert := range certificates {
+		if cert.Reused {
+			return keyReused(c.Key)
+		}
 		if cert.Outcome == problem.Ran {
 			return answerNotKept(c.Key)
 		}
--- a/pkg/writeonce/ledger.go
+++ b/pkg/writeonce/ledger.go
@@ -242,15 +242,22 @@
 	Outcome problem.Outcome `json:"outcome"`
 	// ForKey is true where, besides, no other agent ever will.
 	ForKey bool `json:"forKey"`
+	// Reused is true where the key belongs to a call with other content.
+	Reused bool `json:"reused,omitempty"`
 }
 
-// Refuse makes the agent refuse the key for ever unless it has run it.
-func (l *Ledger) Refuse(k Key) Certificate {
+// Refuse makes the agent refuse the key for ever unless it has run it. It
+// certifies nothing of a key that it may have forgotten.
+func (l *Ledger) Refuse(elapsed time.Duration, k Key, d Digest) Certificate {
 	if k.IsPermit() && k.owner != l.self {
 		return Certificate{Outcome: problem.NotKnown}
 	}
 	m, known := l.keys[k.text]
 	switch {
+	case known && m.phase != refused && m.digest != d:
+		return Certificate{Outcome: problem.NotRun, ForKey: true, Reused: true}
+	case !known && l.forgettable(elapsed, k):
+		return Certificate{Outcome: problem.NotKnown}
 	case known && m.phase == ran:
 		return Certificate{Outcome: problem.Ran, ForKey: true}
 	case known && m.phase != refused:
--- /dev/null
+++ b/pkg/writeonce/matrix_test.go
@@ -0,0 +1,180 @@
+package writeonce_test
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/fescuehub/fescuehub/pkg/faultmatrix"
+	"github.com/fescuehub/fescuehub/pkg/problem"
+	"github.com/fescuehub/fescuehub/pkg/writeonce"
+)
+
+// variant is a scenario with mechanisms turned off.
+type variant struct {
+	off writeonce.Switches
+	// claimOnlyTry lets entries take every refusal for one of the key.
+	claimOnlyTry bool
+	// logRestarts lets the log lose all records when it is killed.
+	logRestarts bool
+}
+
+var late = []time.Duration{20 * time.Minute, 40 * time.Minute}
+
+// plans are what the callers want: one key at two entries at once, a second
+// body under it, a first try, a permit, and a call without a key.
+func plans(start time.Time) map[string][]*plan {
+	shared := keyAt(start, 1)
+	return map[string][]*plan{
+		"c1": {
+			{name: "shared", key: shared, body: "hold", entries: forth, late: late},
+			{name: "first", at: 1500 * time.Millisecond, key: keyAt(start, 2), body: "hold", entries: forth, firstTry: true},
+			{name: "keyless", at: 3 * time.Second, keyless: true, body: "hold", entries: back, late: late[:1]},
+		},
+		"c2": {
+			{name: "shared2", key: shared, body: "hold", entries: back},
+			{name: "permit", at: 1500 * time.Millisecond, permit: true, body: "hold", entries: back, late: late},
+			{name: "reused", at: 3 * time.Second, key: shared, body: "deposit", entries: forth},
+		},
+	}
+}
+
+// restartPlans are for a log that starts again at offset 0: a key that ran
+// before it comes to another agent after it.
+func restartPlans(start time.Time) map[string][]*plan {
+	out := plans(start)
+	once := keyAt(start, 20)
+	out["c1"] = append(out["c1"], &plan{name: "once", at: 2 * time.Second, key: once, body: "hold", entries: forth})
+	out["c2"] = append(out["c2"], &plan{name: "again", at: 25 * time.Second, key: once, body: "hold", entries: back})
+	return out
+}
+
+var forth, back = [2]string{"e1", "e2"}, [2]string{"e2", "e1"}
+
+func scenario(v variant) faultmatrix.Scenario {
+	return faultmatrix.Scenario{
+		Protocol:     "write",
+		Inapplicable: []faultmatrix.Fault{faultmatrix.ListLagging, faultmatrix.LeaseLapsed, faultmatrix.OperatorRaces},
+		Build:        func(w *faultmatrix.World) { build(w, v) },
+		Check:        check,
+	}
+}
+
+func build(w *faultmatrix.World, v variant) {
+	f := &facts{off: v.off, runs: make(map[string]int), conns: make(map[int]bool), loseState: v.logRestarts}
+	w.Facts = f
+	begin := w.Now()
+	f.records = []writeonce.Record{marker(begin.Add(-time.Hour))}
+	w.Add("log", func(int) faultmatrix.Node { return &logNode{f} })
+	for i, name := range agentNames {
+		w.Add(name, func(life int) faultmatrix.Node { return newAgent(f, name, life) })
+		w.Add(fmt.Sprint("s", i+1), func(int) faultmatrix.Node { return &serviceNode{f} })
+	}
+	for _, name := range []string{"e1", "e2"} {
+		w.Add(name, func(life int) faultmatrix.Node {
+			return &entryNode{f: f, name: name, life: life, asks: make(map[string][]string), claimOnlyTry: v.claimOnlyTry}
+		})
+	}
+	for _, name := range []string{"c1", "c2"} {
+		w.Add(name, func(int) faultmatrix.Node { return &callerNode{f: f, begin: begin} })
+		wanted := plans(begin)
+		if v.logRestarts {
+			wanted = restartPlans(begin)
+		}
+		for _, p := range wanted[name] {
+			w.Start(name, p.at, startCall{p})
+		}
+	}
+}
+
+// check compares what callers were told with what the services ran.
+func check(w *faultmatrix.World) []string {
+	f := w.Facts.(*facts)
+	var out []string
+	byKey := make(map[string]int)
+	for call, n := range f.runs {
+		key, _, _ := strings.Cut(call, "|")
+		byKey[key] += n
+	}
+	for key, n := range byKey {
+		if n > 1 {
+			out = append(out, fmt.Sprintf("key %s ran %d times", key, n))
+		}
+	}
+	for _, op := range f.ops {
+		n := f.runs[op.key+"|"+op.body]
+		switch {
+		case op.end >= 0 && op.outcome == "":
+			out = append(out, "a caller was told no outcome")
+		case op.kind == "anothers-answer":
+			out = append(out, fmt.Sprintf("key %s got the answer of another", op.key))
+		case op.outcome == problem.Ran && n != 1:
+			out = append(out, fmt.Sprintf("key %s was told ran and ran %d times", op.key, n))
+		case op.outcome == problem.NotRun && n != 0:
+			out = append(out, fmt.Sprintf("key %s was told not-run (%s) and ran", op.key, op.kind))
+		}
+	}
+	if !linearizable(f) {
+		out = append(out, "the history is not linearizable")
+	}
+	sort.Strings(out)
+	return out
+}
+
+func TestWriteMatrix(t *testing.T) {
+	t.Parallel()
+	faultmatrix.Test(t, scenario(variant{}))
+}
+
+func TestWriteMatrixWithLogThatStartsAgain(t *testing.T) {
+	t.Parallel()
+	faultmatrix.Test(t, scenario(variant{logRestarts: true}))
+}
+
+// TestWithoutFaultsEveryCallRuns shows that safety is not bought by refusing.
+func TestWithoutFaultsEveryCallRuns(t *testing.T) {
+	s := scenario(variant{})
+	s.Check = func(w *faultmatrix.World) []string {
+		out := check(w)
+		f := w.Facts.(*facts)
+		if len(f.runs) != 4 {
+			out = append(out, fmt.Sprintf("ran %v, want 4 calls", f.runs))
+		}
+		counts := make(map[problem.Outcome]int)
+		for _, op := range f.ops {
+			counts[op.outcome]++
+		}
+		// 5 calls ran, the second body did not, and the 5 late requests were not
+		// run again.
+		if len(f.ops) != 11 || counts[problem.Ran] < 5 || counts[problem.NotRun] != 1 {
+			out = append(out, fmt.Sprintf("outcomes %v of %d requests", counts, len(f.ops)))
+		}
+		return out
+	}
+	for seed := range uint64(20) {
+		cell, _, err := faultmatrix.Replay(s, seed, "")
+		if err != nil || len(cell.Violations) > 0 {
+			t.Errorf("seed %d: %v %v", seed, cell.Violations, err)
+		}
+	}
+}
+
+// TestTeeth turns one mechanism off at a time.
+func TestTeeth(t *testing.T) {
+	t.Parallel()
+	for name, v := range map[string]variant{
+		"memory of runs":      {off: writeonce.Switches{ForgetRuns: true}},
+		"read-back of claims": {off: writeonce.Switches{NoReadBack: true}},
+		"first claim wins":    {off: writeonce.Switches{LastClaimWins: true}},
+		"incarnation check":   {off: writeonce.Switches{AnyIncarnation: true}},
+		"refuse for ever":     {off: writeonce.Switches{ForgetRefusals: true}},
+		"window":              {off: writeonce.Switches{NoWindow: true}},
+		"body digest":         {off: writeonce.Switches{NoDigest: true}},
+		"coverage of claims":  {off: writeonce.Switches{NoCoverage: true}, logRestarts: true},
+		"outcome of the key":  {claimOnlyTry: true},
+	} {
+		t.Run(name, func(t *testing.T) { faultmatrix.MustFail(t, scenario(v)) })
+	}
+}
--- a/pkg/writeonce/problems.go
+++ b/pkg/writeonce/problems.go
@@ -65,9 +65,15 @@
 		WithOutcome(problem.NotRun).WithRetryAfter(Window)
 }
 
-// ClockAhead refuses a dated key whose claim the log took before the time in
+// logDown is about this agent: it does not run the key for this try.
+func logDown() *problem.Error {
+	return problem.New(problem.LogUnavailable, "come back later, or use a permit",
+		"the log service does not take claims").WithOutcome(problem.NotRun).WithRetryAfter(logRetryAfter)
+}
+
+// clockAhead refuses a dated key whose claim the log took before the time in
 // the key.
-func ClockAhead(k Key) *problem.Error {
+func clockAhead(k Key) *problem.Error {
 	return problem.New(problem.BadRequest, "set the clock of the caller, or use a permit",
 		"key %s was made more than %v ahead of the log's clock", k, MaxClockLead).WithOutcome(problem.NotRun)
 }
