--- a/pkg/agent/claims.go
+++ b/pkg/agent/claims.go
@@ -108,7 +108,7 @@
 	if err != nil {
 		return err
 	}
-	if p.observe(page) {
+	if p.observe(from, page) {
 		p.writes.scope.Counter("claims_stream_lost").Inc(1)
 		p.writes.log.Warn("claim stream lost records; keys made before are refused", zap.String("stream", p.stream))
 	}
@@ -121,8 +121,8 @@
 	return nil
 }
 
-func (p *partition) observe(page logservice.Page) (lost bool) {
-	in := writeonce.Page{First: page.First, Next: page.Next, Records: make([]writeonce.Record, len(page.Records))}
+func (p *partition) observe(from int64, page logservice.Page) (lost bool) {
+	in := writeonce.Page{From: from, First: page.First, Next: page.Next, Records: make([]writeonce.Record, len(page.Records))}
 	for i, r := range page.Records {
 		p.writes.scope.Counter("claim_bytes_read").Inc(int64(len(r.Data)))
 		in.Records[i] = writeonce.Record{Offset: r.Offset, Time: time.UnixMilli(r.TimeMS), Data: r.Data}
--- a/pkg/writeonce/claims.go
+++ b/pkg/writeonce/claims.go
@@ -32,9 +32,11 @@
 	Data   []byte
 }
 
-// Page is a run of records of a claim stream. First is the offset of the
-// oldest record held and Next the offset of the next append.
+// Page is a run of records of a claim stream that was read from the offset
+// From. First is the offset of the oldest record held and Next the offset of
+// the next append.
 type Page struct {
+	From        int64
 	First, Next int64
 	Records     []Record
 }
@@ -92,9 +94,13 @@
 // Behind reports whether the log shows less than has been read before.
 func (c *Claims) Behind() bool { return c.behind }
 
-// Observe takes a page that was read from From(). It reports whether the
-// stream lost records or was started again since the last page.
+// Observe takes a page that was read from From(), and ignores any other. It
+// reports whether the stream lost records or was started again since the last
+// page.
 func (c *Claims) Observe(p Page) (lost bool) {
+	if p.From != c.From() {
+		return false
+	}
 	if c.last == nil {
 		c.applyAll(p.Records)
 		return false
--- a/pkg/writeonce/ledger.go
+++ b/pkg/writeonce/ledger.go
@@ -159,7 +159,7 @@
 	switch {
 	case decided && o.agent != l.self:
 		return l.elsewhere(w, o)
-	case !l.claims.Covered(w.Key) && l.claims.Open():
+	case !l.claims.Covered(w.Key) && (decided || l.claims.Open()):
 		return reply(notCovered(w.Key))
 	case decided && isRefused:
 		return reply(refusedForEver(w.Key))
