--- a/cmd/fescuehub/scenario_commands_test.go
+++ b/cmd/fescuehub/scenario_commands_test.go
@@ -4,21 +4,25 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
+	"os/exec"
 	"strconv"
 	"strings"
 	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rogpeppe/go-internal/testscript"
 )
 
-// site [entries=N] [engines=N] [services=N] [linger=S] [shutdown=S] [bare] [relays]
+// site [entries=N] [engines=N] [services=N] [linger=S] [shutdown=S] [bare] [relays] [split]
 //
 // Writes the settings of a deployment, starts its processes (not with bare)
 // and sets LOG, LIST, ENTRY1, ENTRY1_OP, ENGINE1, AGENT_ENGINE1, SERVICE1 and
-// so on. With relays, agents are reached through relays that cut breaks.
+// so on. With relays, agents are reached through relays that cut breaks; with split,
+// every second service is in the pool services-2.
 func cmdSite(ts *testscript.TestScript, _ bool, args []string) {
 	size := siteSize{entries: 1, linger: 1, shutdown: 30}
 	numbers := map[string]*int{
@@ -32,6 +36,8 @@
 			size.bare = true
 		case name == "relays":
 			size.relays = true
+		case name == "split":
+			size.split = true
 		case numbers[name] != nil:
 			n, err := strconv.Atoi(value)
 			ts.Check(err)
@@ -77,6 +83,16 @@
 	}
 }
 
+// fails CODE ARGUMENTS...: runs fescuehub and asserts its exit code; stderr and
+// stdout then match its output.
+func cmdFails(ts *testscript.TestScript, _ bool, args []string) {
+	err := ts.Exec("fescuehub", args[1:]...)
+	var exit *exec.ExitError
+	if !errors.As(err, &exit) || strconv.Itoa(exit.ExitCode()) != args[0] {
+		ts.Fatalf("fescuehub ended with %v, not %s", err, args[0])
+	}
+}
+
 // fault URL JSON: replaces the faults of a stand-in.
 func cmdFault(ts *testscript.TestScript, _ bool, args []string) {
 	status, body, _, err := request(http.MethodPut, args[0]+"/faults", nil, strings.Join(args[1:], " "))
@@ -99,7 +115,7 @@
 		}
 		time.Sleep(awaitPause)
 	}
-	ts.Fatalf("await: %s still answers %q", args[0], last)
+	ts.Fatalf("await: %s still answers %.1500q", args[0], last)
 }
 
 // call [&NAME] METHOD URL [HEADER:VALUE ...] [BODY]: sends a request and
@@ -147,6 +163,20 @@
 	ts.Check(res.Body.Close())
 }
 
+// raw ADDRESS TEXT: sends the text, with \r\n for line ends, keeps the
+// connection open, and prints what comes back to call.out.
+func cmdRaw(ts *testscript.TestScript, _ bool, args []string) {
+	conn, err := net.Dial("tcp", args[0])
+	ts.Check(err)
+	defer conn.Close()
+	ts.Check(conn.SetDeadline(time.Now().Add(awaitBound)))
+	_, err = io.WriteString(conn, strings.ReplaceAll(args[1], `\r\n`, "\r\n"))
+	ts.Check(err)
+	answer, err := io.ReadAll(conn)
+	ts.Check(err)
+	ts.Check(os.WriteFile(ts.MkAbs("call.out"), answer, 0o644))
+}
+
 // pendingCall is a call in the background.
 type pendingCall struct {
 	text string
--- a/cmd/fescuehub/scenario_writes_test.go
+++ b/cmd/fescuehub/scenario_writes_test.go
@@ -34,6 +34,26 @@
 	return id.String()
 }
 
+// writesready: awaits that the agent of every service can claim keys made now.
+func cmdWritesReady(ts *testscript.TestScript, _ bool, _ []string) {
+	for i := 1; ts.Getenv("SERVICE"+strconv.Itoa(i)) != ""; i++ {
+		cmdAwait(ts, false, []string{ts.Getenv("AGENT_SERVICE"+strconv.Itoa(i)) + "/v1/writes", `"ready":true`})
+	}
+}
+
+// truthful KEY: the outcome of the last call agrees with what the services
+// have executed under the key.
+func cmdTruthful(ts *testscript.TestScript, _ bool, args []string) {
+	answer := ts.ReadFile("call.out")
+	n := executionsOf(ts, args[0])
+	switch {
+	case n > 1, strings.Contains(answer, "outcome ran") && n != 1, strings.Contains(answer, "outcome not-run") && n != 0:
+		ts.Fatalf("key %s was executed %d times and the caller was told %s", args[0], n, answer)
+	case !strings.Contains(answer, "outcome "):
+		ts.Fatalf("no outcome: %s", answer)
+	}
+}
+
 // permit VAR ENTRY ROUTE [AGENT]: sets VAR to a permit for the route, of the
 // agent if one is named.
 func cmdPermit(ts *testscript.TestScript, _ bool, args []string) {
--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
@@ -38,6 +39,7 @@
 	attempts    *attempts
 	writes      *writes
 	started     time.Time
+	bound       bound
 
 	mu        sync.Mutex
 	links     map[*rpc.Conn]struct{}
@@ -52,20 +54,24 @@
 	started := time.Now()
 	incarnation := ident.NewIncarnation(s.Name)
 	scope := metrics.Scope.SubScope("agent")
-	return &Agent{
+	a := &Agent{
 		settings:    s,
 		log:         log,
 		metrics:     metrics,
 		scope:       scope,
 		incarnation: incarnation,
 		started:     started,
-		writes:      newWrites(incarnation, started, backend, log, scope, logClient),
 		life:        lifecycle.New(log, plan),
 		backend:     backend,
 		attempts:    newAttempts(started),
 		links:       make(map[*rpc.Conn]struct{}),
 		part:        agentlink.PoolPart{Offset: -1},
 	}
+	a.writes = newWrites(incarnation, started, backend, log, scope, logClient, slots{
+		begin: func() bool { return a.bound.begin(a.concurrency()) == nil },
+		end:   a.bound.end,
+	})
+	return a
 }
 
 // Incarnation returns the incarnation of the agent.
@@ -96,9 +102,11 @@
 		_ = control.Close()
 		return err
 	}
-	dataServer := httpserver.New(data, a.scope.SubScope("data"), a.dataHandler())
+	work, cutOff := context.WithCancelCause(context.Background())
+	defer cutOff(nil)
+	dataServer := httpserver.NewWithContext(work, data, a.scope.SubScope("data"), a.dataHandler())
 	operatorServer := httpserver.New(operator, a.scope.SubScope("operator"), a.operatorHandler())
-	controlServer := rpc.NewServer(control, a.controlMethods())
+	controlServer := rpc.NewServer(control, a.scope.SubScope("control"), a.controlMethods())
 
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
@@ -115,6 +123,7 @@
 		case <-a.life.Ended():
 		}
 		stop()
+		cutOff(lifecycle.CutError())
 		closing, cancel := context.WithTimeout(context.Background(), closeBound)
 		defer cancel()
 		_ = dataServer.Shutdown(closing)
@@ -124,7 +133,7 @@
 	a.log.Info("agent started", zap.String("incarnation", string(a.incarnation)), zap.String("pool", a.settings.Pool))
 	err = group.Wait()
 	a.log.Info("agent ended", zap.Error(err))
-	return err
+	return errors.CombineErrors(err, a.life.EndError())
 }
 
 // WritesReady reports whether dated keys made now can be claimed.
--- a/pkg/agent/serve.go
+++ b/pkg/agent/serve.go
@@ -8,6 +8,8 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/fescuehub/fescuehub/pkg/frame"
 	"github.com/fescuehub/fescuehub/pkg/peer/agentlink"
 	"github.com/fescuehub/fescuehub/pkg/peer/engine"
@@ -37,6 +39,7 @@
 		return
 	}
 	defer a.life.Done()
+	defer a.bound.end()
 	a.scope.Counter("attempts_started").Inc(1)
 	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(request.DeadlineMS)*time.Millisecond)
 	defer cancel()
@@ -107,7 +110,14 @@
 	if err := a.checkAttempt(request); err != nil {
 		return err
 	}
-	return a.life.Begin()
+	if err := a.life.Begin(); err != nil {
+		return err
+	}
+	if err := a.bound.begin(a.concurrency()); err != nil {
+		a.life.Done()
+		return err
+	}
+	return nil
 }
 
 // run sends the attempt to the backend server and its answer to the entry.
@@ -169,7 +179,12 @@
 		"the backend server broke its answer off: %v", cause).WithOutcome(problem.NotKnown)
 }
 
+// deadlineOr replaces err by the reason why ctx has ended, if it has.
 func deadlineOr(ctx context.Context, err error) error {
+	var cut *problem.Error
+	if errors.As(context.Cause(ctx), &cut) {
+		return cut
+	}
 	if ctx.Err() == context.DeadlineExceeded {
 		return problem.New(problem.DeadlineExceeded, "send the request again with more time",
 			"the backend server did not finish within the deadline").WithOutcome(problem.NotKnown)
--- a/pkg/agent/writes.go
+++ b/pkg/agent/writes.go
@@ -44,6 +44,7 @@
 	log     *zap.Logger
 	scope   tally.Scope
 	client  *logservice.Client
+	slots   slots
 	started time.Time
 	limit   *rate.Limiter
 	serial  atomic.Uint64
@@ -57,12 +58,18 @@
 	routes map[string]*partitions
 }
 
+// slots bound the executions at the backend server.
+type slots struct {
+	begin func() bool
+	end   func()
+}
+
 // partitions are the ledgers of the permits, or of the dated keys of a route.
 type partitions [writeonce.Partitions]*partition
 
-func newWrites(self ident.Incarnation, started time.Time, backend Backend, log *zap.Logger, scope tally.Scope, client *logservice.Client) *writes {
+func newWrites(self ident.Incarnation, started time.Time, backend Backend, log *zap.Logger, scope tally.Scope, client *logservice.Client, s slots) *writes {
 	w := &writes{
-		self: self, backend: backend, log: log, scope: scope, client: client, started: started,
+		self: self, backend: backend, log: log, scope: scope, client: client, slots: s, started: started,
 		limit: rate.NewLimiter(claimAppendsPerSecond, claimAppendsPerSecond),
 		ended: make(chan struct{}), routes: make(map[string]*partitions),
 	}
@@ -219,8 +226,7 @@
 		case <-claimTimer.C:
 			t.giveUpClaim()
 		case <-ctx.Done():
-			t.result.err = problem.New(problem.DeadlineExceeded, "send the same call again under the same key",
-				"key %s has no answer yet", key).WithOutcome(problem.NotKnown)
+			t.result.err = problem.Of(deadlineOr(ctx, ctx.Err()))
 			return t.result
 		}
 	}
@@ -245,9 +251,13 @@
 		t.result.answer = t.exec.answer
 		return nil, true
 	}
-	t.once.Write.Full = t.writes.keys.Load() >= maxKeys
+	slot := t.writes.slots.begin()
+	t.once.Write.Full = !slot || t.writes.keys.Load() >= maxKeys
 	var d writeonce.Decision
 	t.p.counted(func() { d = t.p.ledger.Step(t.writes.elapsed(), t.once) })
+	if slot && d.Action != writeonce.Run {
+		t.writes.slots.end()
+	}
 	switch d.Action {
 	case writeonce.Run:
 		t.exec = &execution{done: make(chan struct{})}
@@ -282,6 +292,7 @@
 	defer cancel()
 	w.scope.Counter("writes_run").Inc(1)
 	answer, err := w.send(ctx, request, body)
+	w.slots.end()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.running, key.String())
--- a/pkg/entry/writes.go
+++ b/pkg/entry/writes.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -21,6 +22,9 @@
 // key. A refusal then speaks for the key, not only for this request.
 const FirstTryHeader = "Fescue-First-Try"
 
+// maxRenewals bounds the keys that an entry makes for one call.
+const maxRenewals = 2
+
 // refuseTimeout bounds the question whether an agent refuses a key.
 const refuseTimeout = 500 * time.Millisecond
 
@@ -58,16 +62,16 @@
 
 // forwardWrite tries agents until one gives the answer of the call or no
 // further try is allowed.
-func (e *Entry) forwardWrite(ctx context.Context, x *exchange) error {
+func (e *Entry) forwardWrite(ctx context.Context, x *exchange, g *gate) error {
 	var tried []string
+	x.call.Begin()
 	for {
 		replica, err := e.chooseWriter(ctx, x, tried)
 		if err != nil {
 			return e.settle(ctx, x, problem.Of(err))
 		}
 		tried = append(tried, replica.Name)
-		err = e.attemptAt(ctx, x, replica)
-		if err == nil {
+		if err = e.attemptAt(ctx, x, replica); err == nil {
 			return nil
 		}
 		p := problem.Of(err)
@@ -79,14 +83,17 @@
 			e.scope.Counter("write_retries").Inc(1)
 			continue
 		}
-		return e.settle(ctx, x, p)
+		if x.call.Unsent(p) && p.Kind == problem.Overloaded {
+			return g.final(p)
+		}
+		return g.final(e.settle(ctx, x, p))
 	}
 }
 
 // renewKey lets a call without a key of its caller go on under another key,
 // where its first one was certainly not run.
 func (e *Entry) renewKey(x *exchange, p *problem.Error) bool {
-	if p.Outcome != problem.NotRun || len(x.call.Doubt()) > 0 || p.Kind == problem.KeyReused || x.renewals >= maxTries {
+	if p.Outcome != problem.NotRun || len(x.call.Doubt()) > 0 || p.Kind == problem.KeyReused || x.renewals >= maxRenewals {
 		return false
 	}
 	key, err := writeonce.ParseKey(ident.NewKey())
@@ -126,21 +133,27 @@
 // replicaOf finds an agent by its incarnation, in any pool. A leaving one, and
 // one of the pool that the route led to before, still answers for its keys.
 func (e *Entry) replicaOf(x *exchange, agent ident.Incarnation) (routing.Replica, error) {
-	if r, ok := e.replicas.find(agent); ok {
-		return r, nil
+	replica, dead, ok := e.replicas.find(agent)
+	if !ok {
+		return replica, x.call.Unreachable(dead)
 	}
-	return routing.Replica{}, x.call.Unreachable()
+	return replica, nil
 }
 
-func (rs *replicas) find(agent ident.Incarnation) (routing.Replica, bool) {
+// find returns the connected agent with the incarnation. dead is true where
+// its instance runs another incarnation now.
+func (rs *replicas) find(agent ident.Incarnation) (replica routing.Replica, dead, ok bool) {
+	name, _, _ := strings.Cut(string(agent), "@")
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
-	for name, r := range rs.byKey {
-		if r.status.Incarnation == agent && r.conn != nil {
-			return routing.Replica{Name: name, Incarnation: agent}, true
-		}
+	r, ok := rs.byKey[name]
+	if !ok || r.conn == nil {
+		return routing.Replica{}, false, false
+	}
+	if r.status.Incarnation != agent {
+		return routing.Replica{}, true, false
 	}
-	return routing.Replica{}, false
+	return routing.Replica{Name: name, Incarnation: agent}, false, true
 }
 
 // claimant selects the agent that claims the key: the same at every entry that
--- a/pkg/writeonce/call.go
+++ b/pkg/writeonce/call.go
@@ -32,6 +32,15 @@
 	return &Call{Key: key, OnlyTry: onlyTry, target: key.owner}
 }
 
+// Begin starts a round of tries.
+func (c *Call) Begin() { c.sends, c.follows = 0, 0 }
+
+// Unsent reports whether, after a try that failed with p, certainly no agent
+// holds the call.
+func (c *Call) Unsent(p *problem.Error) bool {
+	return p.Outcome == problem.NotRun && !c.unsure && len(c.doubt) == 0
+}
+
 // Target returns the agent that the next try must go to, or empty where any
 // agent of the key's pool may take it.
 func (c *Call) Target() ident.Incarnation { return c.target }
@@ -72,13 +81,14 @@
 	}
 }
 
-// Unreachable returns what a caller is told where the target cannot be asked.
-func (c *Call) Unreachable() *problem.Error {
-	p := problem.New(problem.BackendUnreachable, sameKey, "agent %s, which the key belongs to, cannot be reached", c.target)
-	if c.unsure || len(c.doubt) > 0 {
-		return p.WithOutcome(problem.NotKnown).WithRetryAfter(retryPause)
+// Unreachable returns the failure of a try whose target cannot be asked. dead
+// is true where the target's process is known to have been replaced.
+func (c *Call) Unreachable(dead bool) *problem.Error {
+	if dead {
+		return wrongIncarnation(c.Key, c.target)
 	}
-	return p.WithOutcome(problem.NotRun).WithRetryAfter(retryPause)
+	return problem.New(problem.BackendUnreachable, sameKey, "agent %s, which the key belongs to, cannot be reached", c.target).
+		WithOutcome(problem.NotKnown).WithRetryAfter(retryPause)
 }
 
 // Settle returns what the caller is told: the outcome of the key, not only of
--- a/pkg/writeonce/callers_test.go
+++ b/pkg/writeonce/callers_test.go
@@ -134,7 +134,7 @@
 		}
 		f.asked = ""
 		if target := f.call.Target(); target != "" && target != m.Agent && !e.f.off.AnyIncarnation {
-			e.settle(ctx, f, f.call.Unreachable())
+			e.settle(ctx, f, f.call.Unreachable(true))
 			continue
 		}
 		if f.keyless && f.call.Target() == "" {
@@ -179,7 +179,7 @@
 		f.tried = append(f.tried, f.asked)
 		f.asked = ""
 		if f.call.Target() != "" {
-			e.settle(ctx, f, f.call.Unreachable())
+			e.settle(ctx, f, f.call.Unreachable(false))
 			continue
 		}
 		e.failed(ctx, f, problem.New(problem.BackendUnreachable, "", "").WithOutcome(problem.NotRun), "")
--- a/pkg/writeonce/ledger.go
+++ b/pkg/writeonce/ledger.go
@@ -30,7 +30,7 @@
 	Digest Digest
 	// Accepting is false where the agent takes no new work.
 	Accepting bool
-	// Full is true where the agent remembers as many keys as it may.
+	// Full is true where the agent remembers or runs as much as it may.
 	Full bool
 }
 
@@ -107,7 +107,7 @@
 // Open decides about a try. elapsed is the time since the agent started.
 func (l *Ledger) Open(elapsed time.Duration, w Write) Decision {
 	if w.Key.IsPermit() && w.Key.owner != l.self && !l.faults.AnyIncarnation {
-		return reply(wrongIncarnation(w.Key))
+		return reply(wrongIncarnation(w.Key, w.Key.owner))
 	}
 	m, known := l.keys[w.Key.text]
 	if known && m.phase != refused && m.digest != w.Digest && !l.faults.NoDigest {
@@ -171,6 +171,8 @@
 		return reply(l.expired(w.Key))
 	case !w.Accepting && !isRefused:
 		return reply(draining())
+	case w.Full && !isRefused:
+		return reply(overloaded())
 	}
 	return Decision{Action: MakeClaim}
 }
--- a/pkg/writeonce/problems.go
+++ b/pkg/writeonce/problems.go
@@ -15,9 +15,9 @@
 	coverageGap = MaxClockLead + time.Second
 )
 
-func wrongIncarnation(k Key) *problem.Error {
+func wrongIncarnation(k Key, owner ident.Incarnation) *problem.Error {
 	return problem.New(problem.WrongIncarnation, lookUp,
-		"the permit was issued by %s, which no longer runs", k.owner).WithOutcome(problem.NotKnown)
+		"key %s belongs to %s, which no longer runs", k, owner).WithOutcome(problem.NotKnown)
 }
 
 func keyReused(k Key) *problem.Error {
@@ -61,8 +61,8 @@
 }
 
 func overloaded() *problem.Error {
-	return problem.New(problem.Overloaded, "come back later", "this agent remembers as many keys as it may").
-		WithOutcome(problem.NotRun).WithRetryAfter(Window)
+	return problem.New(problem.Overloaded, "come back later", "this agent remembers or runs as many calls as it may").
+		WithOutcome(problem.NotRun)
 }
 
 // logDown is about this agent: it does not run the key for this try.
