--- a/cmd/fescuehub/scenario_site_test.go
+++ b/cmd/fescuehub/scenario_site_test.go
@@ -42,6 +42,7 @@
 	procs       map[string]*process
 	relays      map[string]*relay
 	calls       map[string]*pendingCall
+	storm       *storm
 }
 
 // process is one process of the deployment.
--- a/cmd/fescuehub/scenario_test.go
+++ b/cmd/fescuehub/scenario_test.go
@@ -37,6 +37,8 @@
 			"executions":  cmdExecutions,
 			"truthful":    cmdTruthful,
 			"writesready": cmdWritesReady,
+			"storm":       cmdStorm,
+			"calm":        cmdCalm,
 		},
 	})
 }
