--- a/pkg/answer/matrix_test.go
+++ b/pkg/answer/matrix_test.go
@@ -240,6 +240,7 @@
 	callers := []string{"a", "b"}
 	return faultmatrix.Scenario{
 		Protocol:     "model request",
+		Parallel:     true,
 		Inapplicable: []faultmatrix.Fault{faultmatrix.LogDown, faultmatrix.LogSlow, faultmatrix.ListLagging, faultmatrix.LeaseLapsed, faultmatrix.OperatorRaces},
 		Build: func(w *faultmatrix.World) {
 			f := &facts{got: map[string]string{}, whole: map[string]bool{}, err: map[string]string{}}
--- a/pkg/drain/matrix_test.go
+++ b/pkg/drain/matrix_test.go
@@ -177,6 +177,7 @@
 	}
 	return faultmatrix.Scenario{
 		Protocol:     "shutdown of an entry",
+		Parallel:     true,
 		Inapplicable: []faultmatrix.Fault{faultmatrix.LogDown, faultmatrix.LogSlow, faultmatrix.ListLagging, faultmatrix.LeaseLapsed, faultmatrix.OperatorRaces},
 		Build: func(w *faultmatrix.World) {
 			f := &facts{begun: map[int]bool{}, answered: map[int]bool{}}
