--- a/cmd/fescuehub/scenario_commands_test.go
+++ b/cmd/fescuehub/scenario_commands_test.go
@@ -17,12 +17,13 @@
 	"github.com/rogpeppe/go-internal/testscript"
 )
 
-// site [entries=N] [engines=N] [services=N] [linger=S] [shutdown=S] [bare] [relays] [split]
+// site [entries=N] [engines=N] [services=N] [linger=S] [shutdown=S] [bare] [relays] [group] [split]
 //
 // Writes the settings of a deployment, starts its processes (not with bare)
 // and sets LOG, LIST, ENTRY1, ENTRY1_OP, ENGINE1, AGENT_ENGINE1, SERVICE1 and
-// so on. With relays, agents are reached through relays that cut breaks; with split,
-// every second service is in the pool services-2.
+// so on. With relays, agents are reached through relays that cut breaks. With
+// group, the engines are the ranks of one group that check no
+// fencing. With split, every second service is in the pool services-2.
 func cmdSite(ts *testscript.TestScript, _ bool, args []string) {
 	size := siteSize{entries: 1, linger: 1, shutdown: 30}
 	numbers := map[string]*int{
@@ -34,6 +35,8 @@
 		switch {
 		case name == "bare":
 			size.bare = true
+		case name == "group":
+			size.group = true
 		case name == "relays":
 			size.relays = true
 		case name == "split":
--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -39,6 +39,7 @@
 	attempts    *attempts
 	writes      *writes
 	started     time.Time
+	maps        *expertMaps
 	bound       bound
 
 	mu        sync.Mutex
@@ -64,6 +65,7 @@
 		life:        lifecycle.New(log, plan),
 		backend:     backend,
 		attempts:    newAttempts(started),
+		maps:        newExpertMaps(s, log, scope),
 		links:       make(map[*rpc.Conn]struct{}),
 		part:        agentlink.PoolPart{Offset: -1},
 	}
@@ -117,6 +119,7 @@
 	group.Go(func() error { return a.watchBackend(ctx) })
 	group.Go(func() error { return a.writes.run(ctx) })
 	group.Go(func() error { return a.forgetAttempts(ctx) })
+	group.Go(func() error { return a.maps.run(ctx) })
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
--- a/pkg/writeonce/matrix_test.go
+++ b/pkg/writeonce/matrix_test.go
@@ -64,6 +64,7 @@
 func scenario(v variant) faultmatrix.Scenario {
 	return faultmatrix.Scenario{
 		Protocol:     "write",
+		Parallel:     true,
 		Inapplicable: []faultmatrix.Fault{faultmatrix.ListLagging, faultmatrix.LeaseLapsed, faultmatrix.OperatorRaces},
 		Build:        func(w *faultmatrix.World) { build(w, v) },
 		Check:        check,
