--- a/pkg/entry/admission.go
+++ b/pkg/entry/admission.go
@@ -9,7 +9,6 @@
 
 	"github.com/fescuehub/fescuehub/pkg/flowcontrol"
 	"github.com/fescuehub/fescuehub/pkg/peer/instancelist"
-	"github.com/fescuehub/fescuehub/pkg/peer/plainservice"
 	"github.com/fescuehub/fescuehub/pkg/problem"
 	"github.com/fescuehub/fescuehub/pkg/tables"
 )
@@ -185,10 +184,10 @@
 }
 
 // unsentOutcome is the outcome of a request that this entry never sent. Where
-// the caller brought its own idempotency key, an earlier try under the same
-// key may have run.
+// the caller may have sent another request under the same idempotency key, that
+// one may have run.
 func unsentOutcome(x *exchange) problem.Outcome {
-	if x.key != "" && x.header.Get(plainservice.KeyHeader) != "" {
+	if x.call != nil && !x.call.OnlyTry {
 		return problem.NotKnown
 	}
 	return problem.NotRun
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -47,6 +47,7 @@
 	follower    *configuration.Follower
 	members     *members
 	replicas    *replicas
+	permits     *permits
 	attempts    *agentlink.Client
 	selector    routing.Selector
 	planners    *planners
@@ -77,6 +78,7 @@
 		follower:    configuration.NewFollower(log, logClient, store),
 		members:     newMembers(log, instances, replicas),
 		replicas:    replicas,
+		permits:     newPermits(replicas),
 		attempts:    agentlink.NewClient(),
 		selector:    selector,
 		admission:   newAdmission(scope.SubScope("pool")),
@@ -115,6 +117,7 @@
 	group.Go(func() error { return e.follower.Run(ctx) })
 	group.Go(func() error { return e.members.run(ctx) })
 	group.Go(func() error { return e.replicas.run(ctx) })
+	group.Go(func() error { return e.openClaims(ctx) })
 	group.Go(func() error { return e.planners.run(ctx) })
 	group.Go(func() error { return e.runAdmission(ctx) })
 	group.Go(func() error {
--- a/pkg/entry/exchange.go
+++ b/pkg/entry/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/fescuehub/fescuehub/pkg/ident"
 	"github.com/fescuehub/fescuehub/pkg/problem"
 	"github.com/fescuehub/fescuehub/pkg/tables"
+	"github.com/fescuehub/fescuehub/pkg/writeonce"
 )
 
 // exchange is one request of a caller and the state of its answer.
@@ -27,8 +28,12 @@
 	stream bool
 	// idempotent requests may be sent again after an unknown outcome.
 	idempotent bool
-	// key is set on unrepeatable calls.
-	key string
+	// call is set on unrepeatable calls. keyless ones came without a key.
+	call     *writeonce.Call
+	keyless  bool
+	renewals int
+	// owner is the agent that the last failure named as owner of the key.
+	owner ident.Incarnation
 	// adapter and prefixHash describe a model request to routing.
 	adapter    string
 	prefixHash uint64
@@ -40,6 +45,14 @@
 	out        *answerWriter
 }
 
+// keyText returns the idempotency key, or empty for a call without one.
+func (x *exchange) keyText() string {
+	if x.call == nil {
+		return ""
+	}
+	return x.call.Key.String()
+}
+
 // answerTo prepares the answer of the exchange.
 func (x *exchange) answerTo(w http.ResponseWriter) {
 	x.answer = answer.New(x.stream, heldAnswerBytes)
--- a/pkg/entry/retry.go
+++ b/pkg/entry/retry.go
@@ -12,6 +12,9 @@
 // forward tries replicas until one gives a whole answer or no further try is
 // allowed.
 func (e *Entry) forward(ctx context.Context, x *exchange, g *gate) error {
+	if x.call != nil {
+		return e.forwardWrite(ctx, x, g)
+	}
 	var tried []string
 	var last error
 	g.first()
--- a/pkg/faultmatrix/matrix.go
+++ b/pkg/faultmatrix/matrix.go
@@ -31,6 +31,8 @@
 	Seeds []uint64
 	// Pairs is the number of random pairs of faults tried with each seed.
 	Pairs int
+	// StopAtFirst ends the matrix at the first run with a violation.
+	StopAtFirst bool
 }
 
 // Cell is one run.
@@ -70,13 +72,16 @@
 func Run(s Scenario, o Options) (Report, error) {
 	report := Report{Protocol: s.Protocol, counts: make(map[row]*count)}
 	for _, seed := range o.Seeds {
+		if o.StopAtFirst && len(report.Failed) > 0 {
+			return report, nil
+		}
 		steps, violations, err := runOnce(s, seed, nil, true)
 		if err != nil {
 			return report, err
 		}
 		report.add(Cell{Seed: seed, Step: "none", Violations: violations}, "none")
 		cells := append(singles(s, seed, steps), pairs(s, seed, steps, o.Pairs)...)
-		if err := report.runCells(s, cells); err != nil {
+		if err := report.runCells(s, cells, o.StopAtFirst); err != nil {
 			return report, err
 		}
 	}
@@ -112,8 +117,24 @@
 	return cells
 }
 
-// runCells runs the cells and adds them to the report in their order.
-func (r *Report) runCells(s Scenario, cells []Cell) error {
+// stopChunk is how many cells run between two looks for a violation.
+const stopChunk = 64
+
+// runCells runs the cells and adds them to the report in their order, until
+// the first violation if stopAtFirst is true.
+func (r *Report) runCells(s Scenario, cells []Cell, stopAtFirst bool) error {
+	for chunk := range slices.Chunk(cells, stopChunk) {
+		if stopAtFirst && len(r.Failed) > 0 {
+			return nil
+		}
+		if err := r.runChunk(s, chunk); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *Report) runChunk(s Scenario, cells []Cell) error {
 	var group errgroup.Group
 	group.SetLimit(1)
 	if s.Parallel {
