--- a/cmd/fescuehub/scenario_commands_test.go
+++ b/cmd/fescuehub/scenario_commands_test.go
@@ -17,12 +17,13 @@
 	"github.com/rogpeppe/go-internal/testscript"
 )
 
-// site [entries=N] [engines=N] [services=N] [linger=S] [shutdown=S] [bare] [relays] [group]
+// site [entries=N] [engines=N] [services=N] [linger=S] [shutdown=S] [bare] [relays] [group] [split]
 //
 // Writes the settings of a deployment, starts its processes (not with bare)
 // and sets LOG, LIST, ENTRY1, ENTRY1_OP, ENGINE1, AGENT_ENGINE1, SERVICE1 and
 // so on. With relays, agents are reached through relays that cut breaks. With
-// group, the engines are the ranks of one group that check no fencing.
+// group, the engines are the ranks of one group that check no
+// fencing. With split, every second service is in the pool services-2.
 func cmdSite(ts *testscript.TestScript, _ bool, args []string) {
 	size := siteSize{entries: 1, linger: 1, shutdown: 30}
 	numbers := map[string]*int{
@@ -38,6 +39,8 @@
 			size.group = true
 		case name == "relays":
 			size.relays = true
+		case name == "split":
+			size.split = true
 		case numbers[name] != nil:
 			n, err := strconv.Atoi(value)
 			ts.Check(err)
@@ -242,5 +245,9 @@
 	}
 	defer res.Body.Close()
 	data, err := io.ReadAll(res.Body)
-	return res.StatusCode, string(data), res.Header.Get("Fescue-Outcome"), err
+	outcome := res.Header.Get("Fescue-Outcome")
+	if key := res.Header.Get("Idempotency-Key"); key != "" {
+		outcome += " key " + key
+	}
+	return res.StatusCode, string(data), outcome, err
 }
