Take the scenarios' ports from below those of outgoing connections

Cause: a port that was free when the settings were written was given to an outgoing connection before its process started ("bind: address already in use" in an agent's log; 2 of 13 runs of the maps scenarios, three at a time with the race detector). Ruled out: a fault of the agents, whose logs end with that line.

--- a/cmd/fescuehub/scenario_site_test.go
+++ b/cmd/fescuehub/scenario_site_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"io"
 	"net"
 	"os"
@@ -271,19 +272,27 @@
 	addressMu.Lock()
 	defer addressMu.Unlock()
 	for {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))
+		if usedAddress[address] {
+			continue
+		}
+		l, err := net.Listen("tcp", address)
 		if err != nil {
-			panic(err)
+			continue
 		}
-		address := l.Addr().String()
 		_ = l.Close()
-		if !usedAddress[address] {
-			usedAddress[address] = true
-			return address
-		}
+		usedAddress[address] = true
+		return address
 	}
 }
 
+// Ports of the deployments. They lie below those that the kernel gives to
+// outgoing connections, which would take them before their process starts.
+const (
+	firstPort = 10_240
+	ports     = 32_768 - firstPort
+)
+
 // relay passes connections on until it is cut.
 type relay struct {
 	listener net.Listener
