--- a/cmd/fescuehub/scenario_site_test.go
+++ b/cmd/fescuehub/scenario_site_test.go
@@ -3,8 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
 	"io"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
