--- a/pkg/routing/leastinflight.go
+++ b/pkg/routing/leastinflight.go
@@ -20,5 +20,5 @@
 			best = c
 		}
 	}
-	return best, true
+	return *best, true
 }
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -1,9 +1,12 @@
-// Package routing chooses the replica of a pool that serves a request. It has
-// no clock, socket or random source of its own: the caller passes the time, a
-// snapshot of the replicas and a random number.
+// Package routing chooses the replica of a pool that serves a request: filters
+// take candidates out, scorers give each a cost in milliseconds of expected
+// time to the first token, and a picker chooses. It has no clock, socket or
+// random source of its own: the caller passes the time, a snapshot of the
+// replicas and a random number.
 package routing
 
 import (
+	"slices"
 	"time"
 
 	"github.com/fescuehub/fescuehub/pkg/ident"
@@ -30,12 +33,19 @@
 	// Load was reported at LoadAt; the zero time means never.
 	Load   Load
 	LoadAt time.Time
+	// InFlightAtLoad is what InFlight was at LoadAt.
+	InFlightAtLoad int
+	// RTT is the round-trip time between the entry and the replica, 0 if
+	// unknown.
+	RTT time.Duration
 	// Since is when the entry first saw this incarnation.
 	Since time.Time
 	// Leaving replicas take no new work.
 	Leaving bool
-	// Failures counts consecutive failures seen by this entry.
+	// Failures counts consecutive failures seen by this entry, the last one
+	// at FailedAt.
 	Failures int
+	FailedAt time.Time
 }
 
 // Request is what routing knows of a request.
@@ -57,21 +67,13 @@
 }
 
 // eligible returns the replicas that may take the request.
-func eligible(request Request, replicas []Replica) []Replica {
-	out := make([]Replica, 0, len(replicas))
-	for _, r := range replicas {
-		if !r.Leaving && !excluded(request, r.Name) {
+func eligible(request Request, replicas []Replica) []*Replica {
+	out := make([]*Replica, 0, len(replicas))
+	for i := range replicas {
+		r := &replicas[i]
+		if !r.Leaving && !slices.Contains(request.Exclude, r.Name) {
 			out = append(out, r)
 		}
 	}
 	return out
 }
-
-func excluded(request Request, name string) bool {
-	for _, n := range request.Exclude {
-		if n == name {
-			return true
-		}
-	}
-	return false
-}
