--- /dev/null
+++ b/pkg/membership/listing.go
@@ -0,0 +1,58 @@
+package membership
+
+import "time"
+
+const (
+	// shrunkShare is the share of the rows below which a reading counts as
+	// shrunk.
+	shrunkShare = 0.5
+	// ShrinkHold is how long a shrunk reading must last to be believed.
+	ShrinkHold = 10 * time.Minute
+)
+
+// Listing holds back removals from a list that has sharply shrunk or is
+// empty. It is for rows that the reader can't observe itself. It is not safe
+// for concurrent use.
+type Listing[R any] struct {
+	name        func(R) string
+	rows        []R
+	shrunkSince time.Time
+}
+
+// NewListing returns a listing of rows with the given names.
+func NewListing[R any](name func(R) string) *Listing[R] { return &Listing[R]{name: name} }
+
+// Take takes a reading and returns the rows in force: the reading, and while
+// it counts as shrunk also the earlier rows that it lacks.
+func (l *Listing[R]) Take(now time.Time, reading []R) []R {
+	if float64(len(reading)) >= shrunkShare*float64(len(l.rows)) {
+		l.shrunkSince = time.Time{}
+		l.rows = reading
+		return l.rows
+	}
+	if l.shrunkSince.IsZero() {
+		l.shrunkSince = now
+	}
+	if now.Sub(l.shrunkSince) >= ShrinkHold {
+		l.shrunkSince = time.Time{}
+		l.rows = reading
+		return l.rows
+	}
+	l.rows = l.merged(reading)
+	return l.rows
+}
+
+// merged returns the reading and the earlier rows that it lacks.
+func (l *Listing[R]) merged(reading []R) []R {
+	out := append([]R(nil), reading...)
+	have := make(map[string]bool, len(reading))
+	for _, r := range reading {
+		have[l.name(r)] = true
+	}
+	for _, r := range l.rows {
+		if !have[l.name(r)] {
+			out = append(out, r)
+		}
+	}
+	return out
+}
