--- a/cmd/fescuehub/scenario_commands_test.go
+++ b/cmd/fescuehub/scenario_commands_test.go
@@ -6,11 +6,13 @@
 	"io"
 	"net/http"
 	"os"
+	"os/exec"
 	"strconv"
 	"strings"
 	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rogpeppe/go-internal/testscript"
 )
 
@@ -77,6 +79,16 @@
 	}
 }
 
+// fails CODE ARGUMENTS...: runs fescuehub and asserts its exit code; stderr and
+// stdout then match its output.
+func cmdFails(ts *testscript.TestScript, _ bool, args []string) {
+	err := ts.Exec("fescuehub", args[1:]...)
+	var exit *exec.ExitError
+	if !errors.As(err, &exit) || strconv.Itoa(exit.ExitCode()) != args[0] {
+		ts.Fatalf("fescuehub ended with %v, not %s", err, args[0])
+	}
+}
+
 // fault URL JSON: replaces the faults of a stand-in.
 func cmdFault(ts *testscript.TestScript, _ bool, args []string) {
 	status, body, _, err := request(http.MethodPut, args[0]+"/faults", nil, strings.Join(args[1:], " "))
@@ -133,6 +145,20 @@
 	}()
 }
 
+// hangup METHOD URL BODY: sends a request, reads the first bytes of its answer
+// and breaks the connection.
+func cmdHangup(ts *testscript.TestScript, _ bool, args []string) {
+	ctx, cancel := context.WithTimeout(context.Background(), awaitBound)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, args[0], args[1], strings.NewReader(strings.Join(args[2:], " ")))
+	ts.Check(err)
+	res, err := http.DefaultClient.Do(req)
+	ts.Check(err)
+	_, err = io.ReadFull(res.Body, make([]byte, 1))
+	ts.Check(err)
+	ts.Check(res.Body.Close())
+}
+
 // pendingCall is a call in the background.
 type pendingCall struct {
 	text string
@@ -159,7 +185,7 @@
 	}
 	want := args[len(args)-1]
 	if strings.Contains(text, want) == neg {
-		ts.Fatalf("answer is %q", text)
+		ts.Fatalf("answer is %.1500q (%d bytes)", text, len(text))
 	}
 }
 
--- a/pkg/entry/serve.go
+++ b/pkg/entry/serve.go
@@ -22,16 +22,12 @@
 
 // serve runs an exchange to its final answer.
 func (e *Entry) serve(ctx context.Context, x *exchange) {
-	err := e.life.Begin()
-	if err == nil {
-		defer e.life.Done()
-		ctx, cancel := context.WithDeadline(ctx, x.deadline)
-		defer cancel()
-		err = e.admitAndForward(ctx, x)
-	}
+	ctx, cancel := context.WithDeadline(ctx, x.deadline)
+	defer cancel()
+	err := e.admitAndForward(ctx, x)
 	if err != nil {
 		e.countProblem(err)
-		x.out.fail(err)
+		x.out.fail(x.truthful(err))
 		return
 	}
 	e.scope.Counter("answers_whole").Inc(1)
@@ -51,6 +47,7 @@
 		if err == nil {
 			return nil
 		}
+		x.note(err)
 		if len(tried) >= maxTries || !mayRetry(ctx, x, err) {
 			return err
 		}
