Wire routing, membership and subsets into the entry

Cause: the entry dropped every agent that an empty or lagging list lacked, sent work to agents that had gone silent, and every status cost 300 bytes at any number of links.

Change: links follow the membership table; beats of 80 bytes at an interval that keeps an entry's links within 2000 bytes a second; load rides on the first and last frame of each answer; the list is read as changes since a revision; address answers are a decision of package routing.

--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -18,6 +18,7 @@
 	"github.com/fescuehub/fescuehub/pkg/ident"
 	"github.com/fescuehub/fescuehub/pkg/lifecycle"
 	"github.com/fescuehub/fescuehub/pkg/peer/agentlink"
+	"github.com/fescuehub/fescuehub/pkg/routing"
 	"github.com/fescuehub/fescuehub/pkg/rpc"
 	"github.com/fescuehub/fescuehub/pkg/settings"
 	"github.com/fescuehub/fescuehub/pkg/telemetry"
@@ -38,10 +39,10 @@
 	attempts    *attempts
 
 	mu        sync.Mutex
-	links     map[*rpc.Conn]struct{}
+	links     map[*rpc.Conn]*entryLink
 	part      agentlink.PoolPart
 	backendUp bool
-	load      loadReading
+	load      routing.Load
 }
 
 // New returns an agent that has opened nothing yet.
@@ -56,7 +57,7 @@
 		life:        lifecycle.New(log, plan),
 		backend:     backend,
 		attempts:    newAttempts(),
-		links:       make(map[*rpc.Conn]struct{}),
+		links:       make(map[*rpc.Conn]*entryLink),
 		part:        agentlink.PoolPart{Offset: -1},
 	}
 }
@@ -67,7 +68,7 @@
 // Drain begins to leave; a second call ends the agent at once.
 func (a *Agent) Drain() {
 	a.life.Drain()
-	a.broadcast()
+	a.sendStatus()
 }
 
 // Run serves until ctx ends or the drain has ended.
--- a/pkg/agent/control.go
+++ b/pkg/agent/control.go
@@ -19,20 +19,6 @@
 	}
 }
 
-// hello registers the entry's connection for statuses.
-func (a *Agent) hello(_ context.Context, peer *rpc.Conn, _ agentlink.Hello) (any, error) {
-	a.mu.Lock()
-	a.links[peer] = struct{}{}
-	a.mu.Unlock()
-	go func() {
-		<-peer.Done()
-		a.mu.Lock()
-		defer a.mu.Unlock()
-		delete(a.links, peer)
-	}()
-	return a.status(), nil
-}
-
 // configure takes the pool's part of the configuration. An older part than the
 // one in force is ignored.
 func (a *Agent) configure(_ context.Context, _ *rpc.Conn, part agentlink.PoolPart) (any, error) {
@@ -64,21 +50,7 @@
 		Pool:         a.settings.Pool,
 		Draining:     phase != drain.Serving,
 		BackendUp:    a.backendUp,
-		Load:         a.load.load,
+		Load:         a.load,
 		ConfigOffset: a.part.Offset,
 	}
 }
-
-// broadcast tells every connected entry the status.
-func (a *Agent) broadcast() {
-	status := a.status()
-	a.mu.Lock()
-	links := make([]*rpc.Conn, 0, len(a.links))
-	for l := range a.links {
-		links = append(links, l)
-	}
-	a.mu.Unlock()
-	for _, l := range links {
-		_ = l.Notify(context.Background(), agentlink.MethodStatus, status)
-	}
-}
--- a/pkg/agent/load.go
+++ b/pkg/agent/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"go.uber.org/zap"
@@ -9,20 +10,13 @@
 	"github.com/fescuehub/fescuehub/pkg/routing"
 )
 
-const (
-	// loadInterval is how often the backend server is asked for its load.
-	loadInterval = 200 * time.Millisecond
-	// heartbeatInterval is how often entries get a status without a change.
-	heartbeatInterval = time.Second
-)
-
-type loadReading struct {
-	load routing.Load
-	sent time.Time
-}
+// loadInterval is how often the backend server is asked for its load, and the
+// shortest interval of beats.
+const loadInterval = 200 * time.Millisecond
 
-// watchBackend reads the load of the backend server and tells entries of
-// changes until ctx ends.
+// watchBackend reads the load of the backend server and tells entries of it
+// until ctx ends: at once where the backend server comes or goes, and else at
+// the interval that each entry asked for.
 func (a *Agent) watchBackend(ctx context.Context) error {
 	ticker := time.NewTicker(loadInterval)
 	defer ticker.Stop()
@@ -41,26 +35,23 @@
 	if ctx.Err() != nil {
 		return
 	}
-	if a.storeLoad(load, err == nil, time.Now()) {
-		a.broadcast()
+	if a.storeLoad(load, err == nil) {
+		a.sendStatus()
 	}
+	a.sendBeats(time.Now())
 }
 
-// storeLoad keeps a reading and reports whether entries must be told.
-func (a *Agent) storeLoad(load routing.Load, up bool, now time.Time) bool {
+// storeLoad keeps a reading and reports whether the backend server has come or
+// gone.
+func (a *Agent) storeLoad(load routing.Load, up bool) bool {
+	load.StepMS = math.Round(load.StepMS*10) / 10
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	changed := up != a.backendUp
 	if changed {
 		a.log.Info("backend server state", zap.Bool("up", up))
 	}
-	due := now.Sub(a.load.sent) >= heartbeatInterval
-	moved := load != a.load.load
 	a.backendUp = up
-	a.load.load = load
-	if changed || due || moved {
-		a.load.sent = now
-		return true
-	}
-	return false
+	a.load = load
+	return changed
 }
--- a/pkg/agent/serve.go
+++ b/pkg/agent/serve.go
@@ -28,6 +28,7 @@
 		return
 	}
 	out := agentlink.NewFrameWriter(w, request.Attempt)
+	out.Load = a.frameLoad
 	if err := a.admit(request); err != nil {
 		a.scope.Counter("attempts_refused").Inc(1)
 		out.Fail(err)
--- /dev/null
+++ b/pkg/configuration/share.go
@@ -0,0 +1,21 @@
+package configuration
+
+// ShareOf returns the organisation's part of the shares of a route, the
+// largest over all routes that list it, 0 if none does.
+func (v *View) ShareOf(organisation string) float64 {
+	largest := 0.0
+	for _, r := range v.routes {
+		total, own := 0, 0
+		for _, o := range r.Organisations {
+			share := max(1, o.Share)
+			total += share
+			if o.Name == organisation {
+				own = share
+			}
+		}
+		if own > 0 {
+			largest = max(largest, float64(own)/float64(total))
+		}
+	}
+	return largest
+}
--- a/pkg/entry/addresses.go
+++ b/pkg/entry/addresses.go
@@ -2,24 +2,19 @@
 
 import (
 	"encoding/json"
+	"net"
 	"net/http"
-	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/fescuehub/fescuehub/pkg/drain"
 	"github.com/fescuehub/fescuehub/pkg/peer/instancelist"
 	"github.com/fescuehub/fescuehub/pkg/problem"
+	"github.com/fescuehub/fescuehub/pkg/routing"
 )
 
 // OrganisationHeader names the caller's organisation.
 const OrganisationHeader = "Fescue-Organisation"
 
-// addressesPerAnswer is the size of the subset of entries that one
-// organisation is spread over.
-const addressesPerAnswer = 3
-
 // Address is one entry that a caller may connect to.
 type Address struct {
 	Address       string `json:"address"`
@@ -35,7 +30,7 @@
 
 func (e *Entry) serveAddresses(w http.ResponseWriter, r *http.Request) {
 	answer := AddressAnswer{
-		Addresses:       e.addressesFor(r.Header.Get(OrganisationHeader)),
+		Addresses:       e.addressesFor(r),
 		LifetimeSeconds: e.settings.AddressLifetimeSeconds,
 	}
 	if len(answer.Addresses) == 0 {
@@ -47,31 +42,28 @@
 	_ = json.NewEncoder(w).Encode(answer)
 }
 
-// addressesFor returns the organisation's stable subset of the entries: those
-// with the highest rendezvous hashes.
-func (e *Entry) addressesFor(organisation string) []Address {
-	var live []instancelist.Instance
-	for _, i := range e.members.withRole(instancelist.Entry) {
+// addressesFor returns the caller's entries. Entries that leave are not named.
+func (e *Entry) addressesFor(r *http.Request) []Address {
+	named := make(map[routing.Node]instancelist.Instance)
+	var nodes []routing.Node
+	for _, i := range e.members.entriesInForce() {
 		leaving := i.Name == e.settings.Name && e.life.Phase() != drain.Serving
 		if i.State == instancelist.Live && !leaving {
-			live = append(live, i)
+			nodes = append(nodes, nodeOf(i))
+			named[nodeOf(i)] = i
 		}
 	}
-	slices.SortFunc(live, func(a, b instancelist.Instance) int {
-		x, y := rendezvous(organisation, a.Name), rendezvous(organisation, b.Name)
-		if x > y {
-			return -1
-		}
-		return 1
-	})
-	live = live[:min(len(live), addressesPerAnswer)]
-	out := make([]Address, len(live))
-	for i, l := range live {
-		out[i] = Address{Address: l.CallerAddress, FailureDomain: l.FailureDomain}
+	organisation := r.Header.Get(OrganisationHeader)
+	host, _, _ := net.SplitHostPort(r.RemoteAddr)
+	chosen := routing.Addresses(routing.Caller{
+		Organisation:  organisation,
+		Share:         e.config.View().ShareOf(organisation),
+		Key:           host,
+		FailureDomain: e.settings.FailureDomain,
+	}, nodes)
+	out := make([]Address, len(chosen))
+	for i, n := range chosen {
+		out[i] = Address{Address: named[n].CallerAddress, FailureDomain: n.FailureDomain}
 	}
 	return out
 }
-
-func rendezvous(organisation, entry string) uint64 {
-	return xxhash.Sum64String(organisation + "\x00" + entry)
-}
--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -29,6 +29,7 @@
 	x.answer.Begin(x.attempt)
 	err := e.exchangeFrames(ctx, x, address, replica)
 	e.replicas.end(replica.Name, err != nil && ctx.Err() == nil)
+	e.replicas.refused(replica, err)
 	if err != nil && x.key != "" {
 		return e.certify(ctx, x, replica, err)
 	}
@@ -46,6 +47,7 @@
 		if err != nil {
 			return deadlineOr(ctx, err)
 		}
+		e.replicas.heard(replica, f.Load)
 		out, err := x.answer.Accept(f)
 		if err != nil {
 			return err
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -72,7 +72,7 @@
 		life:        lifecycle.New(log, planOf(s)),
 		config:      store,
 		follower:    configuration.NewFollower(log, logClient, store),
-		members:     newMembers(log, instances, replicas),
+		members:     newMembers(log, instances, replicas, routing.Node{Name: s.Name, FailureDomain: s.FailureDomain}),
 		replicas:    replicas,
 		attempts:    agentlink.NewClient(),
 		selector:    selector,
--- a/pkg/entry/members.go
+++ b/pkg/entry/members.go
@@ -2,38 +2,51 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/fescuehub/fescuehub/pkg/membership"
 	"github.com/fescuehub/fescuehub/pkg/peer/instancelist"
+	"github.com/fescuehub/fescuehub/pkg/routing"
 )
 
-const listInterval = time.Second
+const (
+	// listInterval is how often the list is asked for what has changed. While
+	// it does not answer, the pause doubles up to longestListPause.
+	listInterval     = time.Second
+	longestListPause = 10 * time.Second
+)
 
 // members follows the instance list.
 type members struct {
 	log      *zap.Logger
 	client   *instancelist.Client
 	replicas *replicas
+	self     routing.Node
 
-	mu   sync.Mutex
-	list instancelist.List
+	mu      sync.Mutex
+	list    instancelist.List
+	entries *membership.Listing[instancelist.Instance]
+	live    []instancelist.Instance
 }
 
-func newMembers(log *zap.Logger, client *instancelist.Client, replicas *replicas) *members {
-	return &members{log: log, client: client, replicas: replicas}
+func newMembers(log *zap.Logger, client *instancelist.Client, replicas *replicas, self routing.Node) *members {
+	return &members{
+		log: log, client: client, replicas: replicas, self: self,
+		entries: membership.NewListing(func(i instancelist.Instance) string { return i.Name }),
+	}
 }
 
 // run polls the list until ctx ends. While the list does not answer, the last
 // reading stays in use.
 func (m *members) run(ctx context.Context) error {
-	ticker := time.NewTicker(listInterval)
-	defer ticker.Stop()
+	pause := listInterval
 	reachable := true
 	for {
-		list, err := m.client.Read(ctx)
+		list, err := m.client.ReadSince(ctx, m.list)
 		if ctx.Err() != nil {
 			return nil
 		}
@@ -42,31 +55,84 @@
 			m.log.Info("instance list state", zap.Bool("reachable", reachable), zap.Error(err))
 		}
 		if err == nil {
-			m.store(ctx, list)
-		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
+			pause = listInterval
+			if list.Revision != m.list.Revision || m.entries.Holding() {
+				m.store(ctx, list)
+			}
+		} else {
+			pause = min(2*pause, longestListPause)
 		}
+		sleep(ctx, pause/2+rand.N(pause/2+1))
 	}
 }
 
+// store takes a reading. The entries of a list that has shrunk stay in use;
+// what becomes of agents is decided by the membership table.
 func (m *members) store(ctx context.Context, list instancelist.List) {
 	m.mu.Lock()
 	m.list = list
+	m.live = m.entries.Take(time.Now(), withRole(list, instancelist.Entry))
+	live := m.live
 	m.mu.Unlock()
-	m.replicas.reconcile(ctx, m.withRole(instancelist.Agent))
+	mine, others := m.subsets(live, withRole(list, instancelist.Agent))
+	m.replicas.reconcile(ctx, mine, others)
+}
+
+// subsets splits the agents into those that this entry connects to and those
+// that it leaves to others.
+func (m *members) subsets(entries, agents []instancelist.Instance) (mine, others []instancelist.Instance) {
+	nodes := make([]routing.Node, 0, len(entries))
+	for _, e := range entries {
+		if e.State == instancelist.Live {
+			nodes = append(nodes, nodeOf(e))
+		}
+	}
+	pools := make(map[string][]routing.Node)
+	for _, a := range agents {
+		pools[a.Pool] = append(pools[a.Pool], nodeOf(a))
+	}
+	taken := make(map[routing.Node]bool)
+	for _, pool := range pools {
+		for _, n := range routing.Subset(m.self, nodes, pool) {
+			taken[n] = true
+		}
+	}
+	for _, a := range agents {
+		if taken[nodeOf(a)] {
+			mine = append(mine, a)
+		} else {
+			others = append(others, a)
+		}
+	}
+	return mine, others
+}
+
+func nodeOf(i instancelist.Instance) routing.Node {
+	return routing.Node{Name: i.Name, FailureDomain: i.FailureDomain}
 }
 
-func (m *members) withRole(role instancelist.Role) []instancelist.Instance {
+// entriesInForce returns the entries that the list names, leaving ones too.
+func (m *members) entriesInForce() []instancelist.Instance {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	return m.live
+}
+
+func withRole(list instancelist.List, role instancelist.Role) []instancelist.Instance {
 	var out []instancelist.Instance
-	for _, i := range m.list.Instances {
+	for _, i := range list.Instances {
 		if i.Role == role {
 			out = append(out, i)
 		}
 	}
 	return out
 }
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/pkg/entry/replicas.go
+++ b/pkg/entry/replicas.go
@@ -8,15 +8,16 @@
 	"go.uber.org/zap"
 
 	"github.com/fescuehub/fescuehub/pkg/configuration"
+	"github.com/fescuehub/fescuehub/pkg/frame"
 	"github.com/fescuehub/fescuehub/pkg/ident"
+	"github.com/fescuehub/fescuehub/pkg/membership"
 	"github.com/fescuehub/fescuehub/pkg/peer/agentlink"
 	"github.com/fescuehub/fescuehub/pkg/peer/instancelist"
+	"github.com/fescuehub/fescuehub/pkg/problem"
 	"github.com/fescuehub/fescuehub/pkg/routing"
 	"github.com/fescuehub/fescuehub/pkg/rpc"
 )
 
-const linkRetryPause = 300 * time.Millisecond
-
 // replicas holds the agents that this entry may send attempts to, each with
 // its control connection.
 type replicas struct {
@@ -26,27 +27,42 @@
 	config      *configuration.Store
 
 	mu    sync.Mutex
+	table *membership.Table
+	// rows holds the rows of the list that the table knows, by name and
+	// address.
+	rows  map[rowKey]instancelist.Instance
 	byKey map[string]*replica
 }
 
 // replica is one agent. Its fields are guarded by the lock of replicas.
 type replica struct {
 	instance instancelist.Instance
-	stop     context.CancelFunc
-	conn     *rpc.Conn
-	status   agentlink.Status
-	statusAt time.Time
-	since    time.Time
-	inFlight int
-	failures int
+	// link is the present link or the attempt to open it, nil if there is none.
+	link   *link
+	conn   *rpc.Conn
+	status agentlink.Status
+	rtt    time.Duration
+	load   routing.Load
+	loadAt time.Time
+	// inFlightAtLoad is what inFlight was at loadAt.
+	inFlightAtLoad int
+	since          time.Time
+	inFlight       int
+	failures       int
+	failedAt       time.Time
 }
 
 func newReplicas(log *zap.Logger, entry string, incarnation ident.Incarnation, config *configuration.Store) *replicas {
-	return &replicas{log: log, entry: entry, incarnation: incarnation, config: config, byKey: make(map[string]*replica)}
+	return &replicas{
+		log: log, entry: entry, incarnation: incarnation, config: config,
+		table: membership.New(membership.Standard()), rows: make(map[rowKey]instancelist.Instance), byKey: make(map[string]*replica),
+	}
 }
 
-// run hands every configuration change to the connected agents until ctx ends.
+// run hands every configuration change to the connected agents, and carries out
+// what the membership table decides, until ctx ends.
 func (rs *replicas) run(ctx context.Context) error {
+	go rs.keepLinks(ctx)
 	for {
 		select {
 		case <-ctx.Done():
@@ -57,94 +73,6 @@
 	}
 }
 
-// reconcile connects to agents that are new in the list and drops those that
-// are gone from it.
-func (rs *replicas) reconcile(ctx context.Context, agents []instancelist.Instance) {
-	listed := make(map[string]instancelist.Instance, len(agents))
-	for _, a := range agents {
-		listed[a.Name] = a
-	}
-	rs.mu.Lock()
-	defer rs.mu.Unlock()
-	for name, r := range rs.byKey {
-		now, ok := listed[name]
-		if ok && sameAddresses(now, r.instance) {
-			r.instance = now
-			continue
-		}
-		r.stop()
-		delete(rs.byKey, name)
-	}
-	for name, a := range listed {
-		if _, ok := rs.byKey[name]; ok {
-			continue
-		}
-		linkCtx, stop := context.WithCancel(ctx)
-		r := &replica{instance: a, stop: stop}
-		rs.byKey[name] = r
-		go rs.keepLink(linkCtx, r)
-	}
-}
-
-func sameAddresses(a, b instancelist.Instance) bool {
-	return a.DataAddress == b.DataAddress && a.ControlAddress == b.ControlAddress && a.Pool == b.Pool
-}
-
-// keepLink holds the control connection to one agent until ctx ends.
-func (rs *replicas) keepLink(ctx context.Context, r *replica) {
-	for ctx.Err() == nil {
-		if err := rs.link(ctx, r); err != nil {
-			sleep(ctx, linkRetryPause)
-		}
-	}
-}
-
-// link connects once and returns when the connection has ended.
-func (rs *replicas) link(ctx context.Context, r *replica) error {
-	methods := rpc.Methods{agentlink.MethodStatus: rpc.Typed(
-		func(_ context.Context, _ *rpc.Conn, status agentlink.Status) (any, error) {
-			rs.storeStatus(r, status)
-			return nil, nil
-		})}
-	conn, err := rpc.Dial(ctx, r.instance.ControlAddress, methods)
-	if err != nil {
-		return err
-	}
-	defer conn.Close()
-	var status agentlink.Status
-	if err := conn.Call(ctx, agentlink.MethodHello, agentlink.Hello{Entry: rs.entry, Incarnation: rs.incarnation}, &status); err != nil {
-		return err
-	}
-	rs.storeStatus(r, status)
-	rs.setConn(r, conn)
-	defer rs.setConn(r, nil)
-	rs.configure(ctx, conn, r.instance.Pool)
-	select {
-	case <-ctx.Done():
-	case <-conn.Done():
-	}
-	return nil
-}
-
-func (rs *replicas) setConn(r *replica, conn *rpc.Conn) {
-	rs.mu.Lock()
-	defer rs.mu.Unlock()
-	r.conn = conn
-	rs.log.Info("agent link", zap.String("agent", r.instance.Name), zap.Bool("up", conn != nil))
-}
-
-func (rs *replicas) storeStatus(r *replica, status agentlink.Status) {
-	rs.mu.Lock()
-	defer rs.mu.Unlock()
-	now := time.Now()
-	if status.Incarnation != r.status.Incarnation {
-		r.since = now
-		r.failures = 0
-	}
-	r.status = status
-	r.statusAt = now
-}
-
 func (rs *replicas) configureAll(ctx context.Context) {
 	for _, r := range rs.connected() {
 		rs.configure(ctx, r.conn, r.pool)
@@ -179,13 +107,14 @@
 	_ = conn.Call(ctx, agentlink.MethodConfigure, part, &in)
 }
 
-// usable counts the connected agents that take work.
+// usable counts the agents that take work.
 func (rs *replicas) usable() int {
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
+	now := time.Now()
 	n := 0
-	for _, r := range rs.byKey {
-		if r.conn != nil && r.status.BackendUp && !r.status.Draining {
+	for name := range rs.byKey {
+		if rs.table.TakesWork(now, name) {
 			n++
 		}
 	}
@@ -196,22 +125,26 @@
 func (rs *replicas) snapshot(pool string, concurrency int) []routing.Replica {
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
+	now := time.Now()
 	var out []routing.Replica
-	for _, r := range rs.byKey {
+	for name, r := range rs.byKey {
 		if r.instance.Pool != pool || r.conn == nil {
 			continue
 		}
 		out = append(out, routing.Replica{
-			Name:          r.instance.Name,
-			Incarnation:   r.status.Incarnation,
-			FailureDomain: r.instance.FailureDomain,
-			Concurrency:   concurrency,
-			InFlight:      r.inFlight,
-			Load:          r.status.Load,
-			LoadAt:        r.statusAt,
-			Since:         r.since,
-			Leaving:       r.status.Draining || !r.status.BackendUp || r.instance.State == instancelist.Leaving,
-			Failures:      r.failures,
+			Name:           name,
+			Incarnation:    r.status.Incarnation,
+			FailureDomain:  r.instance.FailureDomain,
+			Concurrency:    concurrency,
+			InFlight:       r.inFlight,
+			Load:           r.load,
+			LoadAt:         r.loadAt,
+			InFlightAtLoad: r.inFlightAtLoad,
+			RTT:            r.rtt,
+			Since:          r.since,
+			Leaving:        !rs.table.TakesWork(now, name),
+			Failures:       r.failures,
+			FailedAt:       r.failedAt,
 		})
 	}
 	return out
@@ -240,11 +173,43 @@
 	r.inFlight--
 	if failed {
 		r.failures++
+		r.failedAt = time.Now()
 		return
 	}
 	r.failures = 0
 }
 
+// heard takes the load that a frame of an answer carries.
+func (rs *replicas) heard(to routing.Replica, load *frame.Load) {
+	if load == nil {
+		return
+	}
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	now := time.Now()
+	rs.table.Alive(now, to.Name, to.Incarnation)
+	if r, ok := rs.byKey[to.Name]; ok && r.status.Incarnation == to.Incarnation {
+		r.takeLoad(now, routing.Load{Running: load.Running, Waiting: load.Waiting, StepMS: load.StepMS})
+	}
+}
+
+// refused takes the agent out of the choice at once where its refusal says
+// that this incarnation takes no work again.
+func (rs *replicas) refused(by routing.Replica, err error) {
+	if !problem.Is(err, problem.Draining) && !problem.Is(err, problem.WrongIncarnation) {
+		return
+	}
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	rs.table.Refused(by.Name, by.Incarnation)
+}
+
+func (r *replica) takeLoad(now time.Time, load routing.Load) {
+	r.load = load
+	r.loadAt = now
+	r.inFlightAtLoad = r.inFlight
+}
+
 // conn returns the control connection of an agent.
 func (rs *replicas) conn(name string) (*rpc.Conn, bool) {
 	rs.mu.Lock()
@@ -256,14 +221,5 @@
 	return r.conn, true
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // ReplicaCount returns the number of agents that take work from this entry.
 func (e *Entry) ReplicaCount() int { return e.replicas.usable() }
--- a/pkg/entry/wire.go
+++ b/pkg/entry/wire.go
@@ -20,8 +20,8 @@
 		provideLogger,
 		provideLogClient,
 		provideInstances,
-		wire.Value(routing.LeastInFlight{}),
-		wire.Bind(new(routing.Selector), new(routing.LeastInFlight)),
+		routing.Standard,
+		wire.Bind(new(routing.Selector), new(*routing.Pipeline)),
 	)
 	return nil
 }
--- a/pkg/entry/wire_gen.go
+++ b/pkg/entry/wire_gen.go
@@ -21,11 +21,7 @@
 	metrics := telemetry.NewMetrics()
 	client := provideLogClient(s)
 	instancelistClient := provideInstances(s)
-	leastInFlight := _wireLeastInFlightValue
-	entry := New(s, logger, metrics, client, instancelistClient, leastInFlight)
+	pipeline := routing.Standard()
+	entry := New(s, logger, metrics, client, instancelistClient, pipeline)
 	return entry
 }
-
-var (
-	_wireLeastInFlightValue = routing.LeastInFlight{}
-)
--- a/pkg/frame/frame.go
+++ b/pkg/frame/frame.go
@@ -21,6 +21,15 @@
 	Last    bool            `json:"last,omitempty"`
 	// Failure is set on a last frame that ends the answer with an error.
 	Failure *problem.Error `json:"failure,omitempty"`
+	// Load is the load of the backend server, on the first and the last frame.
+	Load *Load `json:"load,omitempty"`
+}
+
+// Load is the load of a backend server.
+type Load struct {
+	Running int     `json:"r,omitempty"`
+	Waiting int     `json:"w,omitempty"`
+	StepMS  float64 `json:"s,omitempty"`
 }
 
 // Sequencer accepts the frames of one attempt in order. It is not safe for
--- a/pkg/membership/listing.go
+++ b/pkg/membership/listing.go
@@ -42,6 +42,10 @@
 	return l.rows
 }
 
+// Holding reports whether rows are held back, so that the same reading must
+// be taken again later.
+func (l *Listing[R]) Holding() bool { return !l.shrunkSince.IsZero() }
+
 // merged returns the reading and the earlier rows that it lacks.
 func (l *Listing[R]) merged(reading []R) []R {
 	out := append([]R(nil), reading...)
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -189,6 +189,16 @@
 	return []Action{{Close, row.Name, row.Address}}
 }
 
+// Drop forgets an agent that this entry leaves to other entries.
+func (t *Table) Drop(name string) []Action {
+	a, ok := t.agents[name]
+	if !ok {
+		return nil
+	}
+	delete(t.agents, name)
+	return []Action{{Forget, name, a.row.Address}}
+}
+
 // LinkUp notes that the link is open and what the agent said on it.
 func (t *Table) LinkUp(now time.Time, name string, r Report) {
 	a, ok := t.agents[name]
--- a/pkg/peer/agentlink/messages.go
+++ b/pkg/peer/agentlink/messages.go
@@ -18,6 +18,8 @@
 	MethodHello = "hello"
 	// MethodStatus is the agent's notification of a Status.
 	MethodStatus = "status"
+	// MethodBeat is the agent's notification of a Beat.
+	MethodBeat = "beat"
 	// MethodConfigure hands an agent its pool's part: PoolPart.
 	MethodConfigure = "configure"
 	// MethodRefuse asks for the outcome of an attempt: RefuseRequest, answered
@@ -29,6 +31,17 @@
 type Hello struct {
 	Entry       string            `json:"entry"`
 	Incarnation ident.Incarnation `json:"incarnation"`
+	// BeatMS is how often the entry wants a Beat, in milliseconds.
+	BeatMS int64 `json:"beatMS"`
+}
+
+// Beat is the short form of a Status, sent while nothing else has changed.
+type Beat struct {
+	Running     int     `json:"r,omitempty"`
+	Waiting     int     `json:"w,omitempty"`
+	StepMS      float64 `json:"s,omitempty"`
+	Draining    bool    `json:"d,omitempty"`
+	BackendDown bool    `json:"x,omitempty"`
 }
 
 // Status is what an agent says of itself.
--- a/pkg/peer/agentlink/server.go
+++ b/pkg/peer/agentlink/server.go
@@ -36,6 +36,9 @@
 // FrameWriter writes the frames of one answer. It is not safe for concurrent
 // use.
 type FrameWriter struct {
+	// Load gives the load for the first and the last frame, if it is set.
+	Load func() *frame.Load
+
 	attempt ident.AttemptID
 	seq     int
 	out     *json.Encoder
@@ -52,6 +55,9 @@
 func (w *FrameWriter) Write(f frame.Frame) error {
 	f.Attempt = w.attempt
 	f.Seq = w.seq
+	if w.Load != nil && (f.Seq == 0 || f.Last) {
+		f.Load = w.Load()
+	}
 	w.seq++
 	if err := w.out.Encode(f); err != nil {
 		return err
--- a/pkg/peer/instancelist/instancelist.go
+++ b/pkg/peer/instancelist/instancelist.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	neturl "net/url"
 	"time"
 
 	"github.com/fescuehub/fescuehub/pkg/problem"
@@ -51,8 +52,15 @@
 
 // List is a reading of the list.
 type List struct {
+	// Epoch changes when the platform's list begins again; revisions of two
+	// epochs can't be compared.
+	Epoch     string     `json:"epoch"`
 	Revision  int64      `json:"revision"`
 	Instances []Instance `json:"instances"`
+	// Since is set where Instances holds only what has changed since that
+	// revision; Removed then names the rows that are gone.
+	Since   int64    `json:"since,omitempty"`
+	Removed []string `json:"removed,omitempty"`
 }
 
 const (
@@ -73,9 +81,25 @@
 	return &Client{base: base, http: &http.Client{Transport: transport, Timeout: readTimeout}}
 }
 
-// Read returns the list. The error has the kind Unavailable.
-func (c *Client) Read(ctx context.Context) (List, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+"/instances", nil)
+// ReadSince returns the whole list, of which last has been read before. Only
+// what has changed since then is sent. The error has the kind Unavailable.
+func (c *Client) ReadSince(ctx context.Context, last List) (List, error) {
+	url := c.base + "/instances"
+	if last.Revision > 0 {
+		url += fmt.Sprintf("?epoch=%s&since=%d", neturl.QueryEscape(last.Epoch), last.Revision)
+	}
+	list, err := c.get(ctx, url)
+	if err != nil || list.Since == 0 {
+		return list, err
+	}
+	if list.Since != last.Revision || list.Epoch != last.Epoch {
+		return List{}, unavailable(fmt.Errorf("changes since revision %d of epoch %q in place of %d of %q", list.Since, list.Epoch, last.Revision, last.Epoch))
+	}
+	return last.with(list), nil
+}
+
+func (c *Client) get(ctx context.Context, url string) (List, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return List{}, unavailable(err)
 	}
@@ -94,6 +118,27 @@
 	return list, nil
 }
 
+// with returns the list after the changes.
+func (l List) with(changes List) List {
+	if len(changes.Instances)+len(changes.Removed) == 0 {
+		return List{Epoch: changes.Epoch, Revision: changes.Revision, Instances: l.Instances}
+	}
+	replaced := make(map[string]bool, len(changes.Instances)+len(changes.Removed))
+	for _, i := range changes.Instances {
+		replaced[i.Name] = true
+	}
+	for _, name := range changes.Removed {
+		replaced[name] = true
+	}
+	out := make([]Instance, 0, len(l.Instances)+len(changes.Instances))
+	for _, i := range l.Instances {
+		if !replaced[i.Name] {
+			out = append(out, i)
+		}
+	}
+	return List{Epoch: changes.Epoch, Revision: changes.Revision, Instances: append(out, changes.Instances...)}
+}
+
 func unavailable(cause error) error {
 	return problem.New(problem.Unavailable, "wait until the instance list is back; the last reading stays in use",
 		"the instance list did not answer: %v", cause)
--- a/pkg/standin/instancelist/instancelist.go
+++ b/pkg/standin/instancelist/instancelist.go
@@ -3,13 +3,17 @@
 package instancelist
 
 import (
+	"cmp"
 	"encoding/json"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/google/uuid"
+
 	peer "github.com/fescuehub/fescuehub/pkg/peer/instancelist"
 	"github.com/fescuehub/fescuehub/pkg/problem"
 	"github.com/fescuehub/fescuehub/pkg/standin/faults"
@@ -21,16 +25,23 @@
 	Outage bool `json:"outage,omitempty"`
 	// Frozen hides every change made while it is on.
 	Frozen bool `json:"frozen,omitempty"`
+	// Empty serves a list without instances, under a new revision.
+	Empty bool `json:"empty,omitempty"`
 	// LagMS is the age of what is served, in milliseconds.
 	LagMS int `json:"lagMS,omitempty"`
 }
 
-const maxBodyBytes = 1 << 16
+const (
+	maxBodyBytes = 1 << 16
+	// emptyAhead is how far the revision of an empty list is ahead.
+	emptyAhead = 1 << 40
+)
 
 // Service is the stand-in.
 type Service struct {
 	Faults *faults.Switch[Faults]
 
+	epoch    string
 	mu       sync.Mutex
 	current  map[string]peer.Instance
 	revision int64
@@ -45,7 +56,7 @@
 
 // New returns a service with the given instances.
 func New(instances []peer.Instance) *Service {
-	s := &Service{Faults: faults.NewSwitch[Faults](), current: make(map[string]peer.Instance)}
+	s := &Service{Faults: faults.NewSwitch[Faults](), current: make(map[string]peer.Instance), epoch: uuid.NewString()}
 	for _, i := range instances {
 		s.current[i.Name] = i
 	}
@@ -83,14 +94,53 @@
 	return mux
 }
 
-func (s *Service) serveList(w http.ResponseWriter, _ *http.Request) {
+func (s *Service) serveList(w http.ResponseWriter, r *http.Request) {
 	f := s.Faults.Get()
 	if f.Outage {
 		problem.Write(w, problem.New(problem.Unavailable, "wait for the end of the outage", "outage"))
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(s.visible(f))
+	since, _ := strconv.ParseInt(r.URL.Query().Get("since"), 10, 64)
+	list := s.visible(f)
+	if r.URL.Query().Get("epoch") == s.epoch {
+		list = s.since(since, list)
+	}
+	_ = json.NewEncoder(w).Encode(list)
+}
+
+// since returns what has changed in the list since a revision, or the whole
+// list where that revision is not known or is newer.
+func (s *Service) since(revision int64, list peer.List) peer.List {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at, found := slices.BinarySearchFunc(s.history, revision, func(r reading, want int64) int { return cmp.Compare(r.list.Revision, want) })
+	if !found || revision > list.Revision || len(list.Instances) == 0 {
+		return list
+	}
+	return difference(s.history[at].list, list)
+}
+
+// difference returns the rows of to that are not in from, and the names of
+// those that are gone.
+func difference(from, to peer.List) peer.List {
+	out := peer.List{Epoch: to.Epoch, Revision: to.Revision, Since: from.Revision}
+	old := make(map[string]peer.Instance, len(from.Instances))
+	for _, i := range from.Instances {
+		old[i.Name] = i
+	}
+	for _, i := range to.Instances {
+		if old[i.Name] != i {
+			out.Instances = append(out.Instances, i)
+		}
+		delete(old, i.Name)
+	}
+	for _, i := range from.Instances {
+		if _, gone := old[i.Name]; gone {
+			out.Removed = append(out.Removed, i.Name)
+		}
+	}
+	return out
 }
 
 func (s *Service) servePut(w http.ResponseWriter, r *http.Request) {
@@ -108,6 +158,9 @@
 func (s *Service) visible(f Faults) peer.List {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if f.Empty {
+		return peer.List{Epoch: s.epoch, Revision: s.revision + emptyAhead}
+	}
 	if f.Frozen {
 		if s.frozen == nil {
 			s.frozen = &s.history[len(s.history)-1].list
@@ -129,7 +182,7 @@
 
 func (s *Service) record() {
 	s.revision++
-	list := peer.List{Revision: s.revision}
+	list := peer.List{Epoch: s.epoch, Revision: s.revision}
 	for _, i := range s.current {
 		list.Instances = append(list.Instances, i)
 	}
