--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -6,8 +6,8 @@
 // The rules, the first that applies decides:
 //
 //  1. An incarnation that has said that it is draining takes no work again.
-//  2. An agent that the list calls leaving takes no work until the list calls
-//     it live, or drops it and another incarnation appears.
+//  2. An agent that the list has called leaving takes no work until the list
+//     calls it live, whatever becomes of its row and its incarnation.
 //  3. An agent without a link, or silent on it for the bound, takes no work.
 //  4. An agent that answers under another name than its row takes no work.
 //  5. Every other agent takes work, also where the list no longer has it: a
@@ -213,7 +213,6 @@
 	if r.Incarnation != a.life {
 		a.life = r.Incarnation
 		a.draining = false
-		a.leaving = a.leaving && a.listed
 	}
 	t.take(now, a, r)
 }
--- /dev/null
+++ b/pkg/membership/membership_test.go
@@ -0,0 +1,215 @@
+package membership_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/fescuehub/fescuehub/pkg/ident"
+	"github.com/fescuehub/fescuehub/pkg/membership"
+)
+
+var start = time.Date(2026, 1, 5, 8, 0, 0, 0, time.UTC)
+
+func at(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+
+func serving(name string, life ident.Incarnation) membership.Report {
+	return membership.Report{Name: name, Incarnation: life, BackendUp: true}
+}
+
+// linked returns a table with one agent that takes work at 1 s.
+func linked(t *testing.T) *membership.Table {
+	t.Helper()
+	table := membership.New(membership.Standard())
+	table.List(at(0), []membership.Row{{Name: "a", Address: "1"}}, 1)
+	if got := table.Advance(at(0.5)); len(got) != 1 || got[0].Kind != membership.Dial {
+		t.Fatalf("no dial: %v", got)
+	}
+	table.LinkUp(at(1), "a", serving("a", "a@1"))
+	if !table.TakesWork(at(1), "a") {
+		t.Fatal("a linked agent takes no work")
+	}
+	return table
+}
+
+func TestWhoTakesWork(t *testing.T) {
+	draining := membership.Report{Name: "a", Incarnation: "a@1", BackendUp: true, Draining: true}
+	row := func(leaving bool) []membership.Row {
+		return []membership.Row{{Name: "a", Address: "1", Leaving: leaving}}
+	}
+	tests := []struct {
+		name string
+		do   func(*membership.Table)
+		want bool
+	}{
+		{"serving", func(*membership.Table) {}, true},
+		{"says that it drains", func(m *membership.Table) { m.Heard(at(1.5), "a", draining) }, false},
+		{"an older report arrives after it said so", func(m *membership.Table) {
+			m.Heard(at(1.5), "a", draining)
+			m.Heard(at(1.6), "a", serving("a", "a@1"))
+		}, false},
+		{"refused an attempt", func(m *membership.Table) { m.Refused("a", "a@1") }, false},
+		{"its next incarnation after a refusal", func(m *membership.Table) {
+			m.Refused("a", "a@1")
+			m.LinkDown(at(1.2), "a", 1)
+			m.LinkUp(at(1.9), "a", serving("a", "a@2"))
+		}, true},
+		{"a refusal of an incarnation that has gone", func(m *membership.Table) {
+			m.LinkUp(at(1.9), "a", serving("a", "a@2"))
+			m.Refused("a", "a@1")
+		}, true},
+		{"the list calls it leaving", func(m *membership.Table) { m.List(at(1.5), row(true), 1) }, false},
+		{"the list calls it leaving and then drops it", func(m *membership.Table) {
+			m.List(at(1.5), row(true), 1)
+			m.List(at(1.6), nil, 1)
+		}, false},
+		{"the list called it leaving, dropped it, and it came again", func(m *membership.Table) {
+			m.List(at(1.5), row(true), 1)
+			m.List(at(1.6), nil, 1)
+			m.LinkUp(at(1.9), "a", serving("a", "a@2"))
+		}, false},
+		{"the list called it leaving and calls it live", func(m *membership.Table) {
+			m.List(at(1.5), row(true), 1)
+			m.List(at(1.6), row(false), 1)
+		}, true},
+		{"the list is empty", func(m *membership.Table) { m.List(at(1.5), nil, 1) }, true},
+		{"its backend server is down", func(m *membership.Table) {
+			m.Heard(at(1.5), "a", membership.Report{Name: "a", Incarnation: "a@1"})
+		}, false},
+		{"the link has ended", func(m *membership.Table) { m.LinkDown(at(1.5), "a", 1) }, false},
+		{"another agent answers at its address", func(m *membership.Table) { m.LinkUp(at(1.5), "a", serving("b", "b@1")) }, false},
+		{"the list gives it another address", func(m *membership.Table) {
+			m.List(at(1.5), []membership.Row{{Name: "a", Address: "2"}}, 1)
+		}, false},
+		{"a second agent is listed under its name", func(m *membership.Table) {
+			m.List(at(1.5), []membership.Row{{Name: "a", Address: "0"}, {Name: "a", Address: "1"}}, 1)
+		}, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			table := linked(t)
+			tt.do(table)
+			if got := table.TakesWork(at(2), "a"); got != tt.want {
+				t.Errorf("takes work: %v", got)
+			}
+		})
+	}
+}
+
+func TestSilenceEndsWorkAndTheLink(t *testing.T) {
+	table := linked(t)
+	table.Alive(at(1.8), "a", "a@1")
+	if !table.TakesWork(at(2.7), "a") || table.TakesWork(at(2.9), "a") {
+		t.Error("the bound of silence is not one second")
+	}
+	if got := table.Advance(at(2.9)); len(got) != 1 || got[0].Kind != membership.Close {
+		t.Errorf("the silent link stays: %v", got)
+	}
+	if got := table.Advance(at(2.95)); len(got) != 1 || got[0].Kind != membership.Dial {
+		t.Errorf("no new dial: %v", got)
+	}
+}
+
+// TestDialsBackOffAndSpread shows that 400 entries that all lose an agent do
+// not come back together, and that failing dials become rare.
+func TestDialsBackOffAndSpread(t *testing.T) {
+	var waits []time.Duration
+	for seed := range uint64(400) {
+		table := linked(t)
+		table.LinkDown(at(2), "a", seed*977)
+		now := at(2)
+		for len(table.Advance(now)) == 0 {
+			now = now.Add(time.Millisecond)
+		}
+		waits = append(waits, now.Sub(at(2)))
+	}
+	slices.Sort(waits)
+	if waits[0] < 100*time.Millisecond || waits[399] > 201*time.Millisecond || waits[300]-waits[100] < 40*time.Millisecond {
+		t.Errorf("first dials after %v to %v, the middle half within %v", waits[0], waits[399], waits[300]-waits[100])
+	}
+	table := linked(t)
+	now, dials := at(2), 0
+	table.LinkDown(now, "a", 1)
+	for ; now.Before(at(62)); now = now.Add(50 * time.Millisecond) {
+		for _, a := range table.Advance(now) {
+			dials++
+			table.LinkDown(now, a.Agent, uint64(dials))
+		}
+	}
+	if dials < 12 || dials > 30 {
+		t.Errorf("%d dials in a minute", dials)
+	}
+}
+
+func TestForgetsWhatIsNeitherListedNorReached(t *testing.T) {
+	table := linked(t)
+	table.List(at(2), nil, 1)
+	table.LinkDown(at(3), "a", 1)
+	for s := 3.0; s < 600; s++ {
+		for _, a := range table.Advance(at(s)) {
+			if a.Kind == membership.Forget {
+				t.Fatalf("forgotten after %v s", s)
+			}
+			table.LinkDown(at(s), a.Agent, 1)
+		}
+	}
+	got := table.Advance(at(603))
+	if len(got) != 1 || got[0].Kind != membership.Forget || table.Len() != 0 {
+		t.Errorf("not forgotten: %v", got)
+	}
+}
+
+func TestShrunkListingIsHeldBack(t *testing.T) {
+	l := membership.NewListing(func(s string) string { return s })
+	steps := []struct {
+		at      float64
+		reading []string
+		want    int
+	}{
+		{0, []string{"a", "b", "c", "d", "e"}, 5},
+		{1, []string{"a", "b", "c", "d"}, 4},
+		{2, nil, 4},
+		{3, []string{"a"}, 4},
+		{4, []string{"a", "x"}, 2},
+		{5, nil, 2},
+		{604, nil, 2},
+		{606, nil, 0},
+	}
+	for _, s := range steps {
+		if got := l.Take(at(s.at), s.reading); len(got) != s.want {
+			t.Errorf("at %v s %v gives %v", s.at, s.reading, got)
+		}
+	}
+}
+
+// TestBeatsFitTheBudget holds the beats of one entry under its bytes at any
+// number of links.
+func TestBeatsFitTheBudget(t *testing.T) {
+	for _, links := range []int{1, 15, 176, 2000} {
+		perSecond := float64(links) * 80 / membership.BeatInterval(links).Seconds()
+		if perSecond > 2001 {
+			t.Errorf("%d links: %.0f bytes a second", links, perSecond)
+		}
+	}
+}
+
+func BenchmarkTable(b *testing.B) {
+	for _, n := range []int{15, 176, 2000} {
+		b.Run(time.Duration(n).String()[:len(time.Duration(n).String())-2], func(b *testing.B) {
+			table := membership.New(membership.Standard())
+			rows := make([]membership.Row, n)
+			for i := range rows {
+				rows[i] = membership.Row{Name: string(rune('a'+i%26)) + time.Duration(i).String(), Address: "1"}
+			}
+			table.List(at(0), rows, 1)
+			table.Advance(at(1))
+			for _, r := range rows {
+				table.LinkUp(at(1), r.Name, serving(r.Name, ident.Incarnation(r.Name+"@1")))
+			}
+			b.ReportAllocs()
+			for range b.N {
+				table.Advance(at(1.5))
+			}
+		})
+	}
+}
