--- a/pkg/standin/instancelist/instancelist.go
+++ b/pkg/standin/instancelist/instancelist.go
@@ -81,11 +81,12 @@
 }
 
 // Handler serves the published protocol (GET /instances), edits by the test
-// (PUT and DELETE /instances/{name}) and the faults.
+// (PUT and DELETE /instances/{name}, PUT /instances/{name}/state) and the faults.
 func (s *Service) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /instances", s.serveList)
 	mux.HandleFunc("PUT /instances/{name}", s.servePut)
+	mux.HandleFunc("PUT /instances/{name}/state", s.servePutState)
 	mux.HandleFunc("DELETE /instances/{name}", func(w http.ResponseWriter, r *http.Request) {
 		s.Remove(r.PathValue("name"))
 		w.WriteHeader(http.StatusNoContent)
@@ -154,6 +155,26 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
+// servePutState changes the state of one instance: {"state":"leaving"}.
+func (s *Service) servePutState(w http.ResponseWriter, r *http.Request) {
+	var change peer.Instance
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&change); err != nil {
+		problem.Write(w, problem.New(problem.BadRequest, "send a state", "%v", err))
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i, ok := s.current[r.PathValue("name")]
+	if !ok {
+		problem.Write(w, problem.New(problem.BadRequest, "name an instance of the list", "unknown instance"))
+		return
+	}
+	i.State = change.State
+	s.current[i.Name] = i
+	s.record()
+	w.WriteHeader(http.StatusNoContent)
+}
+
 // visible returns the list that a reader sees under the faults.
 func (s *Service) visible(f Faults) peer.List {
 	s.mu.Lock()
