--- a/pkg/cli/measure.go
+++ b/pkg/cli/measure.go
@@ -11,6 +11,6 @@
 		Args:  cobra.NoArgs,
 		RunE:  func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
 	}
-	cmd.AddCommand(a.measureRouting())
+	cmd.AddCommand(a.measureRouting(), a.measureMembership())
 	return cmd
 }
--- /dev/null
+++ b/pkg/measure/membership/bytes.go
@@ -0,0 +1,185 @@
+package membership
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/fescuehub/fescuehub/pkg/ident"
+	"github.com/fescuehub/fescuehub/pkg/peer/agentlink"
+	"github.com/fescuehub/fescuehub/pkg/peer/instancelist"
+	"github.com/fescuehub/fescuehub/pkg/rpc"
+	standin "github.com/fescuehub/fescuehub/pkg/standin/instancelist"
+)
+
+// ListBytes is what readings of the list cost on their connection, both ways.
+type ListBytes struct {
+	Instances int   `json:"instances"`
+	Whole     int64 `json:"wholeBytes"`
+	Unchanged int64 `json:"unchangedBytes"`
+	OneChange int64 `json:"oneChangeBytes"`
+	// EverySecond is the bytes a second of a node that reads the whole list
+	// each second; Since of one that asks for changes, with the target's
+	// restarts and replacements and one whole reading a day.
+	EverySecond float64 `json:"wholeEachSecond"`
+	Since       float64 `json:"bytesPerSecond"`
+}
+
+const (
+	// changesPerInstance is how often an instance changes state in a day: 910
+	// of 12,410 are restarted or replaced, each with two changes.
+	changesPerInstance = 2 * 910 / 12_410.0
+	secondsPerDay      = 24 * 60 * 60
+)
+
+func listBytes(ctx context.Context, instances int) (ListBytes, error) {
+	rows := make([]instancelist.Instance, instances)
+	for i := range rows {
+		rows[i] = instancelist.Instance{
+			Name: fmt.Sprintf("agent-engine-%05d", i), Role: instancelist.Agent, State: instancelist.Live, FailureDomain: fmt.Sprintf("region-1-domain-%d", i%16),
+			Pool: "asistente-mostrador", DataAddress: "10.20.30.40:7101", ControlAddress: "10.20.30.40:7102",
+		}
+	}
+	service := standin.New(rows)
+	listener, err := newCounting()
+	if err != nil {
+		return ListBytes{}, err
+	}
+	server := &http.Server{Handler: service.Handler()}
+	go func() { _ = server.Serve(listener) }()
+	defer server.Close()
+	client := instancelist.New("http://" + listener.Addr().String())
+	var list instancelist.List
+	read := func() int64 {
+		if err != nil {
+			return 0
+		}
+		before := listener.bytes.Load()
+		list, err = client.ReadSince(ctx, list)
+		return listener.bytes.Load() - before
+	}
+	out := ListBytes{Instances: instances, Whole: read()}
+	out.Unchanged = read()
+	rows[0].State = instancelist.Leaving
+	service.Put(rows[0])
+	out.OneChange = read()
+	changes := float64(instances) * changesPerInstance / secondsPerDay
+	out.EverySecond = float64(out.Whole)
+	out.Since = float64(out.Unchanged) + changes*float64(out.OneChange-out.Unchanged) + float64(out.Whole)/secondsPerDay
+	return out, err
+}
+
+// LinkBytes is what the messages of links cost on their connection.
+type LinkBytes struct {
+	Links  int     `json:"links"`
+	Hello  float64 `json:"helloBytesPerLink"`
+	Status float64 `json:"statusBytesPerLink"`
+	Beat   float64 `json:"beatBytesPerLink"`
+}
+
+// linkBytes opens links as entries do, and sends one status and one beat on
+// each.
+func linkBytes(ctx context.Context, links int) (LinkBytes, error) {
+	listener, err := newCounting()
+	if err != nil {
+		return LinkBytes{}, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	status := agentlink.Status{
+		Name: "agent-engine-00001", Incarnation: ident.NewIncarnation("agent-engine-00001"), Pool: "asistente-mostrador", BackendUp: true, ConfigOffset: 123456,
+	}
+	status.Load.Running, status.Load.Waiting, status.Load.StepMS = 12, 3, 23.4
+	peers := make(chan *rpc.Conn, links)
+	server := rpc.NewServer(listener, rpc.Methods{agentlink.MethodHello: rpc.Typed(
+		func(_ context.Context, peer *rpc.Conn, _ agentlink.Hello) (any, error) {
+			peers <- peer
+			return status, nil
+		})})
+	go func() { _ = server.Run(ctx) }()
+	got := make(chan struct{}, links)
+	methods := rpc.Methods{}
+	for _, name := range []string{agentlink.MethodStatus, agentlink.MethodBeat} {
+		methods[name] = rpc.Typed(func(context.Context, *rpc.Conn, agentlink.Status) (any, error) { got <- struct{}{}; return nil, nil })
+	}
+	for range links {
+		conn, err := rpc.Dial(ctx, listener.Addr().String(), methods)
+		if err != nil {
+			return LinkBytes{}, err
+		}
+		defer conn.Close()
+		var reply agentlink.Status
+		hello := agentlink.Hello{Entry: "entry-001", Incarnation: ident.NewIncarnation("entry-001"), BeatMS: 7000}
+		if err := conn.Call(ctx, agentlink.MethodHello, hello, &reply); err != nil {
+			return LinkBytes{}, err
+		}
+	}
+	out := LinkBytes{Links: links, Hello: float64(listener.bytes.Load()) / float64(links)}
+	all := make([]*rpc.Conn, links)
+	for i := range all {
+		all[i] = <-peers
+	}
+	send := func(method string, message any) float64 {
+		before := listener.bytes.Load()
+		for _, p := range all {
+			_ = p.Notify(ctx, method, message)
+		}
+		for range all {
+			select {
+			case <-got:
+			case <-time.After(receiveBound):
+			}
+		}
+		return float64(listener.bytes.Load()-before) / float64(links)
+	}
+	out.Status = send(agentlink.MethodStatus, status)
+	out.Beat = send(agentlink.MethodBeat, agentlink.Beat{Running: 12, Waiting: 3, StepMS: 23.4})
+	return out, nil
+}
+
+const receiveBound = 5 * time.Second
+
+// counting is a listener that counts the bytes of its connections.
+type counting struct {
+	net.Listener
+	bytes atomic.Int64
+}
+
+func newCounting() (*counting, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	return &counting{Listener: l}, nil
+}
+
+// Accept implements net.Listener.
+func (l *counting) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{c, &l.bytes}, nil
+}
+
+type countedConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *countedConn) Write(p []byte) (int, error) {
+	// Counted before the other side can have them.
+	c.bytes.Add(int64(len(p)))
+	return c.Conn.Write(p)
+}
--- /dev/null
+++ b/pkg/measure/membership/measure.go
@@ -0,0 +1,77 @@
+// Package membership measures package membership against the list alone in
+// virtual time, the start of everything at once, subsets and address answers,
+// and the bytes of the list and of links over loopback.
+package membership
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	decision "github.com/fescuehub/fescuehub/pkg/membership"
+)
+
+// Tables holds the tables of one measurement.
+type Tables struct {
+	Cases    []Result    `json:"cases"`
+	Stampede []Stampede  `json:"restartOfEverything"`
+	Links    []Links     `json:"links"`
+	Answers  []Answers   `json:"addressAnswers"`
+	List     []ListBytes `json:"listBytes"`
+	Link     []LinkBytes `json:"linkBytes"`
+}
+
+// Run gives every table.
+func Run(ctx context.Context, seed uint64) (Tables, error) {
+	var t Tables
+	for _, c := range Cases {
+		t.Cases = append(t.Cases, run(c, true, seed), run(c, false, seed))
+	}
+	t.Stampede = []Stampede{restartAll("at once, no back-off", eager(), seed), restartAll("standard", decision.Standard(), seed)}
+	t.Links = []Links{linksOf(9, 15, 3, 1), linksOf(40, 400, 4, 1), linksOf(410, 3900, 16, 13), linksOf(410, 11_999, 16, 13)}
+	t.Answers = []Answers{answersOf(9, 10, 3, 3), answersOf(40, 480, 12, 4), answersOf(410, 4900, 20, 16)}
+	for _, n := range []int{25, 440, 4000, 12_410} {
+		row, err := listBytes(ctx, n)
+		if err != nil {
+			return t, err
+		}
+		t.List = append(t.List, row)
+	}
+	for _, n := range []int{15, 60, 176} {
+		row, err := linkBytes(ctx, n)
+		if err != nil {
+			return t, err
+		}
+		t.Link = append(t.Link, row)
+	}
+	return t, nil
+}
+
+// Write prints the tables.
+func (t Tables) Write(out io.Writer) {
+	fmt.Fprintln(out, "| case | policy | last work to it, s | requests | noticed | without a replica | work again after, s |\n|---|---|---|---|---|---|---|")
+	for _, r := range t.Cases {
+		fmt.Fprintf(out, "| %s | %s | %.2f | %d | %d | %d | %.2f |\n", r.Case, r.Policy, r.LastWork, r.Requests, r.Noticed, r.Lost, r.WorkAgain)
+	}
+	fmt.Fprintln(out, "\n| all start at once | dials in the first 100 ms | most at one replica in 100 ms | dials | all linked, s |\n|---|---|---|---|---|")
+	for _, s := range t.Stampede {
+		fmt.Fprintf(out, "| %s | %d | %d | %d | %.1f |\n", s.Rules, s.Dials, s.Worst, s.All, s.Linked)
+	}
+	fmt.Fprintln(out, "\n| entries | replicas | pools | entries a replica | links an entry | mean | replica load max/mean | 99th/mean | links moved when one entry goes | beat, ms |\n|---|---|---|---|---|---|---|---|---|---|")
+	for _, l := range t.Links {
+		fmt.Fprintf(out, "| %d | %d | %d | %d to %d | %d to %d | %.1f | %.3f | %.3f | %.4f | %d |\n", l.Entries, l.Replicas, l.Pools,
+			l.EntriesPerReplica[0], l.EntriesPerReplica[1], l.LinksPerEntry[0], l.LinksPerEntry[1], l.MeanLinks, l.Spread, l.Spread99, l.Moved, l.BeatMS)
+	}
+	fmt.Fprintln(out, "\n| entries | organisations | answers changed when one entry goes | names changed | first places max/mean | most names |\n|---|---|---|---|---|---|")
+	for _, a := range t.Answers {
+		fmt.Fprintf(out, "| %d | %d | %.4f | %.4f | %.2f | %d |\n", a.Entries, a.Organisations, a.Changed, a.Renamed, a.First, a.Most)
+	}
+	fmt.Fprintln(out, "\n| instances | whole list, bytes | unchanged | one change | whole each second, bytes/s | changes each second, bytes/s |\n|---|---|---|---|---|---|")
+	for _, l := range t.List {
+		fmt.Fprintf(out, "| %d | %d | %d | %d | %.0f | %.0f |\n", l.Instances, l.Whole, l.Unchanged, l.OneChange, l.EverySecond, l.Since)
+	}
+	fmt.Fprintln(out, "\n| links | hello and answer, bytes a link | status | beat |\n|---|---|---|---|")
+	for _, l := range t.Link {
+		fmt.Fprintf(out, "| %d | %.0f | %.0f | %.0f |\n", l.Links, l.Hello, l.Status, l.Beat)
+	}
+}
--- /dev/null
+++ b/pkg/measure/membership/stampede.go
@@ -0,0 +1,88 @@
+package membership
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	decision "github.com/fescuehub/fescuehub/pkg/membership"
+	"github.com/fescuehub/fescuehub/pkg/routing"
+)
+
+// Stampede is what one replica and the list see when everything starts at
+// once.
+type Stampede struct {
+	Rules string `json:"rules"`
+	// Dials counts the dials of all entries within DialWindow; Worst is the
+	// highest count at one replica.
+	Dials int `json:"dialsInFirst100ms"`
+	Worst int `json:"worstReplicaIn100ms"`
+	// All is the number of dials until every agent is reached.
+	All int `json:"dials"`
+	// Linked is when the last link was open, in seconds.
+	Linked float64 `json:"allLinkedSeconds"`
+}
+
+const (
+	stampedeEntries  = 410
+	stampedeReplicas = 1200
+	stampedeWindow   = 100 * time.Millisecond
+	// agentsUpWithin is how long the agents take to start.
+	agentsUpWithin = 20 * time.Second
+)
+
+// restartAll starts all entries at once before agents that come up one after
+// another.
+func restartAll(name string, rules decision.Rules, seed uint64) Stampede {
+	random := rand.New(rand.NewPCG(seed, 6))
+	var entries, replicas []routing.Node
+	for i := range stampedeEntries {
+		entries = append(entries, routing.Node{Name: fmt.Sprintf("entry-%d", i), FailureDomain: fmt.Sprint(i % 16)})
+	}
+	upAt := make(map[string]time.Duration)
+	for i := range stampedeReplicas {
+		n := routing.Node{Name: fmt.Sprintf("replica-%d", i), FailureDomain: fmt.Sprint(i % 16)}
+		replicas = append(replicas, n)
+		upAt[n.Name] = time.Duration(random.Int64N(int64(agentsUpWithin)))
+	}
+	out := Stampede{Rules: name}
+	perWindow := make(map[string]int)
+	for _, e := range entries {
+		table := decision.New(rules)
+		var rows []decision.Row
+		for _, r := range routing.Subset(e, entries, replicas) {
+			rows = append(rows, decision.Row{Name: r.Name, Address: "1"})
+		}
+		table.List(epoch, rows, random.Uint64())
+		open := 0
+		for now := time.Duration(0); open < len(rows); now += tickInterval {
+			for _, a := range table.Advance(epoch.Add(now)) {
+				out.All++
+				if now < stampedeWindow {
+					out.Dials++
+				}
+				key := fmt.Sprint(a.Agent, now/stampedeWindow)
+				perWindow[key]++
+				out.Worst = max(out.Worst, perWindow[key])
+				if now < upAt[a.Agent] {
+					table.LinkDown(epoch.Add(now), a.Agent, random.Uint64())
+					continue
+				}
+				open++
+				out.Linked = max(out.Linked, now.Seconds())
+				table.LinkUp(epoch.Add(now), a.Agent, decision.Report{Name: a.Agent, Incarnation: "1", BackendUp: true})
+				table.SetSilence(time.Hour)
+			}
+		}
+	}
+	return out
+}
+
+// eager are the rules without spread and back-off.
+func eager() decision.Rules {
+	r := decision.Standard()
+	r.StartSpread = 0
+	r.DialPause = 100 * time.Millisecond
+	r.LongestDialPause = r.DialPause
+	return r
+}
--- a/pkg/measure/routing/measure.go
+++ b/pkg/measure/routing/measure.go
@@ -12,6 +12,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/fescuehub/fescuehub/pkg/membership"
 	decision "github.com/fescuehub/fescuehub/pkg/routing"
 )
 
@@ -31,6 +32,12 @@
 	}
 }
 
+// Links of an entry at the sizes of the sites.
+const (
+	todayLinks = 15
+	largeLinks = 40
+)
+
 // Sites returns today's sizes of both deployments and a larger one.
 func Sites() []Site {
 	engine := Engine{
@@ -44,7 +51,7 @@
 			PrefixTokens: 1000, OwnTokens: 100, OutputTokens: 120,
 		},
 		Length: 5 * time.Minute, OneWay: 200 * time.Microsecond, CrossDomain: time.Millisecond,
-		StatusEvery: 300 * time.Millisecond, LoadLag: 200 * time.Millisecond,
+		StatusEvery: membership.BeatInterval(todayLinks), LoadLag: 200 * time.Millisecond,
 	}
 	somes := arcos
 	somes.Name = "somes"
@@ -58,7 +65,7 @@
 	large.Workload.Organisations, large.Workload.Large = 480, 12
 	large.Workload.Prefixes = 12_000
 	large.Length = 2 * time.Minute
-	large.StatusEvery = time.Second
+	large.StatusEvery = membership.BeatInterval(largeLinks)
 	return []Site{arcos, somes, large}
 }
 
--- a/pkg/routing/subset.go
+++ b/pkg/routing/subset.go
@@ -10,7 +10,7 @@
 
 const (
 	// linksPerPool is how many replicas of a pool an entry should reach.
-	linksPerPool = 12
+	linksPerPool = 16
 	// minEntries is how many entries reach each replica at least.
 	minEntries = 4
 	// nearShare is the part of a replica's entries taken from its own failure
