--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -37,26 +37,32 @@
 	life        *lifecycle.Lifecycle
 	backend     Backend
 	attempts    *attempts
+	maps        *expertMaps
+	bound       bound
 
 	mu        sync.Mutex
 	links     map[*rpc.Conn]*entryLink
 	part      agentlink.PoolPart
 	backendUp bool
 	load      routing.Load
+	// told is the status that entries were last told of.
+	told agentlink.Status
 }
 
 // New returns an agent that has opened nothing yet.
 func New(s settings.Agent, log *zap.Logger, metrics *telemetry.Metrics, backend Backend) *Agent {
+	scope := metrics.Scope.SubScope("agent")
 	plan := drain.Plan{Bound: time.Duration(s.ShutdownSeconds) * time.Second}
 	return &Agent{
 		settings:    s,
 		log:         log,
 		metrics:     metrics,
-		scope:       metrics.Scope.SubScope("agent"),
+		scope:       scope,
 		incarnation: ident.NewIncarnation(s.Name),
 		life:        lifecycle.New(log, plan),
 		backend:     backend,
 		attempts:    newAttempts(),
+		maps:        newExpertMaps(s, log, scope),
 		links:       make(map[*rpc.Conn]*entryLink),
 		part:        agentlink.PoolPart{Offset: -1},
 	}
@@ -94,7 +100,7 @@
 	defer cutOff(nil)
 	dataServer := httpserver.NewWithContext(work, data, a.scope.SubScope("data"), a.dataHandler())
 	operatorServer := httpserver.New(operator, a.scope.SubScope("operator"), a.operatorHandler())
-	controlServer := rpc.NewServer(control, a.controlMethods())
+	controlServer := rpc.NewServer(control, a.scope.SubScope("control"), a.controlMethods())
 
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
@@ -103,6 +109,7 @@
 	group.Go(operatorServer.Run)
 	group.Go(func() error { return controlServer.Run(ctx) })
 	group.Go(func() error { return a.watchBackend(ctx) })
+	group.Go(func() error { return a.maps.run(ctx) })
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
--- a/pkg/agent/load.go
+++ b/pkg/agent/load.go
@@ -15,8 +15,8 @@
 const loadInterval = 200 * time.Millisecond
 
 // watchBackend reads the load of the backend server and tells entries of it
-// until ctx ends: at once where the backend server comes or goes, and else at
-// the interval that each entry asked for.
+// until ctx ends: at once where the status changes, and else at the interval
+// that each entry asked for.
 func (a *Agent) watchBackend(ctx context.Context) error {
 	ticker := time.NewTicker(loadInterval)
 	defer ticker.Stop()
@@ -35,23 +35,35 @@
 	if ctx.Err() != nil {
 		return
 	}
-	if a.storeLoad(load, err == nil) {
+	a.storeLoad(load, err == nil)
+	if a.statusChanged() {
 		a.sendStatus()
 	}
 	a.sendBeats(time.Now())
 }
 
-// storeLoad keeps a reading and reports whether the backend server has come or
-// gone.
-func (a *Agent) storeLoad(load routing.Load, up bool) bool {
+// statusChanged reports whether the status has changed, since the last call,
+// in something that beats do not carry. Entries learn the offset of the
+// configuration from the answer to it.
+func (a *Agent) statusChanged() bool {
+	now := a.status()
+	now.Load = routing.Load{}
+	now.ConfigOffset = 0
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	changed := now != a.told
+	a.told = now
+	return changed
+}
+
+// storeLoad keeps a reading.
+func (a *Agent) storeLoad(load routing.Load, up bool) {
 	load.StepMS = math.Round(load.StepMS*10) / 10
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	changed := up != a.backendUp
-	if changed {
+	if up != a.backendUp {
 		a.log.Info("backend server state", zap.Bool("up", up))
 	}
 	a.backendUp = up
 	a.load = load
-	return changed
 }
--- a/pkg/answer/answer.go
+++ b/pkg/answer/answer.go
@@ -11,6 +11,12 @@
 	"github.com/fescuehub/fescuehub/pkg/problem"
 )
 
+// minStatus and maxStatus bound the status codes of final answers.
+const (
+	minStatus = 200
+	maxStatus = 599
+)
+
 // Head is the status and the header of an answer.
 type Head struct {
 	Status  int
@@ -87,6 +93,10 @@
 	if f.Failure != nil {
 		return Output{}, f.Failure
 	}
+	if f.Status != 0 && (f.Status < minStatus || f.Status > maxStatus) {
+		return Output{}, problem.New(problem.BrokenFrame, "correct the backend server",
+			"%d is not the status of an answer", f.Status).WithOutcome(problem.NotKnown)
+	}
 	if f.Status != 0 && !a.committed {
 		a.head.Status = f.Status
 		a.head.Header = f.Header
@@ -156,14 +166,14 @@
 	switch {
 	case !a.committed && repeatable:
 		return Again
-	case a.committed && repeatable && a.stream && a.events.resumable && !a.events.done:
+	case a.committed && repeatable && a.stream && a.events.resumable():
 		return Resume
 	}
 	return Fail
 }
 
 // Text returns the text that the caller has of a stream.
-func (a *Assembler) Text() string { return a.events.text.String() }
+func (a *Assembler) Text() string { return a.events.readText() }
 
 func truncated(detail string) error {
 	return problem.New(problem.TruncatedAnswer, "send the request again if it is idempotent", "%s", detail).WithOutcome(problem.NotKnown)
--- a/pkg/cli/measure.go
+++ b/pkg/cli/measure.go
@@ -12,5 +12,7 @@
 		RunE:  func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
 	}
 	cmd.AddCommand(a.measureRouting(), a.measureMembership())
+	cmd.AddCommand(a.measureExpertMaps())
+	cmd.AddCommand(a.measureLimits())
 	return cmd
 }
--- a/pkg/entry/addresses.go
+++ b/pkg/entry/addresses.go
@@ -46,7 +46,7 @@
 func (e *Entry) addressesFor(r *http.Request) []Address {
 	named := make(map[routing.Node]instancelist.Instance)
 	var nodes []routing.Node
-	for _, i := range e.members.entriesInForce() {
+	for _, i := range e.members.withRole(instancelist.Entry) {
 		leaving := i.Name == e.settings.Name && e.life.Phase() != drain.Serving
 		if i.State == instancelist.Live && !leaving {
 			nodes = append(nodes, nodeOf(i))
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -22,6 +22,7 @@
 	"github.com/fescuehub/fescuehub/pkg/peer/agentlink"
 	"github.com/fescuehub/fescuehub/pkg/peer/instancelist"
 	"github.com/fescuehub/fescuehub/pkg/peer/logservice"
+	"github.com/fescuehub/fescuehub/pkg/problem"
 	"github.com/fescuehub/fescuehub/pkg/routing"
 	"github.com/fescuehub/fescuehub/pkg/settings"
 	"github.com/fescuehub/fescuehub/pkg/telemetry"
@@ -48,6 +49,8 @@
 	replicas    *replicas
 	attempts    *agentlink.Client
 	selector    routing.Selector
+	planners    *planners
+	admission   *admission
 }
 
 // New returns an entry that has opened nothing yet.
@@ -63,7 +66,7 @@
 	incarnation := ident.NewIncarnation(s.Name)
 	scope := metrics.Scope.SubScope("entry")
 	replicas := newReplicas(log, s.Name, incarnation, store)
-	return &Entry{
+	e := &Entry{
 		settings:    s,
 		log:         log,
 		metrics:     metrics,
@@ -76,7 +79,10 @@
 		replicas:    replicas,
 		attempts:    agentlink.NewClient(),
 		selector:    selector,
+		admission:   newAdmission(scope.SubScope("pool")),
 	}
+	e.planners = newPlanners(e, logClient)
+	return e
 }
 
 func planOf(s settings.Entry) drain.Plan {
@@ -109,6 +115,8 @@
 	group.Go(func() error { return e.follower.Run(ctx) })
 	group.Go(func() error { return e.members.run(ctx) })
 	group.Go(func() error { return e.replicas.run(ctx) })
+	group.Go(func() error { return e.planners.run(ctx) })
+	group.Go(func() error { return e.runAdmission(ctx) })
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
@@ -156,9 +164,16 @@
 	mux.HandleFunc("GET /v1/addresses", e.serveAddresses)
 	mux.HandleFunc("POST /v1/chat/completions", e.inFlight(e.serveModel))
 	mux.HandleFunc("/services/{route}/{path...}", e.inFlight(e.serveService))
+	mux.HandleFunc("/", e.serveUnknownPath)
 	return mux
 }
 
+func (e *Entry) serveUnknownPath(w http.ResponseWriter, r *http.Request) {
+	e.refuse(w, problem.New(problem.UnknownRoute,
+		"use GET /v1/addresses, POST /v1/chat/completions or /services/ROUTE/PATH",
+		"nothing is served at %s %s", r.Method, r.URL.Path).WithOutcome(problem.NotRun))
+}
+
 // inFlight counts a request from its header to the end of its answer, so that
 // a drain waits for it. A leaving entry asks callers to close the connection.
 func (e *Entry) inFlight(next http.HandlerFunc) http.HandlerFunc {
--- a/pkg/entry/members.go
+++ b/pkg/entry/members.go
@@ -31,6 +31,8 @@
 	list    instancelist.List
 	entries *membership.Listing[instancelist.Instance]
 	live    []instancelist.Instance
+	// sharers is the number of entries that reach each replica of a pool.
+	sharers map[string]int
 }
 
 func newMembers(log *zap.Logger, client *instancelist.Client, replicas *replicas, self routing.Node) *members {
@@ -71,10 +73,10 @@
 func (m *members) store(ctx context.Context, list instancelist.List) {
 	m.mu.Lock()
 	m.list = list
-	m.live = m.entries.Take(time.Now(), withRole(list, instancelist.Entry))
+	m.live = m.entries.Take(time.Now(), rowsOf(list, instancelist.Entry))
 	live := m.live
 	m.mu.Unlock()
-	mine, others := m.subsets(live, withRole(list, instancelist.Agent))
+	mine, others := m.subsets(live, rowsOf(list, instancelist.Agent))
 	m.replicas.reconcile(ctx, mine, others)
 }
 
@@ -92,11 +94,20 @@
 		pools[a.Pool] = append(pools[a.Pool], nodeOf(a))
 	}
 	taken := make(map[routing.Node]bool)
-	for _, pool := range pools {
-		for _, n := range routing.Subset(m.self, nodes, pool) {
+	sharers := make(map[string]int, len(pools))
+	for name, pool := range pools {
+		sharers[name] = len(nodes)
+		if len(agents) > routing.LinksWithoutSubsets {
+			sharers[name] = routing.EntriesPerReplica(len(nodes), len(pool))
+			pool = routing.Subset(m.self, nodes, pool)
+		}
+		for _, n := range pool {
 			taken[n] = true
 		}
 	}
+	m.mu.Lock()
+	m.sharers = sharers
+	m.mu.Unlock()
 	for _, a := range agents {
 		if taken[nodeOf(a)] {
 			mine = append(mine, a)
@@ -111,14 +122,24 @@
 	return routing.Node{Name: i.Name, FailureDomain: i.FailureDomain}
 }
 
-// entriesInForce returns the entries that the list names, leaving ones too.
-func (m *members) entriesInForce() []instancelist.Instance {
+// withRole returns the rows in force of a role, leaving ones too.
+func (m *members) withRole(role instancelist.Role) []instancelist.Instance {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if role == instancelist.Entry {
+		return m.live
+	}
+	return rowsOf(m.list, role)
+}
+
+// sharersOf returns how many entries share each replica of a pool.
+func (m *members) sharersOf(pool string) int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.live
+	return max(1, m.sharers[pool])
 }
 
-func withRole(list instancelist.List, role instancelist.Role) []instancelist.Instance {
+func rowsOf(list instancelist.List, role instancelist.Role) []instancelist.Instance {
 	var out []instancelist.Instance
 	for _, i := range list.Instances {
 		if i.Role == role {
--- a/pkg/measure/membership/bytes.go
+++ b/pkg/measure/membership/bytes.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/fescuehub/fescuehub/pkg/ident"
 	"github.com/fescuehub/fescuehub/pkg/peer/agentlink"
 	"github.com/fescuehub/fescuehub/pkg/peer/instancelist"
@@ -94,7 +96,7 @@
 	}
 	status.Load.Running, status.Load.Waiting, status.Load.StepMS = 12, 3, 23.4
 	peers := make(chan *rpc.Conn, links)
-	server := rpc.NewServer(listener, rpc.Methods{agentlink.MethodHello: rpc.Typed(
+	server := rpc.NewServer(listener, tally.NoopScope, rpc.Methods{agentlink.MethodHello: rpc.Typed(
 		func(_ context.Context, peer *rpc.Conn, _ agentlink.Hello) (any, error) {
 			peers <- peer
 			return status, nil
--- a/pkg/routing/subset.go
+++ b/pkg/routing/subset.go
@@ -8,12 +8,16 @@
 	FailureDomain string
 }
 
+// LinksWithoutSubsets is the number of agents up to which every entry connects
+// to all of them.
+const LinksWithoutSubsets = 128
+
 const (
 	// linksPerPool is how many replicas of a pool an entry should reach.
 	linksPerPool = 16
 	// minEntries is how many entries reach each replica at least.
 	minEntries = 4
-	// nearShare is the part of a replica's entries taken from its own failure
+	// nearQuarters is the part of a replica's entries taken from its own failure
 	// domain, in quarters.
 	nearQuarters = 3
 )
