--- a/pkg/entry/serve.go
+++ b/pkg/entry/serve.go
@@ -22,6 +22,9 @@
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
 	err := e.admitAndForward(ctx, x)
+	if err != nil && x.call != nil {
+		err = aboutKey(x.call.OnlyTry, err)
+	}
 	if err != nil {
 		e.countProblem(err)
 		x.out.fail(x.truthful(err))
