--- a/pkg/cli/measure.go
+++ b/pkg/cli/measure.go
@@ -11,6 +11,7 @@
 		Args:  cobra.NoArgs,
 		RunE:  func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
 	}
+	cmd.AddCommand(a.measureRouting(), a.measureMembership())
 	cmd.AddCommand(a.measureExpertMaps())
 	cmd.AddCommand(a.measureLimits())
 	return cmd
--- a/pkg/entry/admission.go
+++ b/pkg/entry/admission.go
@@ -8,7 +8,6 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/fescuehub/fescuehub/pkg/flowcontrol"
-	"github.com/fescuehub/fescuehub/pkg/peer/instancelist"
 	"github.com/fescuehub/fescuehub/pkg/problem"
 	"github.com/fescuehub/fescuehub/pkg/tables"
 )
@@ -86,13 +85,7 @@
 
 func (e *Entry) readCapacity(g *gate, pool tables.Pool) {
 	whole := pool.Concurrency * e.usable(pool)
-	entries := 0
-	for _, i := range e.members.withRole(instancelist.Entry) {
-		if i.State == instancelist.Live {
-			entries++
-		}
-	}
-	entries = max(entries, 1)
+	entries := e.members.sharersOf(pool.Name)
 	g.setCapacity(pool, (whole+entries-1)/entries, whole)
 }
 
--- a/pkg/frame/frame.go
+++ b/pkg/frame/frame.go
@@ -24,6 +24,15 @@
 	// Owner is the agent that the key of an unrepeatable call belongs to, where
 	// Failure has the kind OwnerElsewhere.
 	Owner ident.Incarnation `json:"owner,omitempty"`
+	// Load is the load of the backend server, on the first and the last frame.
+	Load *Load `json:"load,omitempty"`
+}
+
+// Load is the load of a backend server.
+type Load struct {
+	Running int     `json:"r,omitempty"`
+	Waiting int     `json:"w,omitempty"`
+	StepMS  float64 `json:"s,omitempty"`
 }
 
 // Sequencer accepts the frames of one attempt in order. It is not safe for
