--- a/pkg/cli/measure.go
+++ b/pkg/cli/measure.go
@@ -11,6 +11,6 @@
 		Args:  cobra.NoArgs,
 		RunE:  func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
 	}
-	cmd.AddCommand(a.measureLimits())
+	cmd.AddCommand(a.measureLimits(), a.measureRetries())
 	return cmd
 }
--- /dev/null
+++ b/pkg/measure/retries/hedge.go
@@ -0,0 +1,161 @@
+package retries
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/fescuehub/fescuehub/pkg/measure/virtualtime"
+)
+
+// The stalls and the hedges of the runs.
+const (
+	stallFactor  = 10
+	stallLength  = 5 * time.Second
+	stallPeriod  = 30 * time.Second
+	spread       = 0.5
+	hedgeAfter   = 2 * time.Second
+	hedgeRatio   = 0.05
+	hedgeBurst   = 10
+	hedgeRunTime = 600 * time.Second
+)
+
+// HedgeRow is the outcome of one policy.
+type HedgeRow struct {
+	Policy                string  `json:"policy"`
+	Load                  float64 `json:"load"`
+	P50Seconds            float64 `json:"p50Seconds"`
+	P95Seconds            float64 `json:"p95Seconds"`
+	P99Seconds            float64 `json:"p99Seconds"`
+	AttemptsPerRequest    float64 `json:"attemptsPerRequest"`
+	SlotSecondsPerRequest float64 `json:"slotSecondsPerRequest"`
+}
+
+// hedging is one run in which a request that takes long is sent a second time.
+type hedging struct {
+	queue    *virtualtime.Queue
+	random   *rand.Rand
+	ratio    float64
+	tokens   float64
+	running  [replicas]int
+	waiting  [replicas][]*hedgeAttempt
+	times    []float64
+	requests int
+	attempts int
+	slotTime time.Duration
+}
+
+type hedgeRequest struct {
+	arrived  time.Time
+	work     time.Duration
+	attempts []*hedgeAttempt
+	done     bool
+}
+
+type hedgeAttempt struct {
+	request *hedgeRequest
+	replica int
+	started time.Time
+	running bool
+	ended   bool
+}
+
+// Hedges measures hedged reads against none.
+func Hedges(seed uint64) []HedgeRow {
+	var rows []HedgeRow
+	for _, load := range []float64{0.4, 0.8} {
+		rows = append(rows, hedged("none", 0, load, seed), hedged("5% after 2 s", hedgeRatio, load, seed), hedged("no bound, 2 s", math.Inf(1), load, seed))
+	}
+	return rows
+}
+
+func hedged(name string, ratio, load float64, seed uint64) HedgeRow {
+	h := &hedging{queue: virtualtime.NewQueue(), random: rand.New(rand.NewPCG(seed, seed)), ratio: ratio}
+	h.offer(load * capacity)
+	h.queue.RunUntil(hedgeRunTime)
+	return HedgeRow{
+		Policy: name, Load: load,
+		P50Seconds:            virtualtime.Percentile(h.times, 0.50),
+		P95Seconds:            virtualtime.Percentile(h.times, 0.95),
+		P99Seconds:            virtualtime.Percentile(h.times, 0.99),
+		AttemptsPerRequest:    float64(h.attempts) / float64(h.requests),
+		SlotSecondsPerRequest: h.slotTime.Seconds() / float64(h.requests),
+	}
+}
+
+func (h *hedging) offer(rate float64) {
+	h.queue.After(time.Duration(h.random.ExpFloat64()/rate*float64(time.Second)), func() {
+		work := math.Exp(-spread*spread/2 + spread*h.random.NormFloat64())
+		r := &hedgeRequest{arrived: h.queue.Now(), work: time.Duration(work * float64(service))}
+		h.requests++
+		h.tokens = min(h.tokens+h.ratio, hedgeBurst)
+		h.send(r)
+		h.queue.After(hedgeAfter, func() { h.hedge(r) })
+		h.offer(rate)
+	})
+}
+
+// hedge sends a request that has no answer yet a second time, if the budget
+// allows it.
+func (h *hedging) hedge(r *hedgeRequest) {
+	if r.done || h.tokens < 1 {
+		return
+	}
+	h.tokens--
+	h.send(r)
+}
+
+func (h *hedging) send(r *hedgeRequest) {
+	a, b := h.random.IntN(replicas), h.random.IntN(replicas)
+	if h.running[b]+len(h.waiting[b]) < h.running[a]+len(h.waiting[a]) {
+		a = b
+	}
+	attempt := &hedgeAttempt{request: r, replica: a}
+	r.attempts = append(r.attempts, attempt)
+	h.attempts++
+	h.waiting[a] = append(h.waiting[a], attempt)
+	h.fill(a)
+}
+
+func (h *hedging) fill(replica int) {
+	for h.running[replica] < concurrency && len(h.waiting[replica]) > 0 {
+		a := h.waiting[replica][0]
+		h.waiting[replica] = h.waiting[replica][1:]
+		if a.ended {
+			continue
+		}
+		h.running[replica]++
+		a.running = true
+		a.started = h.queue.Now()
+		took := a.request.work
+		if replica == 0 && h.queue.Since()%stallPeriod < stallLength {
+			took *= stallFactor
+		}
+		h.queue.After(took, func() { h.finish(a) })
+	}
+}
+
+// finish takes the first answer and cancels the other attempt.
+func (h *hedging) finish(a *hedgeAttempt) {
+	if a.ended {
+		return
+	}
+	a.request.done = true
+	h.times = append(h.times, h.queue.Now().Sub(a.request.arrived).Seconds())
+	for _, other := range a.request.attempts {
+		h.end(other)
+	}
+}
+
+func (h *hedging) end(a *hedgeAttempt) {
+	if a.ended {
+		return
+	}
+	a.ended = true
+	if !a.running {
+		return
+	}
+	h.running[a.replica]--
+	h.slotTime += h.queue.Now().Sub(a.started)
+	h.fill(a.replica)
+}
