Add the open-loop load tool

Times count from the planned arrival (coordinated omission); every answer is checked to be whole and its own; only loopback addresses are taken.

--- a/cmd/fescuehub/scenario_site_test.go
+++ b/cmd/fescuehub/scenario_site_test.go
@@ -212,6 +212,7 @@
 	ts.Setenv(upper+"_CALLER", es.CallerAddress)
 	ts.Setenv(upper+"_OP", "http://"+es.OperatorAddress)
 	ts.Setenv(upper+"_OPADDR", es.OperatorAddress)
+	ts.Setenv(upper+"_ADDR", es.CallerAddress)
 	s.mustWriteJSON(es.Name+".json", es)
 	s.prepare(es.Name, "entry", "--settings", filepath.Join(s.dir, es.Name+".json"))
 	list.Instances = append(list.Instances, instancelist.Instance{
--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -69,7 +69,7 @@
 	})
 	root.AddCommand(
 		a.entryCommand(), a.agentCommand(), a.configCommand(), a.statusCommand(),
-		a.standinCommand(), a.demoCommand(), a.measureCommand(), a.versionCommand(),
+		a.standinCommand(), a.demoCommand(), a.measureCommand(), a.loadCommand(), a.versionCommand(),
 	)
 	a.noteStart(root)
 	return root
--- /dev/null
+++ b/pkg/cli/load.go
@@ -0,0 +1,100 @@
+package cli
+
+import (
+	"encoding/json"
+	"io"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/fescuehub/fescuehub/pkg/load"
+)
+
+func (a *app) loadCommand() *cobra.Command {
+	var o load.Options
+	var organisations []string
+	var shape string
+	cmd := &cobra.Command{
+		Use:   "load --entry ADDRESS --model ROUTE",
+		Short: "Send open-loop traffic to entries on loopback and measure what callers get",
+		Long: "Send open-loop traffic to entries on loopback and measure what callers get. Arrivals follow a seeded plan and do not wait for answers; " +
+			"times count from the planned arrival. It refuses every address that is not on loopback, and ends by itself. Each answer is checked to be whole and its own.",
+		Example: "  fescuehub load --entry 127.0.0.1:7100 --model asistente-mostrador --service caja-inventario --rate 50 --for 30s --output json > a.json",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			o.Shape = load.Shape(shape)
+			var err error
+			if o.Organisations, err = parseOrganisations(organisations); err != nil {
+				return err
+			}
+			ctx, stop := signalContext(cmd.Context())
+			defer stop()
+			result, err := load.Run(ctx, o)
+			if err != nil {
+				return err
+			}
+			return a.print(result, result.Write)
+		},
+	}
+	f := cmd.Flags()
+	f.StringSliceVar(&o.Entries, "entry", nil, "caller address of an entry; may be given many times (required)")
+	f.StringVar(&o.ModelRoute, "model", "", "route of model requests")
+	f.StringVar(&o.ServiceRoute, "service", "", "route of calls to a plain service")
+	f.StringSliceVar(&organisations, "organisation", []string{"load=1"}, "NAME=WEIGHT of an organisation; may be given many times")
+	f.Uint64Var(&o.Seed, "seed", 1, "seed of the plan")
+	f.Float64Var(&o.Rate, "rate", 20, "arrivals a second; with --shape day at the peak")
+	f.DurationVar(&o.Duration, "for", 10*time.Second, "length of the run, up to 10m")
+	f.StringVar(&shape, "shape", string(load.Steady), "steady or day")
+	f.Float64Var(&o.ModelPart, "model-part", 0.8, "part of the requests that go to the model route")
+	f.Float64Var(&o.WritePart, "write-part", 0.5, "part of the other requests that are unrepeatable writes")
+	f.IntVar(&o.Tokens, "tokens", 16, "tokens of an answer")
+	f.IntVar(&o.Prompts, "prompts", 100, "different prompts")
+	f.DurationVar(&o.Timeout, "timeout", time.Minute, "time after which a request counts as failed")
+	_ = cmd.MarkFlagRequired("entry")
+	cmd.AddCommand(a.loadCompare())
+	return cmd
+}
+
+func parseOrganisations(list []string) ([]load.Organisation, error) {
+	var out []load.Organisation
+	for _, text := range list {
+		name, weight, found := strings.Cut(text, "=")
+		w, err := strconv.ParseFloat(weight, 64)
+		if !found || name == "" || err != nil || w <= 0 {
+			return nil, usage("--organisation %q; write NAME=WEIGHT with a positive weight", text)
+		}
+		out = append(out, load.Organisation{Name: name, Weight: w})
+	}
+	return out, nil
+}
+
+func (a *app) loadCompare() *cobra.Command {
+	return &cobra.Command{
+		Use:     "compare A.json B.json",
+		Short:   "Compare two results of load",
+		Example: "  fescuehub load compare before.json after.json",
+		Args: func(_ *cobra.Command, args []string) error {
+			if len(args) != 2 {
+				return usage("name two result files")
+			}
+			return nil
+		},
+		RunE: func(_ *cobra.Command, args []string) error {
+			var results [2]load.Result
+			for i, path := range args {
+				data, err := os.ReadFile(path)
+				if err != nil {
+					return usage("%v", err)
+				}
+				if err := json.Unmarshal(data, &results[i]); err != nil {
+					return usage("%s is not a result of load --output json: %v", path, err)
+				}
+			}
+			changes := load.Compare(&results[0], &results[1])
+			return a.print(changes, func(w io.Writer) { load.WriteChanges(w, changes) })
+		},
+	}
+}
--- a/pkg/demo/caller.go
+++ b/pkg/demo/caller.go
@@ -1,7 +1,6 @@
 package demo
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -118,21 +117,12 @@
 		return a.Choices[0].Message.Content, nil
 	}
 	var text strings.Builder
-	scan := bufio.NewScanner(body)
-	for scan.Scan() {
-		line := scan.Text()
-		if line == engine.DoneMarker {
-			return text.String(), nil
+	reader := engine.NewStreamReader(body)
+	for {
+		part, done, err := reader.Next()
+		if err != nil || done {
+			return text.String(), err
 		}
-		data, ok := strings.CutPrefix(line, "data: ")
-		if !ok {
-			continue
-		}
-		var event engine.ChatAnswer
-		if err := json.Unmarshal([]byte(data), &event); err != nil || len(event.Choices) == 0 || event.Choices[0].Delta == nil {
-			return text.String(), fmt.Errorf("not an event of an answer: %s", data)
-		}
-		text.WriteString(event.Choices[0].Delta.Content)
+		text.WriteString(part)
 	}
-	return text.String(), fmt.Errorf("the stream ended without its end marker: %v", scan.Err())
 }
--- /dev/null
+++ b/pkg/load/caller.go
@@ -0,0 +1,131 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/fescuehub/fescuehub/pkg/entry"
+	"github.com/fescuehub/fescuehub/pkg/ident"
+	"github.com/fescuehub/fescuehub/pkg/peer/engine"
+	"github.com/fescuehub/fescuehub/pkg/peer/plainservice"
+	"github.com/fescuehub/fescuehub/pkg/problem"
+	standin "github.com/fescuehub/fescuehub/pkg/standin/engine"
+	service "github.com/fescuehub/fescuehub/pkg/standin/plainservice"
+)
+
+// maxAnswerBytes bounds what is read of an answer that is not a stream.
+const maxAnswerBytes = 8 << 20
+
+// send carries out one planned request and records what came.
+func (r *runner) send(ctx context.Context, a Arrival, planned time.Time) {
+	ctx, cancel := context.WithDeadline(ctx, planned.Add(r.options.Timeout))
+	defer cancel()
+	switch a.Kind {
+	case ModelStream, ModelWhole:
+		r.sendModel(ctx, a, planned)
+	default:
+		r.sendService(ctx, a, planned)
+	}
+}
+
+func (r *runner) sendModel(ctx context.Context, a Arrival, planned time.Time) {
+	request := engine.ChatRequest{
+		Model: r.options.ModelRoute, Stream: a.Kind == ModelStream, MaxTokens: r.options.Tokens,
+		Messages: []engine.Message{{Role: "user", Content: fmt.Sprintf("prompt %d of %s", a.Prompt, a.Organisation)}},
+	}
+	body, err := json.Marshal(request)
+	if err != nil {
+		r.record.failed(a, planned, err)
+		return
+	}
+	res, err := r.post(ctx, a, http.MethodPost, "/v1/chat/completions", "", body)
+	if err != nil {
+		r.record.failed(a, planned, err)
+		return
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		r.record.refused(a, planned, res)
+		return
+	}
+	text, err := r.readModel(res.Body, a, planned)
+	if err != nil {
+		r.record.failed(a, planned, err)
+		return
+	}
+	r.record.answered(a, planned, text == standin.WholeAnswer(request))
+}
+
+// readModel returns the text of an answer and records the times of its tokens.
+func (r *runner) readModel(body io.Reader, a Arrival, planned time.Time) (string, error) {
+	if a.Kind == ModelWhole {
+		var answer engine.ChatAnswer
+		if err := json.NewDecoder(io.LimitReader(body, maxAnswerBytes)).Decode(&answer); err != nil {
+			return "", err
+		}
+		if len(answer.Choices) == 0 || answer.Choices[0].Message == nil {
+			return "", problem.New(problem.TruncatedAnswer, "look at the engine", "the answer has no choice")
+		}
+		return answer.Choices[0].Message.Content, nil
+	}
+	var text strings.Builder
+	reader := engine.NewStreamReader(body)
+	before := time.Time{}
+	for {
+		part, done, err := reader.Next()
+		if err != nil || done {
+			return text.String(), err
+		}
+		if part == "" {
+			continue
+		}
+		now := time.Now()
+		r.record.token(planned, before, now)
+		before = now
+		text.WriteString(part)
+	}
+}
+
+func (r *runner) sendService(ctx context.Context, a Arrival, planned time.Time) {
+	method, path, key := http.MethodGet, fmt.Sprintf("/items/%d", a.Prompt), ""
+	if a.Kind == Write {
+		method, path, key = http.MethodPost, "/holds", ident.NewKey()
+	}
+	body := fmt.Appendf(nil, `{"item":%d}`, a.Prompt)
+	res, err := r.post(ctx, a, method, "/services/"+r.options.ServiceRoute+path, key, body)
+	if err != nil {
+		r.record.failed(a, planned, err)
+		return
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		r.record.refused(a, planned, res)
+		return
+	}
+	var answer service.Answer
+	if err := json.NewDecoder(io.LimitReader(res.Body, maxAnswerBytes)).Decode(&answer); err != nil {
+		r.record.failed(a, planned, err)
+		return
+	}
+	own := answer.Path == path && answer.Key == key && (key == "" || answer.Execution == 1)
+	r.record.answered(a, planned, own)
+}
+
+func (r *runner) post(ctx context.Context, a Arrival, method, path, key string, body []byte) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+r.options.Entries[a.Entry]+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set(entry.OrganisationHeader, a.Organisation)
+	if key != "" {
+		req.Header.Set(plainservice.KeyHeader, key)
+	}
+	return r.client.Do(req)
+}
--- /dev/null
+++ b/pkg/load/load_test.go
@@ -0,0 +1,169 @@
+package load
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/fescuehub/fescuehub/pkg/peer/engine"
+	"github.com/fescuehub/fescuehub/pkg/problem"
+	standin "github.com/fescuehub/fescuehub/pkg/standin/engine"
+)
+
+func options() Options {
+	return Options{
+		Entries: []string{"127.0.0.1:1"}, Seed: 1, Rate: 100, Duration: time.Minute, Shape: Steady,
+		Organisations: []Organisation{{"large", 3}, {"small", 1}}, ModelRoute: "m", ServiceRoute: "s",
+		ModelPart: 0.5, WritePart: 0.5, Tokens: 4, Prompts: 10, Timeout: 5 * time.Second,
+	}
+}
+
+// TestPlan: the same seed gives the same plan, another seed another one, and
+// rate, mix and shape are as asked for.
+func TestPlan(t *testing.T) {
+	o := options()
+	plan := Plan(o)
+	if !reflect.DeepEqual(plan, Plan(o)) {
+		t.Error("the same options gave two plans")
+	}
+	if n := float64(len(plan)); n < 5600 || n > 6400 {
+		t.Errorf("%v arrivals, want about 6000", n)
+	}
+	large, writes, variance := 0, 0, 0.0
+	for i, a := range plan {
+		if a.Organisation == "large" {
+			large++
+		}
+		if a.Kind == Write {
+			writes++
+		}
+		if i > 0 {
+			gap := (a.At - plan[i-1].At).Seconds() * o.Rate
+			variance += (gap - 1) * (gap - 1) / float64(len(plan))
+		}
+	}
+	if p := part(large, len(plan)); p < 0.72 || p > 0.78 {
+		t.Errorf("part of the large organisation is %.3f, want 0.75", p)
+	}
+	if p := part(writes, len(plan)); p < 0.22 || p > 0.28 {
+		t.Errorf("part of writes is %.3f, want 0.25", p)
+	}
+	if variance < 0.85 || variance > 1.15 {
+		t.Errorf("variance of the gaps is %.3f of the mean squared; Poisson arrivals have 1", variance)
+	}
+	o.Seed = 2
+	if reflect.DeepEqual(plan, Plan(o)) {
+		t.Error("two seeds gave the same plan")
+	}
+	o.Shape = Day
+	early, peak := 0, 0
+	for _, a := range Plan(o) {
+		if a.At < o.Duration/20 {
+			early++
+		}
+		if a.At >= o.Duration*33/100 && a.At < o.Duration*38/100 {
+			peak++
+		}
+	}
+	if early*3 > peak {
+		t.Errorf("%d arrivals at the start of the day and %d at its peak", early, peak)
+	}
+}
+
+// TestOnlyLoopback: an address elsewhere is refused before anything is sent.
+func TestOnlyLoopback(t *testing.T) {
+	for _, address := range []string{"192.0.2.1:80", "example.org:80", "localhost:80", "127.0.0.1", "[2001:db8::1]:80", ""} {
+		o := options()
+		o.Entries = []string{"127.0.0.1:1", address}
+		if _, err := Run(t.Context(), o); !problem.Is(err, problem.BadSettings) {
+			t.Errorf("address %q: got %v", address, err)
+		}
+	}
+	for _, change := range []func(*Options){
+		func(o *Options) { o.Rate = MaxRate + 1 }, func(o *Options) { o.Duration = MaxDuration + 1 },
+		func(o *Options) { o.ModelRoute, o.ServiceRoute = "", "" }, func(o *Options) { o.Shape = "x" },
+	} {
+		o := options()
+		change(&o)
+		if err := o.Check(); !problem.Is(err, problem.BadSettings) {
+			t.Errorf("%+v: got %v", o, err)
+		}
+	}
+}
+
+// TestAnswersAreChecked: a whole own answer, another's answer, a broken stream
+// and a refusal are told apart; times count from the planned arrival, so that a
+// system that stalls shows it for every arrival in the stall.
+func TestAnswersAreChecked(t *testing.T) {
+	n := 0
+	gate := make(chan struct{}, 1)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var request engine.ChatRequest
+		_ = json.NewDecoder(r.Body).Decode(&request)
+		gate <- struct{}{}
+		n++
+		turn := n % 4
+		<-gate
+		if turn == 0 {
+			problem.Write(w, problem.New(problem.Overloaded, "come back", "full").WithOutcome(problem.NotRun).WithRetryAfter(time.Second))
+			return
+		}
+		if turn == 1 {
+			request.Messages = nil // another caller's answer
+		}
+		text := standin.WholeAnswer(request)
+		for part := range strings.SplitAfterSeq(text, " ") {
+			data, _ := json.Marshal(engine.ChatAnswer{Choices: []engine.Choice{{Delta: &engine.Message{Content: part}}}})
+			fmt.Fprintf(w, "data: %s\n\n", data)
+		}
+		if turn != 2 {
+			fmt.Fprintf(w, "%s\n\n", engine.DoneMarker)
+		}
+	}))
+	defer server.Close()
+	o := options()
+	o.Entries = []string{strings.TrimPrefix(server.URL, "http://")}
+	o.ServiceRoute, o.Duration = "", 400*time.Millisecond
+	plan := Plan(o)
+	for i := range plan {
+		plan[i].Kind = ModelStream
+	}
+	r := &runner{options: o, client: newClient(), record: newRecorder()}
+	planned := time.Now().Add(-2 * time.Second)
+	for _, a := range plan {
+		r.send(t.Context(), a, planned)
+	}
+	got := r.record.result(o, time.Second)
+	total := len(plan)
+	want := Counts{Sent: total, Whole: (total + 1) / 4, Wrong: (total + 3) / 4, Refused: total / 4, RetryAfter: total / 4, Failed: (total + 2) / 4}
+	if got.Counts != want {
+		t.Errorf("got %+v\nwant %+v", got.Counts, want)
+	}
+	if got.WholeAnswer.P50 < 2000 || got.FirstToken.P50 < 2000 {
+		t.Errorf("an answer 2 s after its planned arrival counts as %v and %v ms", got.WholeAnswer.P50, got.FirstToken.P50)
+	}
+	if got.Kinds["overloaded not-run"] != total/4 {
+		t.Errorf("kinds %v", got.Kinds)
+	}
+}
+
+// TestCompare puts figures side by side.
+func TestCompare(t *testing.T) {
+	a := &Result{Counts: Counts{Sent: 100, Whole: 100}, FirstToken: Times{P95: 50}}
+	b := &Result{Counts: Counts{Sent: 100, Whole: 80, Refused: 20}, FirstToken: Times{P95: 100}}
+	figures := make(map[string]Change)
+	for _, c := range Compare(a, b) {
+		figures[c.Name] = c
+	}
+	if c := figures["first token p95 ms"]; c.Factor != 2 {
+		t.Errorf("got %+v", c)
+	}
+	if c := figures["whole part of sent"]; c.A != 1 || c.B != 0.8 {
+		t.Errorf("got %+v", c)
+	}
+}
--- /dev/null
+++ b/pkg/load/result.go
@@ -0,0 +1,148 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Counts are the requests of a run by what came of them.
+type Counts struct {
+	Sent int `json:"sent"`
+	// Whole answers were complete and belonged to the request.
+	Whole int `json:"whole"`
+	// Wrong answers ended as whole but were not the answer to the request, or
+	// showed a second execution.
+	Wrong int `json:"wrong"`
+	// Refused requests got a typed error, RetryAfter of them with the time to
+	// come back.
+	Refused    int `json:"refused"`
+	RetryAfter int `json:"retryAfter"`
+	// Failed requests broke off or timed out.
+	Failed int `json:"failed"`
+	// WritesNotKnown may or may not have run.
+	WritesNotKnown int `json:"writesNotKnown"`
+	// NotSent were planned while too many requests were in flight.
+	NotSent int `json:"notSent"`
+}
+
+// Times are percentiles of a histogram, in milliseconds.
+type Times struct {
+	Count int64   `json:"count"`
+	P50   float64 `json:"p50MS"`
+	P95   float64 `json:"p95MS"`
+	P99   float64 `json:"p99MS"`
+	P999  float64 `json:"p999MS"`
+	Max   float64 `json:"maxMS"`
+}
+
+// Result is what callers got in one run. All times but BetweenTokens count from
+// the planned arrival.
+type Result struct {
+	Options        Options `json:"options"`
+	ElapsedSeconds float64 `json:"elapsedSeconds"`
+	Counts         Counts  `json:"counts"`
+	// Kinds counts refusals and failures by kind and outcome.
+	Kinds         map[string]int `json:"kinds"`
+	FirstToken    Times          `json:"firstToken"`
+	BetweenTokens Times          `json:"betweenTokens"`
+	WholeAnswer   Times          `json:"wholeAnswer"`
+	Writes        Times          `json:"writes"`
+	// Refusals are the times until a request that was not answered had ended.
+	Refusals Times `json:"refusals"`
+}
+
+func (r *recorder) result(o Options, elapsed time.Duration) *Result {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return &Result{
+		Options: o, ElapsedSeconds: elapsed.Seconds(), Counts: r.counts, Kinds: maps.Clone(r.kinds),
+		FirstToken: timesOf(r.firstToken), BetweenTokens: timesOf(r.between),
+		WholeAnswer: timesOf(r.answer), Writes: timesOf(r.write), Refusals: timesOf(r.end),
+	}
+}
+
+func timesOf(h *hdrhistogram.Histogram) Times {
+	ms := func(percentile float64) float64 { return float64(h.ValueAtQuantile(percentile)) / 1000 }
+	return Times{Count: h.TotalCount(), P50: ms(50), P95: ms(95), P99: ms(99), P999: ms(99.9), Max: float64(h.Max()) / 1000}
+}
+
+// named returns the histograms in the order of their display.
+func (r *Result) named() []namedTimes {
+	return []namedTimes{
+		{"first token", r.FirstToken}, {"between tokens", r.BetweenTokens}, {"whole answer", r.WholeAnswer},
+		{"writes", r.Writes}, {"not answered", r.Refusals},
+	}
+}
+
+type namedTimes struct {
+	name  string
+	times Times
+}
+
+// Write prints the result.
+func (r *Result) Write(w io.Writer) {
+	c := r.Counts
+	fmt.Fprintf(w, "%d sent in %.1f s: %d whole, %d wrong, %d refused (%d with Retry-After), %d failed, %d writes not known, %d not sent\n",
+		c.Sent, r.ElapsedSeconds, c.Whole, c.Wrong, c.Refused, c.RetryAfter, c.Failed, c.WritesNotKnown, c.NotSent)
+	for _, k := range slices.Sorted(maps.Keys(r.Kinds)) {
+		fmt.Fprintf(w, "  %-40s %d\n", k, r.Kinds[k])
+	}
+	fmt.Fprintln(w, "ms               count      p50      p95      p99    p99.9      max")
+	for _, n := range r.named() {
+		t := n.times
+		fmt.Fprintf(w, "%-14s %7d %8.1f %8.1f %8.1f %8.1f %8.1f\n", n.name, t.Count, t.P50, t.P95, t.P99, t.P999, t.Max)
+	}
+}
+
+// Change is one figure of two results.
+type Change struct {
+	Name   string  `json:"name"`
+	A      float64 `json:"a"`
+	B      float64 `json:"b"`
+	Factor float64 `json:"factor"`
+}
+
+// Compare returns the figures of two results side by side.
+func Compare(a, b *Result) []Change {
+	changes := []Change{
+		change("whole part of sent", part(a.Counts.Whole, a.Counts.Sent), part(b.Counts.Whole, b.Counts.Sent)),
+		change("refused part of sent", part(a.Counts.Refused, a.Counts.Sent), part(b.Counts.Refused, b.Counts.Sent)),
+		change("wrong", float64(a.Counts.Wrong), float64(b.Counts.Wrong)),
+	}
+	right := b.named()
+	for i, left := range a.named() {
+		changes = append(changes,
+			change(left.name+" p50 ms", left.times.P50, right[i].times.P50),
+			change(left.name+" p95 ms", left.times.P95, right[i].times.P95),
+			change(left.name+" p99 ms", left.times.P99, right[i].times.P99))
+	}
+	return changes
+}
+
+func change(name string, a, b float64) Change {
+	c := Change{Name: name, A: a, B: b}
+	if a != 0 {
+		c.Factor = b / a
+	}
+	return c
+}
+
+func part(n, of int) float64 {
+	if of == 0 {
+		return 0
+	}
+	return float64(n) / float64(of)
+}
+
+// WriteChanges prints a comparison. A factor of 0 means that there is none.
+func WriteChanges(w io.Writer, changes []Change) {
+	fmt.Fprintln(w, "figure                          A           B     B/A")
+	for _, c := range changes {
+		fmt.Fprintf(w, "%-22s %10.3f  %10.3f  %6.2f\n", c.Name, c.A, c.B, c.Factor)
+	}
+}
