Report service-level burn over windows, per service and organisation

Each entry counts first tokens, gaps between tokens, answers, writes and the configuration in sliding windows of 5 min, 1 h and 6 h, bounded in memory, and serves them at GET /v1/burn; fescuehub report adds the entries and gives text, JSON and one self-contained page.

--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -68,7 +68,7 @@
 		return usage("run %q for the flags: %v", cmd.CommandPath()+" --help", err)
 	})
 	root.AddCommand(
-		a.entryCommand(), a.agentCommand(), a.configCommand(), a.statusCommand(),
+		a.entryCommand(), a.agentCommand(), a.configCommand(), a.statusCommand(), a.reportCommand(),
 		a.standinCommand(), a.demoCommand(), a.measureCommand(), a.loadCommand(), a.versionCommand(),
 	)
 	a.noteStart(root)
--- a/pkg/demo/demo.go
+++ b/pkg/demo/demo.go
@@ -13,6 +13,7 @@
 	"github.com/fescuehub/fescuehub/pkg/configpublish"
 	"github.com/fescuehub/fescuehub/pkg/peer/logservice"
 	"github.com/fescuehub/fescuehub/pkg/problem"
+	"github.com/fescuehub/fescuehub/pkg/report"
 	"github.com/fescuehub/fescuehub/pkg/tables"
 )
 
@@ -102,7 +103,7 @@
 	}
 	fmt.Fprintf(out, "Caller asked for addresses and uses %s\n", c.address)
 	for _, step := range []func(context.Context, Deployment, *site, *caller, io.Writer) error{
-		showModel, showWrites, showChange, showDrain,
+		showModel, showWrites, showChange, showDrain, showBurn,
 	} {
 		if err := step(ctx, d, s, c, out); err != nil {
 			return err
@@ -176,6 +177,20 @@
 	return nil
 }
 
+func showBurn(ctx context.Context, _ Deployment, s *site, _ *caller, out io.Writer) error {
+	fmt.Fprintln(out, "\nThe service-level burn over all entries (fescuehub report):")
+	var snapshots []report.Snapshot
+	for _, es := range s.entrySets {
+		var snapshot report.Snapshot
+		if err := getJSON(ctx, "http://"+es.OperatorAddress+"/v1/burn", &snapshot); err != nil {
+			return err
+		}
+		snapshots = append(snapshots, snapshot)
+	}
+	report.Merge(time.Now(), snapshots, 0).Write(out)
+	return nil
+}
+
 func errorText(err error) string {
 	if err == nil {
 		return ""
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -51,6 +51,8 @@
 	selector    routing.Selector
 	planners    *planners
 	admission   *admission
+	burn        *burn
+	logClient   *logservice.Client
 }
 
 // New returns an entry that has opened nothing yet.
@@ -80,6 +82,8 @@
 		attempts:    agentlink.NewClient(),
 		selector:    selector,
 		admission:   newAdmission(scope.SubScope("pool")),
+		burn:        newBurn(),
+		logClient:   logClient,
 	}
 	e.planners = newPlanners(e, logClient)
 	return e
@@ -117,6 +121,7 @@
 	group.Go(func() error { return e.replicas.run(ctx) })
 	group.Go(func() error { return e.planners.run(ctx) })
 	group.Go(func() error { return e.runAdmission(ctx) })
+	group.Go(func() error { return e.watchConfiguration(ctx, e.logClient) })
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
--- a/pkg/entry/exchange.go
+++ b/pkg/entry/exchange.go
@@ -38,12 +38,14 @@
 	mayHaveRun bool
 	answer     *answer.Assembler
 	out        *answerWriter
+	watch      *streamWatch
 }
 
 // answerTo prepares the answer of the exchange.
 func (x *exchange) answerTo(w http.ResponseWriter) {
 	x.answer = answer.New(x.stream, heldAnswerBytes)
-	x.out = newAnswerWriter(w, x.stream)
+	x.watch = newStreamWatch(w)
+	x.out = newAnswerWriter(x.watch, x.stream)
 }
 
 // note remembers what is known of an attempt that failed.
--- a/pkg/entry/operator.go
+++ b/pkg/entry/operator.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"time"
 
 	"github.com/fescuehub/fescuehub/pkg/drain"
 	"github.com/fescuehub/fescuehub/pkg/ident"
@@ -31,6 +32,9 @@
 	mux.HandleFunc("GET /readyz", e.serveReady)
 	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.status()) })
 	mux.HandleFunc("GET /v1/configuration", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.config.View().State) })
+	mux.HandleFunc("GET /v1/burn", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, e.burn.snapshot(time.Now(), e.settings.Name))
+	})
 	mux.HandleFunc("POST /v1/drain", func(w http.ResponseWriter, _ *http.Request) {
 		e.Drain()
 		w.WriteHeader(http.StatusAccepted)
--- a/pkg/entry/serve.go
+++ b/pkg/entry/serve.go
@@ -22,6 +22,7 @@
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
 	err := e.admitAndForward(ctx, x)
+	e.burn.request(x, err)
 	if err != nil {
 		e.countProblem(err)
 		x.out.fail(x.truthful(err))
