Predict waits from the rate of answers, with a margin

Cause: with real processes at 2x and 5x half of the refused requests had waited for 0.4-1.4 s first: slots are also held by requests that look for a free replica, so window / mean service time promised too much.

Ruled out: counting the slots in flight (they include the same requests).

Change: while requests wait the rate is that of the answers; an arrival's predicted wait counts 1.4 times.

--- a/pkg/flowcontrol/estimate.go
+++ b/pkg/flowcontrol/estimate.go
@@ -74,6 +74,29 @@
 	return unknownCharge
 }
 
+// minGap keeps the rate finite, in seconds.
+const minGap = 1e-6
+
+// answerGaps is the mean time between answers while requests waited throughout,
+// in seconds.
+type answerGaps struct {
+	gap     movingMean
+	last    time.Time
+	waiting bool
+}
+
+// add takes an answer. waiting tells whether requests wait now.
+func (a *answerGaps) add(now time.Time, waiting bool) {
+	if a.waiting && waiting {
+		a.gap.add(max(now.Sub(a.last).Seconds(), minGap))
+	}
+	a.last = now
+	a.waiting = waiting
+}
+
+// idle notes that nothing waits any more.
+func (a *answerGaps) idle() { a.waiting = false }
+
 // returnSlots spreads the returns of refused callers: each refusal books the
 // next slot, and slots follow one another at a part of the pool's rate.
 type returnSlots struct {
--- a/pkg/flowcontrol/flow.go
+++ b/pkg/flowcontrol/flow.go
@@ -152,6 +152,9 @@
 	t.state = ended
 	f.waiting--
 	q.waiting--
+	if c.waitingCount() == 0 {
+		c.answers.idle()
+	}
 	if f.waiting == 0 {
 		q.shares -= f.share
 		heap.Remove(&q.heap, f.index)
--- a/pkg/flowcontrol/flowcontrol.go
+++ b/pkg/flowcontrol/flowcontrol.go
@@ -132,6 +132,10 @@
 	// tried had refused it.
 	maxRequeues = 3
 
+	// arrivalMargin multiplies the predicted wait of an arrival, so that few of
+	// those taken in are given up later.
+	arrivalMargin = 1.4
+
 	// reassessMargin is the factor by which a predicted wait must exceed the
 	// time left before a request that waits is given up.
 	reassessMargin = 1.5
@@ -154,6 +158,7 @@
 	sweepAfter int
 	service    serviceTimes
 	returns    returnSlots
+	answers    answerGaps
 	// heldUntil is when admission goes on after a refusal by every replica. An
 	// answer ends the hold: its slot is free.
 	heldUntil time.Time
@@ -224,6 +229,7 @@
 	switch result {
 	case Served:
 		c.heldUntil = time.Time{}
+		c.answers.add(now, c.waitingCount() > 0)
 		c.service.add(f.key.class, took)
 		c.window.Grow(c.waitingCount() > 0)
 	}
@@ -350,7 +356,7 @@
 		return nil, OrganisationQueueFull
 	}
 	left := r.Deadline.Sub(now).Seconds()
-	if c.predictWait(f, f.waiting+1).Seconds()+c.service.within(r.Class, safeDeviations) > left {
+	if arrivalMargin*c.predictWait(f, f.waiting+1).Seconds()+c.service.within(r.Class, safeDeviations) > left {
 		return nil, DeadlineUnreachable
 	}
 	if c.waitingCount() < c.limits.QueueLimit {
@@ -454,18 +460,18 @@
 func (c *Controller) waitingCount() int { return c.classes[0].waiting + c.classes[1].waiting }
 
 // rate returns the requests that are served in a second, 0 if unknown. While
-// requests wait, it counts the slots that are truly held: replicas may have
-// refused to fill the window.
+// requests wait it is the rate at which answers came, because slots are also
+// held by requests that look for a replica.
 func (c *Controller) rate() float64 {
 	mean := c.service.overall.value
 	if mean <= 0 {
 		return 0
 	}
-	slots := c.window.Size()
-	if c.waitingCount() > 0 {
-		slots = min(slots, max(c.inFlight, 1))
+	rate := float64(c.window.Size()) / mean
+	if c.waitingCount() > 0 && c.answers.gap.known {
+		return min(rate, 1/c.answers.gap.value)
 	}
-	return float64(slots) / mean
+	return rate
 }
 
 // predictWait estimates how long the request at the position of the flow's
