--- a/pkg/entry/serve.go
+++ b/pkg/entry/serve.go
@@ -25,6 +25,7 @@
 	if err != nil && x.call != nil {
 		err = aboutKey(x.call.OnlyTry, err)
 	}
+	e.burn.request(x, err)
 	if err != nil {
 		e.countProblem(err)
 		x.out.fail(x.truthful(err))
