--- a/pkg/cli/config.go
+++ b/pkg/cli/config.go
@@ -5,17 +5,16 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/spf13/cobra"
 
+	"github.com/fescuehub/fescuehub/pkg/configclient"
 	"github.com/fescuehub/fescuehub/pkg/configfold"
 	"github.com/fescuehub/fescuehub/pkg/configpublish"
 	"github.com/fescuehub/fescuehub/pkg/entry"
-	"github.com/fescuehub/fescuehub/pkg/peer/logservice"
 	"github.com/fescuehub/fescuehub/pkg/problem"
-	"github.com/fescuehub/fescuehub/pkg/strictjson"
-	"github.com/fescuehub/fescuehub/pkg/tables"
 )
 
 const (
@@ -36,21 +35,44 @@
 }
 
 func (a *app) configCheckCommand() *cobra.Command {
-	return &cobra.Command{
-		Use:     "check FILE",
-		Short:   "List every fault of a tables file",
+	var logURL string
+	cmd := &cobra.Command{
+		Use:   "check FILE [--log URL]",
+		Short: "List every fault of a tables file",
+		Long: `List every fault of a tables file with its place. With --log, fields that this
+binary does not know are no fault where the entry in force has them.`,
 		Example: "  fescuehub config check examples/arcos/tables.json",
 		Args:    cobra.ExactArgs(1),
-		RunE: func(_ *cobra.Command, args []string) error {
-			doc, err := readTables(args[0])
+		RunE: func(cmd *cobra.Command, args []string) error {
+			data, err := os.ReadFile(args[0])
 			if err != nil {
-				return err
+				return usage("%v", err)
 			}
-			return a.print(doc, func(w io.Writer) {
-				fmt.Fprintf(w, "%s: no faults in %d routes and %d pools\n", args[0], len(doc.Routes), len(doc.Pools))
+			inForce := configfold.Empty()
+			if logURL != "" {
+				if inForce, err = configclient.New(logURL).Show(cmd.Context()); err != nil {
+					return err
+				}
+			}
+			doc, faults := configpublish.Parse(data, inForce)
+			if len(faults) > 0 {
+				return configclient.BadTables(faults)
+			}
+			counts := checked{File: args[0], Routes: len(doc.Routes), Pools: len(doc.Pools)}
+			return a.print(counts, func(w io.Writer) {
+				fmt.Fprintf(w, "%s: no faults in %d routes and %d pools\n", counts.File, counts.Routes, counts.Pools)
 			})
 		},
 	}
+	cmd.Flags().StringVar(&logURL, "log", "", "base URL of the log service")
+	return cmd
+}
+
+// checked is the result of config check.
+type checked struct {
+	File   string `json:"file"`
+	Routes int    `json:"routes"`
+	Pools  int    `json:"pools"`
 }
 
 // applied is the result of config apply.
@@ -72,11 +94,11 @@
 		Example: "  fescuehub config apply tables.json --log http://127.0.0.1:7001 --operator 127.0.0.1:7101",
 		Args:    cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			doc, err := readTables(args[0])
+			data, err := os.ReadFile(args[0])
 			if err != nil {
-				return err
+				return usage("%v", err)
 			}
-			result, err := publish(cmd.Context(), logservice.New(logURL), doc)
+			result, err := configclient.New(logURL).Apply(cmd.Context(), data)
 			if err != nil {
 				return err
 			}
@@ -93,78 +115,90 @@
 }
 
 func (a *app) configShowCommand() *cobra.Command {
-	var logURL string
+	var logURL, operator string
 	cmd := &cobra.Command{
-		Use:     "show --log URL",
-		Short:   "Show the tables that the log holds",
+		Use:   "show {--log URL | --operator ADDRESS}",
+		Short: "Show the tables that the log or an entry has in force",
+		Long: `Show the tables that the log has in force, or, with --operator, those of one
+entry, which works while the log is down. The file can be edited and applied.`,
 		Example: "  fescuehub config show --log http://127.0.0.1:7001 > tables.json",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			state, _, err := configpublish.Read(cmd.Context(), logservice.New(logURL))
+			var state configfold.State
+			var err error
+			switch {
+			case (logURL == "") == (operator == ""):
+				return usage("give one of --log and --operator")
+			case logURL != "":
+				state, err = configclient.New(logURL).Show(cmd.Context())
+			default:
+				err = getJSON(cmd.Context(), "http://"+operator+"/v1/configuration", &state)
+			}
 			if err != nil {
 				return err
 			}
 			a.output = "json"
-			return a.print(configpublish.Document(state), nil)
+			return a.print(configpublish.DocumentOf(state), nil)
 		},
 	}
-	logFlag(cmd, &logURL)
+	cmd.Flags().StringVar(&logURL, "log", "", "base URL of the log service")
+	cmd.Flags().StringVar(&operator, "operator", "", "operator address of an entry")
 	return cmd
 }
 
 func (a *app) configHistoryCommand() *cobra.Command {
-	var logURL string
+	var logURL, edit string
+	var last int
 	cmd := &cobra.Command{
-		Use:     "history --log URL",
-		Short:   "Show what became of each edit that the log holds",
-		Example: "  fescuehub config history --log http://127.0.0.1:7001",
+		Use:   "history --log URL",
+		Short: "Show what became of each edit that the log holds",
+		Long: `Show what became of each edit that the log holds, or of one edit with --edit.
+An edit that is not found ends with exit code 4.`,
+		Example: "  fescuehub config history --log http://127.0.0.1:7001 --edit 019ae5c8-5c5b-7d0e-8f39-0c2f3a1c9a11",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			_, results, err := configpublish.Read(cmd.Context(), logservice.New(logURL))
+			h, err := configclient.New(logURL).History(cmd.Context())
 			if err != nil {
 				return err
 			}
-			return a.print(results, func(w io.Writer) {
-				for _, r := range results {
-					fmt.Fprintf(w, "offset %d edit %s accepted=%t version %d\n%s", r.Offset, r.ID, r.Accepted, r.Version, faultLines(r.Faults))
-				}
-			})
+			if edit != "" {
+				h.Results = slices.DeleteFunc(h.Results, func(r configfold.Result) bool { return string(r.ID) != edit })
+			}
+			if edit != "" && len(h.Results) == 0 {
+				return notInHistory(edit, h)
+			}
+			h.Results = h.Results[max(0, len(h.Results)-last):]
+			return a.print(h, func(w io.Writer) { writeHistory(w, h) })
 		},
 	}
 	logFlag(cmd, &logURL)
+	cmd.Flags().StringVar(&edit, "edit", "", "show only the edit with this id")
+	cmd.Flags().IntVar(&last, "last", 100, "how many of the newest edits to show")
 	return cmd
 }
 
-func logFlag(cmd *cobra.Command, logURL *string) {
-	cmd.Flags().StringVar(logURL, "log", "", "base URL of the log service (required)")
-	_ = cmd.MarkFlagRequired("log")
+func notInHistory(edit string, h configclient.History) error {
+	return problem.New(problem.LogUnavailable,
+		"if it was applied less than a minute ago, ask again; else apply the file again, which does no harm should the edit still appear",
+		"edit %s is not among the records from offset %d to %d", edit, h.From, h.Next-1).WithOutcome(problem.NotKnown)
 }
 
-func readTables(path string) (tables.Document, error) {
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return tables.Document{}, usage("%v", err)
-	}
-	doc, faults := tables.Parse(data)
-	if len(faults) > 0 {
-		return doc, problem.New(problem.BadTables, "correct the file and try again", "%s:\n%s", path, strictjson.Join(faults))
+func writeHistory(w io.Writer, h configclient.History) {
+	for _, r := range h.Results {
+		became := "accepted"
+		if !r.Accepted {
+			became = "rejected"
+		}
+		fmt.Fprintf(w, "offset %d edit %s %s, version %d\n", r.Offset, r.ID, became, r.Version)
+		for _, f := range r.Faults {
+			fmt.Fprintf(w, "  %s\n", f)
+		}
 	}
-	return doc, nil
 }
 
-func publish(ctx context.Context, client *logservice.Client, doc tables.Document) (configfold.Result, error) {
-	state, _, err := configpublish.Read(ctx, client)
-	if err != nil {
-		return configfold.Result{}, err
-	}
-	edit, err := configpublish.Difference(state, doc)
-	if err != nil {
-		return configfold.Result{}, err
-	}
-	if len(edit.Changes) == 0 {
-		return configfold.Result{Offset: state.Offset, Version: state.Version, Accepted: true}, nil
-	}
-	return configpublish.Publish(ctx, client, edit)
+func logFlag(cmd *cobra.Command, logURL *string) {
+	cmd.Flags().StringVar(logURL, "log", "", "base URL of the log service (required)")
+	_ = cmd.MarkFlagRequired("log")
 }
 
 // awaitInForce returns how many entries have the offset in force in time.
@@ -184,10 +218,3 @@
 		time.Sleep(inForcePause)
 	}
 }
-
-func faultLines(faults []strictjson.Fault) string {
-	if len(faults) == 0 {
-		return ""
-	}
-	return strictjson.Join(faults) + "\n"
-}
--- a/pkg/configfold/configfold.go
+++ b/pkg/configfold/configfold.go
@@ -1,13 +1,14 @@
 // Package configfold computes the configuration from the records of the log.
 // The fold is deterministic: its outcome depends on the records alone, not on
-// the reader's clock, its version, or how often it started.
+// the reader's clock, its version, or how often it started. The rules of a fold
+// version never change after its first release; new rules get a new version.
 package configfold
 
 import (
 	"encoding/json"
+	"maps"
 
 	"github.com/fescuehub/fescuehub/pkg/ident"
-	"github.com/fescuehub/fescuehub/pkg/problem"
 	"github.com/fescuehub/fescuehub/pkg/strictjson"
 	"github.com/fescuehub/fescuehub/pkg/tables"
 )
@@ -24,10 +25,14 @@
 	Pools  Table = "pools"
 )
 
-// Change sets or deletes one entry of a table.
+// Change sets or deletes one entry of a table, or one organisation of a route.
 type Change struct {
 	Table Table  `json:"table"`
 	Name  string `json:"name"`
+	// Organisation of the route, empty where the change is to the entry itself.
+	// An organisation is edited on its own, so that a route with thousands of
+	// them costs no more bytes a change than one without.
+	Organisation string `json:"organisation,omitempty"`
 	// Base is the revision of the entry that the edit was made from, 0 where
 	// the entry did not exist.
 	Base int64 `json:"base"`
@@ -51,14 +56,23 @@
 	Value    json.RawMessage `json:"value"`
 }
 
-// State is the configuration after the record at Offset.
+// State is the configuration after the record at Offset. It is never changed
+// after it has been made; the next state shares what did not change.
 type State struct {
 	// Offset of the last record folded, -1 before the first.
 	Offset int64 `json:"offset"`
 	// Version counts the edits accepted.
-	Version int64            `json:"version"`
-	Routes  map[string]Entry `json:"routes"`
-	Pools   map[string]Entry `json:"pools"`
+	Version int64 `json:"version"`
+	// Digest of all records up to Offset, and Previous that of all before it.
+	Digest   Digest `json:"digest"`
+	Previous Digest `json:"previous"`
+	// FoldVersion is the highest fold version of an accepted edit: what a
+	// binary must know to fold on from here.
+	FoldVersion int              `json:"foldVersion"`
+	Routes      map[string]Entry `json:"routes"`
+	Pools       map[string]Entry `json:"pools"`
+	// Organisations of each route, by route and organisation.
+	Organisations map[string]map[string]Entry `json:"organisations"`
 }
 
 // Result says what the fold made of one record.
@@ -72,117 +86,159 @@
 
 // Empty returns the state before the first record.
 func Empty() State {
-	return State{Offset: -1, Routes: map[string]Entry{}, Pools: map[string]Entry{}}
+	return State{Offset: -1, Routes: map[string]Entry{}, Pools: map[string]Entry{}, Organisations: map[string]map[string]Entry{}}
 }
 
 // Fold applies the record at offset. The error kind is NewerRecord where this
 // binary cannot fold the record: the reader must stop there and keep what is
 // in force.
 func Fold(s State, offset int64, record []byte) (State, Result, error) {
-	var edit Edit
-	if err := json.Unmarshal(record, &edit); err != nil {
-		return skip(s, offset, edit, "the record is not an edit", "publish edits with fescuehub config apply")
+	edit, faults, err := decode(offset, record)
+	if err != nil {
+		return s, Result{}, err
 	}
-	if edit.FoldVersion > FoldVersion {
-		return s, Result{}, problem.New(problem.NewerRecord, "upgrade this instance",
-			"the record at offset %d needs fold version %d, this binary knows %d", offset, edit.FoldVersion, FoldVersion)
+	next := s
+	if len(faults) == 0 {
+		next, faults = s.accept(edit)
 	}
-	next := s.clone()
 	next.Offset = offset
-	next.Version++
-	faults := next.applyAll(edit.Changes)
-	if len(faults) > 0 {
-		s.Offset = offset
-		return s, Result{ID: edit.ID, Offset: offset, Version: s.Version, Faults: faults}, nil
-	}
-	return next, Result{ID: edit.ID, Offset: offset, Accepted: true, Version: next.Version}, nil
-}
-
-func skip(s State, offset int64, edit Edit, detail, remedy string) (State, Result, error) {
-	s.Offset = offset
-	fault := strictjson.Fault{Place: "record", Detail: detail, Remedy: remedy}
-	return s, Result{ID: edit.ID, Offset: offset, Version: s.Version, Faults: []strictjson.Fault{fault}}, nil
+	next.Previous = s.Digest
+	next.Digest = s.Digest.Extend(offset, record)
+	return next, Result{ID: edit.ID, Offset: offset, Accepted: len(faults) == 0, Version: next.Version, Faults: faults}, nil
 }
 
-func (s *State) applyAll(changes []Change) []strictjson.Fault {
+// accept returns the state with the edit, or s and the faults.
+func (s State) accept(edit Edit) (State, []strictjson.Fault) {
+	next := s
+	next.Version++
+	next.FoldVersion = max(s.FoldVersion, edit.FoldVersion)
+	next.Routes = maps.Clone(s.Routes)
+	next.Pools = maps.Clone(s.Pools)
+	next.Organisations = maps.Clone(s.Organisations)
+	touched := make(map[string]bool)
 	var faults []strictjson.Fault
-	for _, c := range changes {
-		faults = append(faults, s.apply(c)...)
+	for _, c := range edit.Changes {
+		faults = append(faults, next.apply(c, touched)...)
+	}
+	if len(faults) == 0 {
+		faults = next.checkWhole(s)
 	}
 	if len(faults) > 0 {
-		return faults
+		return s, faults
 	}
-	return s.checkReferences()
+	return next, nil
 }
 
-func (s *State) apply(c Change) []strictjson.Fault {
-	place := string(c.Table) + "." + c.Name
-	entries := s.table(c.Table)
+func (s *State) apply(c Change, touched map[string]bool) []strictjson.Fault {
+	entries := s.entries(c, touched)
 	if entries == nil {
-		return []strictjson.Fault{{Place: place, Detail: "unknown table", Remedy: `write "routes" or "pools"`}}
+		return []strictjson.Fault{{Place: c.place(), Detail: "unknown table", Remedy: `write "routes" or "pools"`}}
 	}
-	if entries[c.Name].Revision != c.Base {
-		return []strictjson.Fault{{Place: place, Detail: "the entry has changed since this edit was made", Remedy: "run fescuehub config show, make the edit again on it, and apply"}}
+	if entries[c.key()].Revision != c.Base {
+		return []strictjson.Fault{{Place: c.place(), Detail: "the entry has changed since this edit was made", Remedy: "run fescuehub config show, make the edit again on it, and apply"}}
 	}
 	if c.Value == nil {
-		delete(entries, c.Name)
+		delete(entries, c.key())
 		return nil
 	}
 	if faults := checkValue(c); len(faults) > 0 {
 		return faults
 	}
-	entries[c.Name] = Entry{Revision: s.Version, Value: c.Value}
+	entries[c.key()] = Entry{Revision: s.Version, Value: c.Value}
 	return nil
 }
 
+// entries returns the map that the change is to, as a copy that may be
+// changed.
+func (s *State) entries(c Change, touched map[string]bool) map[string]Entry {
+	switch {
+	case c.Table == Pools && c.Organisation == "":
+		return s.Pools
+	case c.Table == Routes && c.Organisation == "":
+		return s.Routes
+	case c.Table != Routes:
+		return nil
+	}
+	if !touched[c.Name] {
+		touched[c.Name] = true
+		s.Organisations[c.Name] = cloneOrEmpty(s.Organisations[c.Name])
+	}
+	return s.Organisations[c.Name]
+}
+
+func cloneOrEmpty(in map[string]Entry) map[string]Entry {
+	if in == nil {
+		return make(map[string]Entry)
+	}
+	return maps.Clone(in)
+}
+
+// key is the name of the entry in its map.
+func (c Change) key() string {
+	if c.Organisation != "" {
+		return c.Organisation
+	}
+	return c.Name
+}
+
+func (c Change) place() string {
+	if c.Organisation != "" {
+		return string(c.Table) + "." + c.Name + ".organisations." + c.Organisation
+	}
+	return string(c.Table) + "." + c.Name
+}
+
 func checkValue(c Change) []strictjson.Fault {
-	if c.Table == Pools {
+	switch {
+	case c.Organisation != "":
+		var o tables.Organisation
+		if err := json.Unmarshal(c.Value, &o); err != nil || o.Name != c.Organisation {
+			return notThis(c, "organisation")
+		}
+		return tables.CheckOrganisation(c.place(), o)
+	case c.Table == Pools:
 		var p tables.Pool
 		if err := json.Unmarshal(c.Value, &p); err != nil || p.Name != c.Name {
-			return []strictjson.Fault{{Place: "pools." + c.Name, Detail: "the value is not this pool", Remedy: "publish edits with fescuehub config apply"}}
+			return notThis(c, "pool")
 		}
 		return tables.CheckPool(p)
 	}
 	var r tables.Route
-	if err := json.Unmarshal(c.Value, &r); err != nil || r.Name != c.Name {
-		return []strictjson.Fault{{Place: "routes." + c.Name, Detail: "the value is not this route", Remedy: "publish edits with fescuehub config apply"}}
+	if err := json.Unmarshal(c.Value, &r); err != nil || r.Name != c.Name || len(r.Organisations) > 0 {
+		return notThis(c, "route")
 	}
 	return tables.CheckRoute(r)
 }
 
-func (s *State) checkReferences() []strictjson.Fault {
+func notThis(c Change, what string) []strictjson.Fault {
+	return []strictjson.Fault{{Place: c.place(), Detail: "the value is not this " + what, Remedy: "publish edits with fescuehub config apply"}}
+}
+
+// checkWhole checks what concerns several entries, given the state
+// before the edit.
+func (s *State) checkWhole(before State) []strictjson.Fault {
 	var faults []strictjson.Fault
-	for _, e := range s.Routes {
+	for name, e := range s.Routes {
 		var r tables.Route
 		_ = json.Unmarshal(e.Value, &r)
 		if _, ok := s.Pools[r.Pool]; !ok {
 			faults = append(faults, tables.MissingPool(r))
 		}
+		faults = append(faults, tables.CheckOrganisationCount(name, len(s.Organisations[name]))...)
 	}
-	return faults
-}
-
-func (s *State) table(t Table) map[string]Entry {
-	switch t {
-	case Routes:
-		return s.Routes
-	case Pools:
-		return s.Pools
-	}
-	return nil
-}
-
-func (s State) clone() State {
-	c := s
-	c.Routes = cloneEntries(s.Routes)
-	c.Pools = cloneEntries(s.Pools)
-	return c
-}
-
-func cloneEntries(in map[string]Entry) map[string]Entry {
-	out := make(map[string]Entry, len(in))
-	for k, v := range in {
-		out[k] = v
+	for name, list := range s.Organisations {
+		_, listed := s.Routes[name]
+		switch {
+		case len(list) == 0 && listed && before.Routes[name].Revision == s.Routes[name].Revision && len(before.Organisations[name]) > 0:
+			faults = append(faults, strictjson.NewFault("routes."+name+".organisations",
+				"the edit takes the last organisation away, which would open the route to every one", "run fescuehub config show, make the edit again on it, and apply"))
+		case len(list) == 0:
+			delete(s.Organisations, name)
+		case !listed:
+			faults = append(faults, strictjson.NewFault("routes."+name+".organisations",
+				"organisations are left of a route that is not in the table", "run fescuehub config show, make the edit again on it, and apply"))
+		}
 	}
-	return out
+	strictjson.Sort(faults)
+	return faults
 }
--- a/pkg/configpublish/document.go
+++ b/pkg/configpublish/document.go
@@ -2,27 +2,47 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"slices"
-	"strings"
 
 	"github.com/fescuehub/fescuehub/pkg/configfold"
-	"github.com/fescuehub/fescuehub/pkg/tables"
 )
 
-// Document returns the tables of a state, sorted by name.
-func Document(s configfold.State) tables.Document {
-	doc := tables.Document{Routes: []tables.Route{}, Pools: []tables.Pool{}}
-	for _, e := range s.Routes {
-		var r tables.Route
-		_ = json.Unmarshal(e.Value, &r)
-		doc.Routes = append(doc.Routes, r)
+// Document is the file that an operator edits, with every field as it was
+// written, known to this binary or not.
+type Document struct {
+	Routes []json.RawMessage `json:"routes"`
+	Pools  []json.RawMessage `json:"pools"`
+}
+
+// DocumentOf returns the tables of a state, sorted by name.
+func DocumentOf(s configfold.State) Document {
+	doc := Document{Routes: []json.RawMessage{}, Pools: []json.RawMessage{}}
+	for _, name := range slices.Sorted(maps.Keys(s.Routes)) {
+		doc.Routes = append(doc.Routes, withOrganisations(s.Routes[name].Value, s.Organisations[name]))
 	}
-	for _, e := range s.Pools {
-		var p tables.Pool
-		_ = json.Unmarshal(e.Value, &p)
-		doc.Pools = append(doc.Pools, p)
+	for _, name := range slices.Sorted(maps.Keys(s.Pools)) {
+		doc.Pools = append(doc.Pools, s.Pools[name].Value)
 	}
-	slices.SortFunc(doc.Routes, func(a, b tables.Route) int { return strings.Compare(a.Name, b.Name) })
-	slices.SortFunc(doc.Pools, func(a, b tables.Pool) int { return strings.Compare(a.Name, b.Name) })
 	return doc
 }
+
+// withOrganisations returns the route with its organisations in it.
+func withOrganisations(route json.RawMessage, list map[string]configfold.Entry) json.RawMessage {
+	fields := make(map[string]json.RawMessage)
+	if len(list) == 0 || json.Unmarshal(route, &fields) != nil {
+		return route
+	}
+	values := make([]json.RawMessage, 0, len(list))
+	for _, name := range slices.Sorted(maps.Keys(list)) {
+		values = append(values, list[name].Value)
+	}
+	fields[organisationsField] = marshal(values)
+	return marshal(fields)
+}
+
+// marshal encodes what has been decoded before, which cannot fail.
+func marshal(v any) json.RawMessage {
+	data, _ := json.Marshal(v)
+	return data
+}
--- /dev/null
+++ b/pkg/configread/log.go
@@ -0,0 +1,140 @@
+package configread
+
+import (
+	"time"
+
+	"github.com/fescuehub/fescuehub/pkg/configfold"
+	"github.com/fescuehub/fescuehub/pkg/peer/logservice"
+)
+
+// Bounds of reading the log.
+const (
+	// PageRecords is the limit of records in one reading.
+	PageRecords = 1000
+	// PollWait is how long a reading waits for the next record.
+	PollWait = 10 * time.Second
+	// firstPause and longestPause separate readings while the log is unusable.
+	// The longest is well within StaleBound.
+	firstPause   = 250 * time.Millisecond
+	longestPause = 2 * time.Second
+)
+
+// Request is what to read from the log next.
+type Request struct {
+	// Pause before the request.
+	Pause time.Duration
+	// Snapshots is true for the stream of snapshots; the other fields then mean
+	// nothing.
+	Snapshots bool
+	From      int64
+	Limit     int
+	// Wait for the first record. The records of a request that waits are not
+	// folded; they are read again together with the last one in force.
+	Wait time.Duration
+}
+
+// Next returns what to read from the log next.
+func (r *Reader) Next() Request {
+	switch {
+	case !r.snapshotsRead:
+		return Request{Pause: r.pause(), Snapshots: true}
+	case r.condition == Following && !r.pending:
+		return Request{From: r.state.Offset + 1, Limit: 1, Wait: PollWait}
+	}
+	return Request{Pause: r.pause(), From: max(r.state.Offset, 0), Limit: PageRecords}
+}
+
+// Pending reports whether the log is known to hold records that have not been
+// read.
+func (r *Reader) Pending() bool { return r.pending }
+
+// Refresh makes the next request read without waiting.
+func (r *Reader) Refresh() { r.pending = true }
+
+func (r *Reader) pause() time.Duration {
+	if r.failures == 0 {
+		return 0
+	}
+	return min(firstPause<<min(r.failures-1, 8), longestPause)
+}
+
+// LogFailed notes that the log did not answer.
+func (r *Reader) LogFailed(err error) {
+	r.unusable(Unreachable, err.Error())
+}
+
+// TakeSnapshots takes the snapshots that the log holds. The newest one that is
+// above what is in force is adopted.
+func (r *Reader) TakeSnapshots(states []configfold.State) {
+	r.snapshotsRead = true
+	for _, s := range states {
+		r.adopt(s)
+	}
+}
+
+// TakePage takes the answer to a request for records.
+func (r *Reader) TakePage(q Request, page logservice.Page) {
+	switch {
+	case page.Next <= r.state.Offset && r.off.monotonic:
+		r.state = configfold.Empty()
+		r.pending = true
+	case page.Next <= r.state.Offset:
+		r.complete = r.complete || r.reachedKnown()
+		r.unusable(Behind, "the log ends before the configuration in force")
+	case page.First > r.state.Offset+1 && !r.off.gap:
+		r.gap()
+	case q.Wait > 0:
+		r.pending = page.Next > r.state.Offset+1
+	default:
+		r.takeRecords(page)
+	}
+}
+
+func (r *Reader) takeRecords(page logservice.Page) {
+	for _, rec := range page.Records {
+		if !r.takeRecord(rec) {
+			return
+		}
+	}
+	r.failures = 0
+	r.pending = r.state.Offset+1 < page.Next
+	if !r.pending {
+		r.complete = true
+		r.enter(Following, "")
+	}
+}
+
+// takeRecord folds one record, or checks it where it is known. It returns
+// false where the reader must stop there.
+func (r *Reader) takeRecord(rec logservice.Record) bool {
+	switch {
+	case rec.Offset < r.state.Offset:
+		return true
+	case rec.Offset == r.state.Offset && !r.state.LastIs(rec.Data) && !r.off.confirm:
+		r.unusable(Forked, "the log holds another record at the offset in force")
+		return false
+	case rec.Offset == r.state.Offset:
+		return true
+	case rec.Offset > r.state.Offset+1 && !r.off.gap:
+		r.gap()
+		return false
+	}
+	if !r.fold(rec.Offset, rec.Data) {
+		r.failures++
+		r.settle()
+		return false
+	}
+	return true
+}
+
+// gap makes the reader look for a snapshot again.
+func (r *Reader) gap() {
+	r.snapshotsRead = false
+	r.unusable(Gap, "the records after the configuration in force have expired")
+}
+
+func (r *Reader) unusable(c Condition, detail string) {
+	r.failures++
+	r.enter(c, detail)
+	r.settle()
+}
--- a/pkg/configuration/follow.go
+++ b/pkg/configuration/follow.go
@@ -2,83 +2,249 @@
 
 import (
 	"context"
-	"sync/atomic"
+	"math/rand/v2"
+	"sync"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/fescuehub/fescuehub/pkg/configfold"
+	"github.com/fescuehub/fescuehub/pkg/configread"
 	"github.com/fescuehub/fescuehub/pkg/peer/logservice"
 )
 
+// Streams of the log.
 const (
-	pageRecords = 1000
-	readWait    = 10 * time.Second
-	retryPause  = 500 * time.Millisecond
+	// Stream holds the edits.
+	Stream = "configuration"
+	// SnapshotStream holds the parts of the snapshots.
+	SnapshotStream = "configuration-snapshots"
 )
 
-// Follower folds the stream of edits into a Store.
+const peerInterval = 100 * time.Millisecond
+
+// Peers are the other processes that hold the configuration.
+type Peers interface {
+	// Fetch asks a peer for what follows the asker's state.
+	Fetch(ctx context.Context, peer string, f configread.Fetch) (configread.Fetched, error)
+}
+
+// Status is what a Follower tells operators.
+type Status struct {
+	Offset    int64                `json:"offset"`
+	Version   int64                `json:"version"`
+	Digest    configfold.Digest    `json:"digest"`
+	Condition configread.Condition `json:"condition"`
+	Detail    string               `json:"detail,omitempty"`
+	// KnownOffset is the highest offset known to be in force anywhere.
+	KnownOffset int64 `json:"knownOffset"`
+	// DivergedPeers counts entries that have other records in force.
+	DivergedPeers int `json:"divergedPeers"`
+	// SnapshotOffset is that of the newest snapshot in the log, -1 where none
+	// has been seen.
+	SnapshotOffset int64 `json:"snapshotOffset"`
+}
+
+// Follower keeps a Store at the configuration in force. It is safe for
+// concurrent use.
 type Follower struct {
-	log      *zap.Logger
-	client   *logservice.Client
-	store    *Store
-	caughtUp atomic.Bool
+	log    *zap.Logger
+	scope  tally.Scope
+	client *logservice.Client
+	store  *Store
+	writer *snapshotWriter
+
+	mu     sync.Mutex
+	reader *configread.Reader
+	peers  Peers
 }
 
 // NewFollower returns a follower that has read nothing yet.
-func NewFollower(log *zap.Logger, client *logservice.Client, store *Store) *Follower {
-	return &Follower{log: log, client: client, store: store}
+func NewFollower(log *zap.Logger, scope tally.Scope, client *logservice.Client, store *Store, snapshots SnapshotOptions) *Follower {
+	f := &Follower{log: log, scope: scope, client: client, store: store, reader: configread.New(time.Now())}
+	f.writer = newSnapshotWriter(log, scope, client, f, snapshots)
+	return f
 }
 
-// CaughtUp reports whether the follower has once read to the end of the
-// stream.
-func (f *Follower) CaughtUp() bool { return f.caughtUp.Load() }
+// SetPeers sets where Run fetches from. It must be called before Run.
+func (f *Follower) SetPeers(p Peers) { f.peers = p }
 
-// Run follows the stream until ctx ends.
+// Run follows the log and the peers until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
-	reachable := true
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return f.followLog(ctx) })
+	group.Go(func() error { return f.followPeers(ctx) })
+	group.Go(func() error { return f.writer.run(ctx) })
+	return group.Wait()
+}
+
+// Ready returns nil where the configuration in force may be served. The error
+// has the kind Unavailable and says what is missing.
+func (f *Follower) Ready() error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reader.Ready(time.Now())
+}
+
+// Status returns how the follower stands.
+func (f *Follower) Status() Status {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	state := f.reader.State()
+	condition, detail := f.reader.Condition()
+	known, _ := f.reader.Known()
+	return Status{
+		Offset: state.Offset, Version: state.Version, Digest: state.Digest, Condition: condition, Detail: detail,
+		KnownOffset: known, DivergedPeers: f.reader.Diverged(), SnapshotOffset: f.writer.newest(),
+	}
+}
+
+// Head returns what this process tells its peers.
+func (f *Follower) Head() configread.Head {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reader.Head()
+}
+
+// Serve answers a peer's Fetch.
+func (f *Follower) Serve(fetch configread.Fetch) (configread.Fetched, error) {
+	f.scope.Counter("fetches_served").Inc(1)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reader.Serve(fetch)
+}
+
+// HeardHead notes what a peer has in force.
+func (f *Follower) HeardHead(peer string, head configread.Head) {
+	f.update(func(r *configread.Reader) { r.HeardHead(time.Now(), peer, head) })
+}
+
+// PeerGone forgets a peer.
+func (f *Follower) PeerGone(peer string) {
+	f.update(func(r *configread.Reader) { r.PeerGone(peer) })
+}
+
+// PeersAsked notes that every chosen peer has answered or failed once.
+func (f *Follower) PeersAsked() { f.update((*configread.Reader).PeersAsked) }
+
+// Claimed notes an offset that an agent has been given.
+func (f *Follower) Claimed(offset int64) {
+	f.update(func(r *configread.Reader) { r.Claimed(time.Now(), offset) })
+}
+
+// update changes the reader, puts its state in force, and reports its events.
+func (f *Follower) update(change func(*configread.Reader)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change(f.reader)
+	state := f.reader.State()
+	if f.store.Publish(state) {
+		f.scope.Gauge("offset").Update(float64(state.Offset))
+		f.scope.Gauge("version").Update(float64(state.Version))
+	}
+	for _, e := range f.reader.Events() {
+		f.report(e)
+	}
+}
+
+func (f *Follower) followLog(ctx context.Context) error {
 	for ctx.Err() == nil {
-		err := f.readOnce(ctx)
+		f.mu.Lock()
+		q := f.reader.Next()
+		f.mu.Unlock()
+		sleep(ctx, jitter(q.Pause))
+		if q.Snapshots {
+			f.readSnapshots(ctx)
+			continue
+		}
+		page, err := f.client.Read(ctx, Stream, q.From, q.Limit, q.Wait)
 		if ctx.Err() != nil {
 			return nil
 		}
-		if (err == nil) != reachable {
-			reachable = err == nil
-			f.log.Info("log service state", zap.Bool("reachable", reachable), zap.Error(err))
-		}
-		if err != nil {
-			pause(ctx, retryPause)
-		}
+		f.update(func(r *configread.Reader) {
+			if err != nil {
+				r.LogFailed(err)
+				return
+			}
+			r.TakePage(q, page)
+		})
 	}
 	return nil
 }
 
-func (f *Follower) readOnce(ctx context.Context) error {
-	wait := readWait
-	if !f.caughtUp.Load() {
-		wait = 0
-	}
-	state := f.store.View().State
-	page, err := f.client.Read(ctx, Stream, state.Offset+1, pageRecords, wait)
-	if err != nil {
-		return err
+func (f *Follower) readSnapshots(ctx context.Context) {
+	states, err := f.writer.read(ctx)
+	if ctx.Err() != nil {
+		return
 	}
-	for _, r := range page.Records {
-		next, result, err := configfold.Fold(state, r.Offset, r.Data)
+	f.update(func(r *configread.Reader) {
 		if err != nil {
-			return err
+			r.LogFailed(err)
+			return
 		}
-		state = next
-		f.log.Info("edit folded", zap.Int64("offset", r.Offset), zap.Bool("accepted", result.Accepted), zap.Int64("version", result.Version))
+		r.TakeSnapshots(states)
+	})
+}
+
+func (f *Follower) followPeers(ctx context.Context) error {
+	if f.peers == nil {
+		return nil
 	}
-	f.store.Publish(state)
-	if state.Offset+1 >= page.Next {
-		f.caughtUp.Store(true)
+	for ctx.Err() == nil {
+		sleep(ctx, peerInterval)
+		f.mu.Lock()
+		peer, fetch, ok := f.reader.NextFetch(time.Now())
+		f.mu.Unlock()
+		if !ok {
+			continue
+		}
+		f.scope.Counter("fetches").Inc(1)
+		reply, err := f.peers.Fetch(ctx, peer, fetch)
+		f.update(func(r *configread.Reader) {
+			if err != nil {
+				r.FetchFailed(peer, err)
+				return
+			}
+			r.TakeFetched(time.Now(), peer, fetch, reply)
+		})
 	}
 	return nil
 }
 
-func pause(ctx context.Context, d time.Duration) {
+// report counts an event and writes a line where the state has changed.
+func (f *Follower) report(e configread.Event) {
+	switch {
+	case e.Result != nil && e.Result.Accepted:
+		f.scope.Counter("edits_accepted").Inc(1)
+		f.log.Info("configuration in force", zap.Int64("offset", e.Result.Offset), zap.Int64("version", e.Result.Version), zap.String("edit", string(e.Result.ID)))
+	case e.Result != nil:
+		f.scope.Counter("edits_rejected").Inc(1)
+	case e.Adopted != nil:
+		f.scope.Counter("states_adopted").Inc(1)
+		f.log.Info("configuration in force from a snapshot or a peer", zap.Int64("offset", *e.Adopted))
+	case e.DivergedPeer != "":
+		f.scope.Counter("peers_diverged").Inc(1)
+		f.log.Error("an entry has other records in force", zap.String("entry", e.DivergedPeer))
+	default:
+		f.scope.Tagged(map[string]string{"condition": string(e.Condition)}).Counter("conditions").Inc(1)
+		f.log.Info("configuration log", zap.String("condition", string(e.Condition)), zap.String("detail", e.Detail))
+	}
+}
+
+// jitter spreads a pause over its second half.
+func jitter(d time.Duration) time.Duration {
+	if d <= 0 {
+		return 0
+	}
+	return d/2 + rand.N(d/2)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
--- a/pkg/configuration/view.go
+++ b/pkg/configuration/view.go
@@ -1,8 +1,13 @@
-// Package configuration holds the configuration in force at a process.
+// Package configuration holds the configuration in force at a process and
+// follows it: a Follower drives the decisions of package configread with the
+// log and the peers of the process.
 package configuration
 
 import (
 	"encoding/json"
+	"slices"
+	"strings"
+	"sync"
 	"sync/atomic"
 
 	"github.com/fescuehub/fescuehub/pkg/configfold"
@@ -10,31 +15,85 @@
 	"github.com/fescuehub/fescuehub/pkg/tables"
 )
 
-// Stream is the stream of the log that holds the edits.
-const Stream = "configuration"
-
 // View is the configuration at one offset. It is never changed after it has
 // been published.
 type View struct {
 	State  configfold.State
-	routes map[string]tables.Route
-	pools  map[string]tables.Pool
+	routes map[string]routeView
+	pools  map[string]poolView
+}
+
+type routeView struct {
+	revision int64
+	route    tables.Route
+	// parts holds the organisations by name, with the revision of each.
+	parts map[string]partView
+}
+
+type partView struct {
+	revision     int64
+	organisation tables.Organisation
+}
+
+type poolView struct {
+	revision int64
+	pool     tables.Pool
 }
 
 // NewView returns the view of a state.
-func NewView(s configfold.State) *View {
-	v := &View{State: s, routes: make(map[string]tables.Route), pools: make(map[string]tables.Pool)}
+func NewView(s configfold.State) *View { return (&View{}).Next(s) }
+
+// Next returns the view of a later state. What did not change is shared.
+func (v *View) Next(s configfold.State) *View {
+	next := &View{State: s, routes: make(map[string]routeView, len(s.Routes)), pools: make(map[string]poolView, len(s.Pools))}
 	for name, e := range s.Routes {
-		var r tables.Route
-		_ = json.Unmarshal(e.Value, &r)
-		v.routes[name] = r
+		next.routes[name] = v.routes[name].next(e, v.State.Organisations[name], s.Organisations[name])
 	}
 	for name, e := range s.Pools {
-		var p tables.Pool
-		_ = json.Unmarshal(e.Value, &p)
-		v.pools[name] = p
+		next.pools[name] = v.pools[name].next(e)
 	}
-	return v
+	return next
+}
+
+func (p poolView) next(e configfold.Entry) poolView {
+	if p.revision == e.Revision {
+		return p
+	}
+	next := poolView{revision: e.Revision}
+	_ = json.Unmarshal(e.Value, &next.pool)
+	return next
+}
+
+func (r routeView) next(e configfold.Entry, before, list map[string]configfold.Entry) routeView {
+	if r.revision == e.Revision && sameEntries(before, list) {
+		return r
+	}
+	next := routeView{revision: e.Revision, parts: make(map[string]partView, len(list))}
+	_ = json.Unmarshal(e.Value, &next.route)
+	next.route.Organisations = make([]tables.Organisation, 0, len(list))
+	for name, oe := range list {
+		part := r.parts[name]
+		if part.revision != oe.Revision {
+			part = partView{revision: oe.Revision}
+			_ = json.Unmarshal(oe.Value, &part.organisation)
+		}
+		next.parts[name] = part
+		next.route.Organisations = append(next.route.Organisations, part.organisation)
+	}
+	slices.SortFunc(next.route.Organisations, func(a, b tables.Organisation) int { return strings.Compare(a.Name, b.Name) })
+	return next
+}
+
+func sameEntries(a, b map[string]configfold.Entry) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for name, e := range a {
+		if b[name].Revision != e.Revision {
+			return false
+		}
+	}
+	return true
 }
 
 // Route returns the route and its pool. The error kinds are UnknownRoute and
@@ -45,29 +104,35 @@
 		return tables.Route{}, tables.Pool{}, problem.New(problem.UnknownRoute,
 			"use a route of the table, or add this one with fescuehub config apply", "there is no route %q", name).WithOutcome(problem.NotRun)
 	}
-	p, ok := v.pools[r.Pool]
+	p, ok := v.pools[r.route.Pool]
 	if !ok {
 		return tables.Route{}, tables.Pool{}, problem.New(problem.MissingPool,
-			"add the pool with fescuehub config apply", "route %q names the missing pool %q", name, r.Pool).WithOutcome(problem.NotRun)
+			"add the pool with fescuehub config apply", "route %q names the missing pool %q", name, r.route.Pool).WithOutcome(problem.NotRun)
 	}
-	return r, p, nil
+	return r.route, p.pool, nil
 }
 
 // Pool returns a pool.
 func (v *View) Pool(name string) (tables.Pool, bool) {
 	p, ok := v.pools[name]
-	return p, ok
+	return p.pool, ok
 }
 
+// PoolRevision returns the version of the configuration that last changed the
+// pool, 0 where it is not in the table.
+func (v *View) PoolRevision(name string) int64 { return v.pools[name].revision }
+
 // Store holds the view in force. It is safe for concurrent use.
 type Store struct {
-	view    atomic.Pointer[View]
+	view atomic.Pointer[View]
+
+	mu      sync.Mutex
 	changed chan struct{}
 }
 
 // NewStore returns a store that holds the empty configuration.
 func NewStore() *Store {
-	s := &Store{changed: make(chan struct{}, 1)}
+	s := &Store{changed: make(chan struct{})}
 	s.view.Store(NewView(configfold.Empty()))
 	return s
 }
@@ -78,26 +143,22 @@
 // Publish puts a state in force. A state with a lower offset than the one in
 // force is ignored: the configuration never reverts.
 func (s *Store) Publish(state configfold.State) bool {
-	next := NewView(state)
-	for {
-		old := s.view.Load()
-		if state.Offset <= old.State.Offset {
-			return false
-		}
-		if s.view.CompareAndSwap(old, next) {
-			s.signal()
-			return true
-		}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.view.Load()
+	if state.Offset <= now.State.Offset {
+		return false
 	}
+	s.view.Store(now.Next(state))
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return true
 }
 
-// Changed receives a value after a publication. Several publications may give
-// one value.
-func (s *Store) Changed() <-chan struct{} { return s.changed }
-
-func (s *Store) signal() {
-	select {
-	case s.changed <- struct{}{}:
-	default:
-	}
+// Changed returns a channel that is closed at the next publication. Take it
+// before the view, so that no publication is missed.
+func (s *Store) Changed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed
 }
--- a/pkg/demo/demo.go
+++ b/pkg/demo/demo.go
@@ -4,14 +4,14 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/fescuehub/fescuehub/pkg/configpublish"
-	"github.com/fescuehub/fescuehub/pkg/peer/logservice"
+	"github.com/fescuehub/fescuehub/pkg/configclient"
 	"github.com/fescuehub/fescuehub/pkg/problem"
 	"github.com/fescuehub/fescuehub/pkg/tables"
 )
@@ -202,20 +202,14 @@
 }
 
 func publishTables(ctx context.Context, s *site, doc tables.Document) error {
-	client := logservice.New(s.logURL)
-	state, _, err := configpublish.Read(ctx, client)
+	data, err := json.Marshal(doc)
 	if err != nil {
 		return err
 	}
-	edit, err := configpublish.Difference(state, doc)
-	if err != nil {
-		return err
-	}
-	_, err = configpublish.Publish(ctx, client, edit)
+	_, err = configclient.New(s.logURL).Apply(ctx, data)
 	return err
 }
 
-// await polls until condition holds or ctx ends.
 func await(ctx context.Context, what string, condition func() bool) error {
 	const pause = 10 * time.Millisecond
 	for !condition() {
--- a/pkg/demo/site.go
+++ b/pkg/demo/site.go
@@ -184,7 +184,7 @@
 	return await(ctx, "the configuration in force", func() bool {
 		for _, es := range s.entrySets {
 			var status entry.Status
-			if getJSON(ctx, "http://"+es.OperatorAddress+"/v1/status", &status) != nil || status.ConfigVersion < version {
+			if getJSON(ctx, "http://"+es.OperatorAddress+"/v1/status", &status) != nil || status.ConfigVersion < version || !status.Ready {
 				return false
 			}
 		}
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -19,9 +19,11 @@
 	"github.com/fescuehub/fescuehub/pkg/ident"
 	"github.com/fescuehub/fescuehub/pkg/lifecycle"
 	"github.com/fescuehub/fescuehub/pkg/peer/agentlink"
+	"github.com/fescuehub/fescuehub/pkg/peer/entrylink"
 	"github.com/fescuehub/fescuehub/pkg/peer/instancelist"
 	"github.com/fescuehub/fescuehub/pkg/peer/logservice"
 	"github.com/fescuehub/fescuehub/pkg/routing"
+	"github.com/fescuehub/fescuehub/pkg/rpc"
 	"github.com/fescuehub/fescuehub/pkg/settings"
 	"github.com/fescuehub/fescuehub/pkg/telemetry"
 )
@@ -39,6 +41,7 @@
 	life        *lifecycle.Lifecycle
 	config      *configuration.Store
 	follower    *configuration.Follower
+	mesh        *entrylink.Mesh
 	members     *members
 	replicas    *replicas
 	attempts    *agentlink.Client
@@ -57,8 +60,7 @@
 	store := configuration.NewStore()
 	incarnation := ident.NewIncarnation(s.Name)
 	scope := metrics.Scope.SubScope("entry")
-	replicas := newReplicas(log, s.Name, incarnation, store)
-	return &Entry{
+	e := &Entry{
 		settings:    s,
 		log:         log,
 		metrics:     metrics,
@@ -66,12 +68,19 @@
 		incarnation: incarnation,
 		life:        lifecycle.New(log, planOf(s)),
 		config:      store,
-		follower:    configuration.NewFollower(log, logClient, store),
-		members:     newMembers(log, instances, replicas),
-		replicas:    replicas,
 		attempts:    agentlink.NewClient(),
 		selector:    selector,
 	}
+	e.follower = configuration.NewFollower(log, scope.SubScope("configuration"), logClient, store, configuration.SnapshotOptions{
+		Name:      s.Name,
+		Retention: time.Duration(s.LogRetentionSeconds) * time.Second,
+		Entries:   func() []string { return e.members.liveEntries() },
+	})
+	e.mesh = entrylink.NewMesh(s.Name, e.follower)
+	e.follower.SetPeers(e.mesh)
+	e.replicas = newReplicas(log, s.Name, incarnation, store, scope.SubScope("configuration"), e.follower.Claimed)
+	e.members = newMembers(log, instances, e.replicas)
+	return e
 }
 
 func planOf(s settings.Entry) drain.Plan {
@@ -93,6 +102,7 @@
 	}
 	callers := httpserver.New(listeners[0], e.scope.SubScope("caller"), e.callerHandler())
 	operators := httpserver.New(listeners[1], e.scope.SubScope("operator"), e.operatorHandler())
+	peers := rpc.NewServer(listeners[2], e.mesh.Methods())
 
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
@@ -101,7 +111,10 @@
 	group.Go(operators.Run)
 	group.Go(func() error { return e.follower.Run(ctx) })
 	group.Go(func() error { return e.members.run(ctx) })
-	group.Go(func() error { return e.replicas.run(ctx) })
+	group.Go(func() error { return e.replicas.sendParts(ctx) })
+	group.Go(func() error { return peers.Run(ctx) })
+	group.Go(func() error { return e.mesh.Run(ctx, e.config.Changed) })
+	group.Go(func() error { return e.followPeers(ctx) })
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
@@ -126,6 +139,7 @@
 	for _, a := range []struct{ setting, address string }{
 		{"callerAddress", e.settings.CallerAddress},
 		{"operatorAddress", e.settings.OperatorAddress},
+		{"peerAddress", e.settings.PeerAddress},
 	} {
 		l, err := httpserver.Listen(a.setting, a.address)
 		if err != nil {
--- a/pkg/entry/exchange.go
+++ b/pkg/entry/exchange.go
@@ -65,11 +65,5 @@
 	}, nil
 }
 
-// notReady returns an error while the entry has no configuration.
-func (e *Entry) notReady() error {
-	if e.follower.CaughtUp() {
-		return nil
-	}
-	return problem.New(problem.Unavailable, "use another address, or come back",
-		"this entry has not read the configuration yet").WithOutcome(problem.NotRun).WithRetryAfter(time.Second)
-}
+// notReady returns an error while the configuration here must not be served.
+func (e *Entry) notReady() error { return e.follower.Ready() }
--- a/pkg/entry/operator.go
+++ b/pkg/entry/operator.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 
+	"github.com/fescuehub/fescuehub/pkg/configuration"
 	"github.com/fescuehub/fescuehub/pkg/drain"
 	"github.com/fescuehub/fescuehub/pkg/ident"
 	"github.com/fescuehub/fescuehub/pkg/problem"
@@ -18,7 +19,11 @@
 	Ready         bool              `json:"ready"`
 	ConfigOffset  int64             `json:"configOffset"`
 	ConfigVersion int64             `json:"configVersion"`
-	InFlight      int               `json:"inFlight"`
+	// Configuration says how the entry follows the configuration.
+	Configuration configuration.Status `json:"configuration"`
+	// NotReady says why the entry is not ready.
+	NotReady string `json:"notReady,omitempty"`
+	InFlight int    `json:"inFlight"`
 	// Replicas counts the agents that the entry is connected to.
 	Replicas int `json:"replicas"`
 }
@@ -39,15 +44,22 @@
 }
 
 func (e *Entry) status() Status {
-	state := e.config.View().State
+	config := e.follower.Status()
+	notReady := ""
+	err := e.ready()
+	if err != nil {
+		notReady = problem.Of(err).Detail
+	}
 	return Status{
 		Name:          e.settings.Name,
 		Incarnation:   e.incarnation,
 		FailureDomain: e.settings.FailureDomain,
 		Phase:         e.life.Phase().String(),
-		Ready:         e.ready() == nil,
-		ConfigOffset:  state.Offset,
-		ConfigVersion: state.Version,
+		Ready:         err == nil,
+		NotReady:      notReady,
+		Configuration: config,
+		ConfigOffset:  config.Offset,
+		ConfigVersion: config.Version,
 		InFlight:      e.life.InFlight(),
 		Replicas:      e.ReplicaCount(),
 	}
--- a/pkg/entry/replicas.go
+++ b/pkg/entry/replicas.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
 	"github.com/fescuehub/fescuehub/pkg/configuration"
@@ -24,6 +25,11 @@
 	entry       string
 	incarnation ident.Incarnation
 	config      *configuration.Store
+	scope       tally.Scope
+	// claimed takes the offsets that agents have been given.
+	claimed func(offset int64)
+	// partsDue receives a value after an agent has connected.
+	partsDue chan struct{}
 
 	mu    sync.Mutex
 	byKey map[string]*replica
@@ -39,22 +45,13 @@
 	since    time.Time
 	inFlight int
 	failures int
+	// partRevision is the revision of the pool that the agent has been sent
+	// over the present connection.
+	partRevision int64
 }
 
-func newReplicas(log *zap.Logger, entry string, incarnation ident.Incarnation, config *configuration.Store) *replicas {
-	return &replicas{log: log, entry: entry, incarnation: incarnation, config: config, byKey: make(map[string]*replica)}
-}
-
-// run hands every configuration change to the connected agents until ctx ends.
-func (rs *replicas) run(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-rs.config.Changed():
-			rs.configureAll(ctx)
-		}
-	}
+func newReplicas(log *zap.Logger, entry string, incarnation ident.Incarnation, config *configuration.Store, scope tally.Scope, claimed func(offset int64)) *replicas {
+	return &replicas{log: log, entry: entry, incarnation: incarnation, config: config, scope: scope, claimed: claimed, partsDue: make(chan struct{}, 1), byKey: make(map[string]*replica)}
 }
 
 // reconcile connects to agents that are new in the list and drops those that
@@ -118,7 +115,7 @@
 	rs.storeStatus(r, status)
 	rs.setConn(r, conn)
 	defer rs.setConn(r, nil)
-	rs.configure(ctx, conn, r.instance.Pool)
+	rs.wakeParts()
 	select {
 	case <-ctx.Done():
 	case <-conn.Done():
@@ -130,10 +127,12 @@
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
 	r.conn = conn
+	r.partRevision = unsentPart
 	rs.log.Info("agent link", zap.String("agent", r.instance.Name), zap.Bool("up", conn != nil))
 }
 
 func (rs *replicas) storeStatus(r *replica, status agentlink.Status) {
+	rs.claimed(status.ConfigOffset)
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
 	now := time.Now()
@@ -145,12 +144,6 @@
 	r.statusAt = now
 }
 
-func (rs *replicas) configureAll(ctx context.Context) {
-	for _, r := range rs.connected() {
-		rs.configure(ctx, r.conn, r.pool)
-	}
-}
-
 type connectedReplica struct {
 	conn *rpc.Conn
 	pool string
@@ -168,17 +161,6 @@
 	return out
 }
 
-// configure hands an agent its pool's part of the configuration.
-func (rs *replicas) configure(ctx context.Context, conn *rpc.Conn, pool string) {
-	view := rs.config.View()
-	part := agentlink.PoolPart{Offset: view.State.Offset}
-	if p, ok := view.Pool(pool); ok {
-		part.Pool = &p
-	}
-	var in agentlink.PoolPart
-	_ = conn.Call(ctx, agentlink.MethodConfigure, part, &in)
-}
-
 // snapshot returns the candidates of a pool.
 func (rs *replicas) snapshot(pool string, concurrency int) []routing.Replica {
 	rs.mu.Lock()
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -38,6 +38,10 @@
 	// MaxBodyBytes bounds the body of a request. 0 stands for
 	// DefaultMaxBodyBytes.
 	MaxBodyBytes int `json:"maxBodyBytes,omitempty"`
+	// LogRetentionSeconds is how long the log service keeps a record. Snapshots
+	// of the configuration are written eight times within it. 0 stands for
+	// DefaultLogRetentionSeconds.
+	LogRetentionSeconds int `json:"logRetentionSeconds,omitempty"`
 }
 
 // Backend is the part of an agent's settings about its backend server.
@@ -85,6 +89,8 @@
 	MaxShutdownSeconds            = 3600
 	DefaultMaxBodyBytes           = 4 << 20
 	MaxMaxBodyBytes               = 64 << 20
+	DefaultLogRetentionSeconds    = 24 * 3600
+	MaxLogRetentionSeconds        = 366 * 24 * 3600
 )
 
 // LoadEntry reads and checks the settings of an entry. The error has the kind
@@ -111,6 +117,7 @@
 	s.AddressLifetimeSeconds = orDefault(s.AddressLifetimeSeconds, DefaultAddressLifetimeSeconds)
 	s.ShutdownSeconds = orDefault(s.ShutdownSeconds, DefaultShutdownSeconds)
 	s.MaxBodyBytes = orDefault(s.MaxBodyBytes, DefaultMaxBodyBytes)
+	s.LogRetentionSeconds = orDefault(s.LogRetentionSeconds, DefaultLogRetentionSeconds)
 	return s
 }
 
@@ -132,6 +139,7 @@
 	c.within("addressLifetimeSeconds", s.AddressLifetimeSeconds, MaxAddressLifetimeSeconds)
 	c.within("shutdownSeconds", s.ShutdownSeconds, MaxShutdownSeconds)
 	c.within("maxBodyBytes", s.MaxBodyBytes, MaxMaxBodyBytes)
+	c.within("logRetentionSeconds", s.LogRetentionSeconds, MaxLogRetentionSeconds)
 	return c.faults
 }
 
--- a/pkg/strictjson/strictjson.go
+++ b/pkg/strictjson/strictjson.go
@@ -29,6 +29,13 @@
 	return fmt.Sprintf("%s: %s (remedy: %s)", f.Place, f.Detail, f.Remedy)
 }
 
+// Sort orders the faults by place and detail.
+func Sort(faults []Fault) {
+	slices.SortFunc(faults, func(a, b Fault) int {
+		return strings.Compare(a.Place+"\x00"+a.Detail, b.Place+"\x00"+b.Detail)
+	})
+}
+
 // Join returns the faults as one text, one on a line.
 func Join(faults []Fault) string {
 	lines := make([]string, len(faults))
@@ -121,6 +128,9 @@
 	return faults
 }
 
+// FieldNames returns the names of the JSON fields of a struct type, sorted.
+func FieldNames(t reflect.Type) []string { return sortedKeys(fieldsOf(t)) }
+
 func fieldsOf(t reflect.Type) map[string]reflect.Type {
 	fields := make(map[string]reflect.Type)
 	for i := range t.NumField() {
--- a/pkg/tables/validate.go
+++ b/pkg/tables/validate.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"regexp"
 	"slices"
+	"strings"
 
 	"github.com/fescuehub/fescuehub/pkg/strictjson"
 )
@@ -63,28 +64,40 @@
 }
 
 func checkOrganisations(place string, list []Organisation) []strictjson.Fault {
-	var faults []strictjson.Fault
-	if len(list) > MaxOrganisations {
-		faults = append(faults, outOfRange(place+".organisations", len(list), 0, MaxOrganisations))
-	}
+	faults := CheckOrganisationCount(strings.TrimPrefix(place, "routes."), len(list))
 	seen := make(map[string]bool, len(list))
 	for i, o := range list {
 		at := fmt.Sprintf("%s.organisations[%d]", place, i)
-		faults = append(faults, checkName(at, o.Name)...)
 		if seen[o.Name] {
 			faults = append(faults, strictjson.NewFault(at, fmt.Sprintf("organisation %q is listed twice", o.Name), "keep one of the two"))
 		}
 		seen[o.Name] = true
-		if o.Share < 0 {
-			faults = append(faults, strictjson.NewFault(at+".share", "it is negative", "write a positive weight"))
-		}
-		if o.Class != "" && o.Class != Interactive && o.Class != Batch {
-			faults = append(faults, strictjson.NewFault(at+".class", fmt.Sprintf("unknown class %q", o.Class), `write "interactive" or "batch"`))
-		}
+		faults = append(faults, CheckOrganisation(at, o)...)
 	}
 	return faults
 }
 
+// CheckOrganisation returns the faults of an organisation of a route.
+func CheckOrganisation(place string, o Organisation) []strictjson.Fault {
+	faults := checkName(place, o.Name)
+	if o.Share < 0 {
+		faults = append(faults, strictjson.NewFault(place+".share", "it is negative", "write a positive weight"))
+	}
+	if o.Class != "" && o.Class != Interactive && o.Class != Batch {
+		faults = append(faults, strictjson.NewFault(place+".class", fmt.Sprintf("unknown class %q", o.Class), `write "interactive" or "batch"`))
+	}
+	return faults
+}
+
+// CheckOrganisationCount returns the fault of a route with too many
+// organisations.
+func CheckOrganisationCount(route string, n int) []strictjson.Fault {
+	if n <= MaxOrganisations {
+		return nil
+	}
+	return []strictjson.Fault{outOfRange("routes."+route+".organisations", n, 0, MaxOrganisations)}
+}
+
 func checkName(place, name string) []strictjson.Fault {
 	if len(name) > MaxNameLengthBytes || !nameForm.MatchString(name) {
 		return []strictjson.Fault{strictjson.NewFault(place+".name", fmt.Sprintf("%q is not a name", name), "use 1 to 64 small letters, digits, dots and dashes")}
