--- a/pkg/entry/operator.go
+++ b/pkg/entry/operator.go
@@ -24,7 +24,7 @@
 	// NotReady says why the entry is not ready.
 	NotReady string `json:"notReady,omitempty"`
 	InFlight int    `json:"inFlight"`
-	// Replicas counts the agents that the entry is connected to.
+	// Replicas counts the agents that take work from the entry.
 	Replicas int `json:"replicas"`
 }
 
