Drive the reader of the configuration through the fault matrix

Found and mended by it: a process that starts took a log that had started again for the whole truth before its peers had answered, also where it was frozen in between; a bound by the clock let a frozen process give up on answers that it already had; a claim passed on from peer to peer would have lasted for ever.

--- a/pkg/configfold/record.go
+++ b/pkg/configfold/record.go
@@ -30,10 +30,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "encode edit")
 	}
-	record := plain
-	if len(plain) >= compressFrom {
-		record = Compress(plain)
-	}
+	record := CompressLong(plain)
 	if len(record) > MaxRecordBytes || len(plain) > MaxPlainBytes {
 		return nil, problem.New(problem.TooLarge, "apply the change in several steps, some routes at a time",
 			"the edit needs %d bytes, a record holds %d", len(record), MaxRecordBytes).WithOutcome(problem.NotRun)
@@ -71,8 +68,12 @@
 	return []strictjson.Fault{{Place: "record", Detail: detail, Remedy: "publish edits with fescuehub config apply"}}
 }
 
-// Compress compresses data.
-func Compress(data []byte) []byte {
+// CompressLong compresses data that is worth it and returns other data as it
+// is.
+func CompressLong(data []byte) []byte {
+	if len(data) < compressFrom {
+		return data
+	}
 	var out bytes.Buffer
 	w := gzip.NewWriter(&out)
 	_, _ = w.Write(data)
@@ -80,7 +81,7 @@
 	return out.Bytes()
 }
 
-// Decompress undoes Compress and returns other data as it is. It fails for
+// Decompress undoes CompressLong and returns other data as it is. It fails for
 // data of more than MaxPlainBytes.
 func Decompress(data []byte) ([]byte, error) {
 	if !bytes.HasPrefix(data, gzipMagic) {
--- a/pkg/configpublish/publication.go
+++ b/pkg/configpublish/publication.go
@@ -70,7 +70,9 @@
 
 // NewPublication returns a publication that has read nothing.
 func NewPublication(now time.Time) *Publication {
-	return &Publication{reader: configread.New(now), phase: Read, bound: now.Add(ReadBound)}
+	p := &Publication{reader: configread.New(), phase: Read, bound: now.Add(ReadBound)}
+	p.reader.PeersAsked()
+	return p
 }
 
 // State returns the configuration that the log has in force.
--- a/pkg/configread/log.go
+++ b/pkg/configread/log.go
@@ -13,6 +13,9 @@
 	PageRecords = 1000
 	// PollWait is how long a reading waits for the next record.
 	PollWait = 10 * time.Second
+	// idlePause and maxIdles bound the wait for peers at the start: 6 s.
+	idlePause = 20 * time.Millisecond
+	maxIdles  = 300
 	// firstPause and longestPause separate readings while the log is unusable.
 	// The longest is well within StaleBound.
 	firstPause   = 250 * time.Millisecond
@@ -21,6 +24,8 @@
 
 // Request is what to read from the log next.
 type Request struct {
+	// Idle is true where the log must not be read yet; ask again after Pause.
+	Idle bool
 	// Pause before the request.
 	Pause time.Duration
 	// Snapshots is true for the stream of snapshots; the other fields then mean
@@ -33,9 +38,14 @@
 	Wait time.Duration
 }
 
-// Next returns what to read from the log next.
+// Next returns what to read from the log next. A process that starts asks its
+// peers first: a log that has started again would otherwise be taken for the
+// whole truth.
 func (r *Reader) Next() Request {
 	switch {
+	case r.awaitsPeers():
+		r.idles++
+		return Request{Idle: true, Pause: idlePause}
 	case !r.snapshotsRead:
 		return Request{Pause: r.pause(), Snapshots: true}
 	case r.condition == Following && !r.pending:
@@ -44,6 +54,19 @@
 	return Request{Pause: r.pause(), From: max(r.state.Offset, 0), Limit: PageRecords}
 }
 
+// awaitsPeers bounds the wait by the number of looks, not by the clock, so that
+// a process that was frozen still hears the answers that came meanwhile.
+func (r *Reader) awaitsPeers() bool {
+	if r.off.peers || r.idles >= maxIdles {
+		return false
+	}
+	ahead := r.peers.held() > r.state.Offset
+	if r.condition == Starting {
+		return ahead || !r.peers.asked
+	}
+	return ahead && r.state.Offset < 0
+}
+
 // Pending reports whether the log is known to hold records that have not been
 // read.
 func (r *Reader) Pending() bool { return r.pending }
@@ -72,9 +95,12 @@
 	}
 }
 
-// TakePage takes the answer to a request for records.
+// TakePage takes the answer to a request for records. While peers are known to
+// have more in force, a process that starts takes it from them first.
 func (r *Reader) TakePage(q Request, page logservice.Page) {
 	switch {
+	case r.awaitsPeers():
+		return
 	case page.Next <= r.state.Offset && r.off.monotonic:
 		r.state = configfold.Empty()
 		r.pending = true
--- a/pkg/configread/peers.go
+++ b/pkg/configread/peers.go
@@ -45,12 +45,15 @@
 	return peers{heads: make(map[string]Head), claimed: -1, diverged: make(map[string]bool)}
 }
 
-func (p *peers) known() int64 {
-	known := p.claimed
+func (p *peers) known() int64 { return max(p.claimed, p.held()) }
+
+// held is the highest offset that a connected peer has in force.
+func (p *peers) held() int64 {
+	held := int64(-1)
 	for _, h := range p.heads {
-		known = max(known, h.Offset)
+		held = max(held, h.Offset)
 	}
-	return known
+	return held
 }
 
 func (p *peers) reached(offset int64) {
--- a/pkg/configread/reader.go
+++ b/pkg/configread/reader.go
@@ -16,8 +16,6 @@
 	// StaleBound is how long a process that serves may stay behind an offset
 	// that it knows to be in force elsewhere. It is the users' bound.
 	StaleBound = 6 * time.Second
-	// PeerBound is how long a process that starts waits for its peers.
-	PeerBound = 6 * time.Second
 	// FetchDelay is how long the log may take to bring what a peer already has.
 	FetchDelay = 300 * time.Millisecond
 )
@@ -60,12 +58,12 @@
 
 // Reader is the reader of one process. It is not safe for concurrent use.
 type Reader struct {
-	started   time.Time
 	state     configfold.State
 	history   history
 	condition Condition
 	detail    string
 	failures  int
+	idles     int
 	events    []Event
 	// snapshotsRead is false until the snapshots have been read after the start
 	// or after a gap.
@@ -86,8 +84,8 @@
 }
 
 // New returns a reader that has read nothing.
-func New(now time.Time) *Reader {
-	return &Reader{started: now, state: configfold.Empty(), condition: Starting, peers: newPeers()}
+func New() *Reader {
+	return &Reader{state: configfold.Empty(), condition: Starting, peers: newPeers()}
 }
 
 // State returns the configuration in force.
@@ -119,7 +117,7 @@
 	switch {
 	case !r.complete:
 		return notReady("the configuration has not been read yet (log: %s)", r.condition)
-	case !r.serving && !r.peers.asked && now.Sub(r.started) < PeerBound:
+	case !r.serving && !r.peers.asked && r.idles < maxIdles:
 		return notReady("the other entries have not been asked for the configuration yet")
 	case !behind || r.off.peers:
 		return nil
--- a/pkg/configsnapshot/codec.go
+++ b/pkg/configsnapshot/codec.go
@@ -45,7 +45,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "encode state")
 	}
-	return configfold.Compress(plain), nil
+	return configfold.CompressLong(plain), nil
 }
 
 // DecodeState reads what EncodeState wrote. The error kind is NewerRecord
--- a/pkg/configuration/follow.go
+++ b/pkg/configuration/follow.go
@@ -63,7 +63,7 @@
 
 // NewFollower returns a follower that has read nothing yet.
 func NewFollower(log *zap.Logger, scope tally.Scope, client *logservice.Client, store *Store, snapshots SnapshotOptions) *Follower {
-	f := &Follower{log: log, scope: scope, client: client, store: store, reader: configread.New(time.Now())}
+	f := &Follower{log: log, scope: scope, client: client, store: store, reader: configread.New()}
 	f.writer = newSnapshotWriter(log, scope, client, f, snapshots)
 	return f
 }
@@ -155,6 +155,9 @@
 		q := f.reader.Next()
 		f.mu.Unlock()
 		sleep(ctx, jitter(q.Pause))
+		if q.Idle {
+			continue
+		}
 		if q.Snapshots {
 			f.readSnapshots(ctx)
 			continue
@@ -190,6 +193,7 @@
 
 func (f *Follower) followPeers(ctx context.Context) error {
 	if f.peers == nil {
+		f.PeersAsked()
 		return nil
 	}
 	for ctx.Err() == nil {
--- a/pkg/entry/replicas.go
+++ b/pkg/entry/replicas.go
@@ -144,23 +144,6 @@
 	r.statusAt = now
 }
 
-type connectedReplica struct {
-	conn *rpc.Conn
-	pool string
-}
-
-func (rs *replicas) connected() []connectedReplica {
-	rs.mu.Lock()
-	defer rs.mu.Unlock()
-	var out []connectedReplica
-	for _, r := range rs.byKey {
-		if r.conn != nil {
-			out = append(out, connectedReplica{r.conn, r.instance.Pool})
-		}
-	}
-	return out
-}
-
 // usable counts the connected agents that take work.
 func (rs *replicas) usable() int {
 	rs.mu.Lock()
--- a/pkg/faultmatrix/matrix.go
+++ b/pkg/faultmatrix/matrix.go
@@ -24,6 +24,8 @@
 	Seeds []uint64
 	// Pairs is the number of random pairs of faults tried with each seed.
 	Pairs int
+	// StopAtFailure ends the matrix at the first cell with a violation.
+	StopAtFailure bool
 }
 
 // Cell is one run.
@@ -73,6 +75,9 @@
 				continue
 			}
 			for _, step := range steps {
+				if o.StopAtFailure && len(report.Failed) > 0 {
+					return report, nil
+				}
 				if err := report.runCell(s, seed, step.Name, []Injection{{f, step.Index}}); err != nil {
 					return report, err
 				}
--- a/pkg/faultmatrix/testing.go
+++ b/pkg/faultmatrix/testing.go
@@ -25,12 +25,18 @@
 // Test runs the matrix of the scenario, prints its table, and fails the test
 // for every cell with a violation, with the command that replays it.
 func Test(t *testing.T, s Scenario) {
+	t.Helper()
+	TestWith(t, s, Options{Seeds: seeds(), Pairs: defaultPairs})
+}
+
+// TestWith is Test with the options of a smaller or larger matrix.
+func TestWith(t *testing.T, s Scenario, o Options) {
 	t.Helper()
 	if cell := os.Getenv(CellVariable); cell != "" {
 		replay(t, s, cell)
 		return
 	}
-	report := mustRun(t, s)
+	report := mustRun(t, s, o)
 	var table strings.Builder
 	report.Write(&table)
 	t.Log("\n" + table.String())
@@ -47,7 +53,7 @@
 // test if no cell has a violation.
 func MustFail(t *testing.T, s Scenario) {
 	t.Helper()
-	report := mustRun(t, s)
+	report := mustRun(t, s, Options{Seeds: seeds(), Pairs: defaultPairs, StopAtFailure: true})
 	if len(report.Failed) == 0 {
 		t.Fatalf("protocol %s without its mechanism: %d runs and no violation found", s.Protocol, report.Runs)
 	}
@@ -55,21 +61,26 @@
 	t.Logf("%d of %d runs violate; first: step %q: %s (%s)", len(report.Failed), report.Runs, first.Step, strings.Join(first.Violations, "; "), first.Replay())
 }
 
-func mustRun(t *testing.T, s Scenario) Report {
+func mustRun(t *testing.T, s Scenario, o Options) Report {
 	t.Helper()
+	report, err := Run(s, o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return report
+}
+
+// seeds returns the seeds of a run, more of them where the environment says so.
+func seeds() []uint64 {
 	n := defaultSeeds
 	if v, err := strconv.Atoi(os.Getenv(SeedsVariable)); err == nil && v > 0 {
 		n = v
 	}
-	seeds := make([]uint64, n)
-	for i := range seeds {
-		seeds[i] = uint64(i + 1)
-	}
-	report, err := Run(s, Options{Seeds: seeds, Pairs: defaultPairs})
-	if err != nil {
-		t.Fatal(err)
+	list := make([]uint64, n)
+	for i := range list {
+		list[i] = uint64(i + 1)
 	}
-	return report
+	return list
 }
 
 func replay(t *testing.T, s Scenario, cell string) {
