--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
@@ -35,6 +36,8 @@
 	life        *lifecycle.Lifecycle
 	backend     Backend
 	attempts    *attempts
+	maps        *expertMaps
+	bound       bound
 
 	mu        sync.Mutex
 	links     map[*rpc.Conn]struct{}
@@ -45,16 +48,18 @@
 
 // New returns an agent that has opened nothing yet.
 func New(s settings.Agent, log *zap.Logger, metrics *telemetry.Metrics, backend Backend) *Agent {
+	scope := metrics.Scope.SubScope("agent")
 	plan := drain.Plan{Bound: time.Duration(s.ShutdownSeconds) * time.Second}
 	return &Agent{
 		settings:    s,
 		log:         log,
 		metrics:     metrics,
-		scope:       metrics.Scope.SubScope("agent"),
+		scope:       scope,
 		incarnation: ident.NewIncarnation(s.Name),
 		life:        lifecycle.New(log, plan),
 		backend:     backend,
 		attempts:    newAttempts(),
+		maps:        newExpertMaps(s, log, scope),
 		links:       make(map[*rpc.Conn]struct{}),
 		part:        agentlink.PoolPart{Offset: -1},
 	}
@@ -88,9 +93,11 @@
 		_ = control.Close()
 		return err
 	}
-	dataServer := httpserver.New(data, a.scope.SubScope("data"), a.dataHandler())
+	work, cutOff := context.WithCancelCause(context.Background())
+	defer cutOff(nil)
+	dataServer := httpserver.NewWithContext(work, data, a.scope.SubScope("data"), a.dataHandler())
 	operatorServer := httpserver.New(operator, a.scope.SubScope("operator"), a.operatorHandler())
-	controlServer := rpc.NewServer(control, a.controlMethods())
+	controlServer := rpc.NewServer(control, a.scope.SubScope("control"), a.controlMethods())
 
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
@@ -99,12 +106,14 @@
 	group.Go(operatorServer.Run)
 	group.Go(func() error { return controlServer.Run(ctx) })
 	group.Go(func() error { return a.watchBackend(ctx) })
+	group.Go(func() error { return a.maps.run(ctx) })
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
 		case <-a.life.Ended():
 		}
 		stop()
+		cutOff(lifecycle.CutError())
 		closing, cancel := context.WithTimeout(context.Background(), closeBound)
 		defer cancel()
 		_ = dataServer.Shutdown(closing)
@@ -114,7 +123,7 @@
 	a.log.Info("agent started", zap.String("incarnation", string(a.incarnation)), zap.String("pool", a.settings.Pool))
 	err = group.Wait()
 	a.log.Info("agent ended", zap.Error(err))
-	return err
+	return errors.CombineErrors(err, a.life.EndError())
 }
 
 func (a *Agent) dataHandler() http.Handler {
--- a/pkg/configread/reader.go
+++ b/pkg/configread/reader.go
@@ -116,7 +116,7 @@
 	behind := known > r.state.Offset
 	switch {
 	case !r.complete:
-		return notReady("the configuration has not been read yet (log: %s)", r.condition)
+		return notReady("this entry has not read the configuration yet (log: %s)", r.condition)
 	case !r.serving && !r.peers.asked && r.idles < maxIdles:
 		return notReady("the other entries have not been asked for the configuration yet")
 	case !behind || r.off.peers:
--- a/pkg/configuration/follow.go
+++ b/pkg/configuration/follow.go
@@ -233,7 +233,7 @@
 		f.log.Error("an entry has other records in force", zap.String("entry", e.DivergedPeer))
 	default:
 		f.scope.Tagged(map[string]string{"condition": string(e.Condition)}).Counter("conditions").Inc(1)
-		f.log.Info("configuration log", zap.String("condition", string(e.Condition)), zap.String("detail", e.Detail))
+		f.log.Info("log service state", zap.Bool("reachable", e.Condition != configread.Unreachable), zap.String("condition", string(e.Condition)), zap.String("detail", e.Detail))
 	}
 }
 
