--- /dev/null
+++ b/pkg/configpublish/matrix_test.go
@@ -0,0 +1,300 @@
+package configpublish
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/fescuehub/fescuehub/pkg/configfold"
+	"github.com/fescuehub/fescuehub/pkg/faultmatrix"
+	"github.com/fescuehub/fescuehub/pkg/ident"
+	"github.com/fescuehub/fescuehub/pkg/peer/logservice"
+	"github.com/fescuehub/fescuehub/pkg/problem"
+)
+
+const (
+	operators  = 4
+	replyBound = 3 * time.Second
+	outageTime = 30 * time.Second
+	// pollTime is how long a reading that waits takes.
+	pollTime = time.Second
+)
+
+// Messages of the matrix.
+type (
+	begin     struct{}
+	timeout   struct{ seq int }
+	retry     struct{ seq int }
+	appendMsg struct {
+		seq    int
+		record []byte
+	}
+	appendReply struct {
+		seq int
+		err error
+	}
+	readMsg struct {
+		seq int
+		a   Action
+	}
+	readReply struct {
+		seq  int
+		a    Action
+		page logservice.Page
+		err  error
+	}
+)
+
+// facts is the log, and what the operators were told.
+type facts struct {
+	records   []logservice.Record
+	downUntil time.Time
+	told      map[ident.EditID]string
+	noBase    bool
+	off       disabled
+}
+
+// Inject implements the outage of the log.
+func (f *facts) Inject(w *faultmatrix.World, fault faultmatrix.Fault) bool {
+	if fault != faultmatrix.LogDown {
+		return false
+	}
+	f.downUntil = w.Now().Add(outageTime)
+	return true
+}
+
+type logNode struct{ f *facts }
+
+// Handle implements faultmatrix.Node.
+func (n logNode) Handle(ctx *faultmatrix.Context, from string, m faultmatrix.Message) {
+	down := ctx.Now.Before(n.f.downUntil)
+	refused := problem.New(problem.LogUnavailable, "wait", "outage").WithOutcome(problem.NotRun)
+	switch m := m.(type) {
+	case appendMsg:
+		if down {
+			ctx.Send(from, appendReply{m.seq, refused})
+			return
+		}
+		n.f.records = append(n.f.records, logservice.Record{Offset: int64(len(n.f.records)), Data: m.record})
+		ctx.Send(from, appendReply{seq: m.seq})
+	case readMsg:
+		if down {
+			ctx.Send(from, readReply{seq: m.seq, a: m.a, err: refused})
+			return
+		}
+		page := logservice.Page{Next: int64(len(n.f.records))}
+		if from := min(m.a.Request.From, page.Next); !m.a.Request.Snapshots {
+			page.Records = n.f.records[from:]
+		}
+		ctx.Send(from, readReply{seq: m.seq, a: m.a, page: page})
+	}
+}
+
+// operatorNode applies one edit of the entry that all operators edit.
+type operatorNode struct {
+	f   *facts
+	p   *Publication
+	id  ident.EditID
+	seq int
+}
+
+// Handle implements faultmatrix.Node. An operator whose command was killed does
+// not start it again.
+func (n *operatorNode) Handle(ctx *faultmatrix.Context, _ string, m faultmatrix.Message) {
+	if _, ok := m.(begin); ok {
+		n.p = NewPublication(ctx.Now)
+		n.p.off = n.f.off
+		n.id = ident.EditID(ctx.Self())
+		n.act(ctx)
+		return
+	}
+	if n.p == nil {
+		return
+	}
+	switch m := m.(type) {
+	case timeout:
+		if m.seq == n.seq {
+			n.noReply(ctx)
+		}
+	case retry:
+		if m.seq == n.seq {
+			n.send(ctx, n.p.Next(ctx.Now))
+		}
+	case appendReply:
+		if m.seq != n.seq {
+			return
+		}
+		if m.err != nil {
+			n.p.AppendFailed(ctx.Now, m.err)
+		} else {
+			n.p.Appended(ctx.Now)
+		}
+		n.act(ctx)
+	case readReply:
+		if m.seq != n.seq {
+			return
+		}
+		switch {
+		case m.err != nil:
+			n.p.LogFailed(m.err)
+		case m.a.Request.Snapshots:
+			n.p.TakeSnapshots(nil)
+		default:
+			n.p.TakePage(m.a.Request, m.page)
+		}
+		if m.a.Request.Wait > 0 && len(m.page.Records) == 0 {
+			n.seq++
+			ctx.After(pollTime, retry{n.seq})
+			return
+		}
+		n.act(ctx)
+	}
+}
+
+func (n *operatorNode) noReply(ctx *faultmatrix.Context) {
+	lost := problem.New(problem.LogUnavailable, "wait", "no reply").WithOutcome(problem.NotKnown)
+	if n.p.phase == Append {
+		n.p.AppendFailed(ctx.Now, lost)
+	} else {
+		n.p.LogFailed(lost)
+	}
+	n.act(ctx)
+}
+
+func (n *operatorNode) act(ctx *faultmatrix.Context) {
+	n.seq++
+	a := n.p.Next(ctx.Now)
+	if pause := max(a.Pause, a.Request.Pause); pause > 0 {
+		ctx.After(pause, retry{n.seq})
+		return
+	}
+	n.send(ctx, a)
+}
+
+func (n *operatorNode) send(ctx *faultmatrix.Context, a Action) {
+	switch a.Kind {
+	case Compose:
+		n.p.Compose(n.compose())
+		n.act(ctx)
+		return
+	case Append:
+		ctx.Send("log", appendMsg{n.seq, a.Record})
+	case Read:
+		ctx.Send("log", readMsg{n.seq, a})
+	case Done:
+		n.f.told[n.id] = told(n.p.Outcome())
+		return
+	}
+	ctx.After(replyBound, timeout{n.seq})
+}
+
+func (n *operatorNode) compose() configfold.Edit {
+	value := fmt.Sprintf(`{"name":"p","kind":"model","concurrency":%d}`, 1+len(n.id))
+	edit := Difference(n.p.State(), Tables{Pools: map[string]json.RawMessage{"p": json.RawMessage(value)}}, n.id)
+	if len(edit.Changes) == 0 {
+		edit.Changes = []configfold.Change{{Table: configfold.Pools, Name: "p", Base: n.p.State().Pools["p"].Revision, Value: []byte(value)}}
+	}
+	return edit
+}
+
+// told names the outcome that an operator was told.
+func told(_ configfold.Result, err error) string {
+	switch {
+	case err == nil:
+		return "accepted"
+	case problem.Is(err, problem.EditConflict):
+		return "rejected"
+	case problem.Of(err).Outcome == problem.NotKnown:
+		return "not known"
+	}
+	return "not published"
+}
+
+func scenario(off disabled, noBase bool) faultmatrix.Scenario {
+	return faultmatrix.Scenario{
+		Protocol: "apply",
+		Build: func(w *faultmatrix.World) {
+			f := &facts{told: make(map[ident.EditID]string), off: off, noBase: noBase}
+			w.Facts = f
+			w.Add("log", func(int) faultmatrix.Node { return logNode{f} })
+			for i := range operators {
+				name := fmt.Sprintf("operator-%d", i)
+				w.Add(name, func(int) faultmatrix.Node { return &operatorNode{f: f} })
+				w.Start(name, 0, begin{})
+			}
+		},
+		Check:        check,
+		Parallel:     true,
+		Inapplicable: []faultmatrix.Fault{faultmatrix.ListLagging, faultmatrix.LeaseLapsed, faultmatrix.LogSlow, faultmatrix.OperatorRaces},
+	}
+}
+
+// check compares what the operators were told with what the log holds, and
+// counts the edits accepted on each base.
+func check(w *faultmatrix.World) []string {
+	f := w.Facts.(*facts)
+	var out []string
+	state := configfold.Empty()
+	became := make(map[ident.EditID]string)
+	accepted := make(map[int64]int)
+	for _, r := range f.records {
+		if f.noBase {
+			r.Data = withoutBase(r.Data, state)
+		}
+		next, result, err := configfold.Fold(state, r.Offset, r.Data)
+		if err != nil {
+			return []string{err.Error()}
+		}
+		if result.Accepted {
+			became[result.ID] = "accepted"
+			accepted[baseOf(r.Data, f.noBase)]++
+		} else if became[result.ID] == "" {
+			became[result.ID] = "rejected"
+		}
+		state = next
+	}
+	for base, n := range accepted {
+		if n > 1 {
+			out = append(out, fmt.Sprintf("%d edits of base %d were accepted", n, base))
+		}
+	}
+	for id, t := range f.told {
+		truth := became[id]
+		wrong := t == "accepted" && truth != "accepted" || t == "rejected" && truth != "rejected" || t == "not published" && truth != ""
+		if wrong {
+			out = append(out, fmt.Sprintf("%s was told %q and the log says %q", id, t, truth))
+		}
+	}
+	return out
+}
+
+// withoutBase stands for a fold without the check of the base: it gives the
+// edit the base that the state has.
+func withoutBase(record []byte, s configfold.State) []byte {
+	var e configfold.Edit
+	_ = json.Unmarshal(record, &e)
+	for i := range e.Changes {
+		e.Changes[i].Base = s.Pools["p"].Revision
+	}
+	out, _ := json.Marshal(e)
+	return out
+}
+
+func baseOf(record []byte, noBase bool) int64 {
+	var e configfold.Edit
+	if noBase || json.Unmarshal(record, &e) != nil || len(e.Changes) == 0 {
+		return 0
+	}
+	return e.Changes[0].Base
+}
+
+func TestMatrix(t *testing.T) {
+	faultmatrix.TestWith(t, scenario(disabled{}, false), faultmatrix.Options{Seeds: []uint64{1, 2}, Pairs: 200})
+}
+
+// TestTeeth turns one mechanism off at a time; the matrix must find it.
+func TestTeeth(t *testing.T) {
+	t.Run("check of the base", func(t *testing.T) { faultmatrix.MustFail(t, scenario(disabled{}, true)) })
+	t.Run("search for the edit", func(t *testing.T) { faultmatrix.MustFail(t, scenario(disabled{find: true}, false)) })
+}
--- a/pkg/configsnapshot/schedule.go
+++ b/pkg/configsnapshot/schedule.go
@@ -1,9 +1,7 @@
 package configsnapshot
 
 import (
-	"slices"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -95,7 +93,7 @@
 	}
 	mine := weight(self)
 	rank := 0
-	for _, name := range slices.Compact(slices.SortedFunc(slices.Values(entries), strings.Compare)) {
+	for _, name := range entries {
 		if name != self && weight(name) > mine {
 			rank++
 		}
