--- a/cmd/fescuehub/scenario_site_test.go
+++ b/cmd/fescuehub/scenario_site_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -43,6 +44,7 @@
 	relays      map[string]*relay
 	calls       map[string]*pendingCall
 	race        []raceResult
+	storm       *storm
 	maps        mapsSeen
 	// rankURLs are the base URLs of the engines.
 	rankURLs []string
@@ -135,6 +137,7 @@
 	retention int
 	bare      bool
 	relays    bool
+	split     bool
 	// group makes the engines the ranks of one group that check no fencing.
 	group bool
 }
@@ -204,7 +207,7 @@
 	s.prepare(name, append(args, "--listen", address)...)
 	domain := fmt.Sprintf("domain-%d", (i-1)%3+1)
 	as := settings.Agent{
-		Name: "agent-" + name, FailureDomain: domain, Pool: kind + "s",
+		Name: "agent-" + name, FailureDomain: domain, Pool: poolOf(kind, i, size),
 		DataAddress: freeAddress(), ControlAddress: freeAddress(), OperatorAddress: freeAddress(),
 		LogURL: ts.Getenv("LOG"), Backend: settings.Backend{Kind: kind, URL: "http://" + address},
 		ShutdownSeconds: size.shutdown, WeightsURL: weights,
@@ -224,6 +227,14 @@
 	return []string{name, as.Name}
 }
 
+// poolOf puts every second service in a pool of its own where the site is split.
+func poolOf(kind string, i int, size siteSize) string {
+	if size.split && i%2 == 0 {
+		return kind + "s-2"
+	}
+	return kind + "s"
+}
+
 func (s *testSite) entry(ts environment, list *instancelist.List, i int, size siteSize) string {
 	es := settings.Entry{
 		Name: fmt.Sprintf("entry-%d", i), FailureDomain: fmt.Sprintf("domain-%d", (i-1)%3+1),
@@ -268,19 +279,27 @@
 	addressMu.Lock()
 	defer addressMu.Unlock()
 	for {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))
+		if usedAddress[address] {
+			continue
+		}
+		l, err := net.Listen("tcp", address)
 		if err != nil {
-			panic(err)
+			continue
 		}
-		address := l.Addr().String()
 		_ = l.Close()
-		if !usedAddress[address] {
-			usedAddress[address] = true
-			return address
-		}
+		usedAddress[address] = true
+		return address
 	}
 }
 
+// Ports of the deployments. They lie below those that the kernel gives to
+// outgoing connections, which would take them before their process starts.
+const (
+	firstPort = 10_240
+	ports     = 32_768 - firstPort
+)
+
 // relay passes connections on until it is cut.
 type relay struct {
 	listener net.Listener
--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -18,6 +18,8 @@
 	"github.com/fescuehub/fescuehub/pkg/ident"
 	"github.com/fescuehub/fescuehub/pkg/lifecycle"
 	"github.com/fescuehub/fescuehub/pkg/peer/agentlink"
+	"github.com/fescuehub/fescuehub/pkg/peer/logservice"
+	"github.com/fescuehub/fescuehub/pkg/routing"
 	"github.com/fescuehub/fescuehub/pkg/rpc"
 	"github.com/fescuehub/fescuehub/pkg/settings"
 	"github.com/fescuehub/fescuehub/pkg/telemetry"
@@ -36,33 +38,45 @@
 	life        *lifecycle.Lifecycle
 	backend     Backend
 	attempts    *attempts
+	writes      *writes
+	started     time.Time
 	maps        *expertMaps
 	bound       bound
 
 	mu        sync.Mutex
-	links     map[*rpc.Conn]struct{}
+	links     map[*rpc.Conn]*entryLink
 	part      agentlink.PoolPart
 	backendUp bool
-	load      loadReading
+	load      routing.Load
+	// told is the status that entries were last told of.
+	told agentlink.Status
 }
 
 // New returns an agent that has opened nothing yet.
-func New(s settings.Agent, log *zap.Logger, metrics *telemetry.Metrics, backend Backend) *Agent {
-	scope := metrics.Scope.SubScope("agent")
+func New(s settings.Agent, log *zap.Logger, metrics *telemetry.Metrics, backend Backend, logClient *logservice.Client) *Agent {
 	plan := drain.Plan{Bound: time.Duration(s.ShutdownSeconds) * time.Second}
-	return &Agent{
+	started := time.Now()
+	incarnation := ident.NewIncarnation(s.Name)
+	scope := metrics.Scope.SubScope("agent")
+	a := &Agent{
 		settings:    s,
 		log:         log,
 		metrics:     metrics,
 		scope:       scope,
-		incarnation: ident.NewIncarnation(s.Name),
+		incarnation: incarnation,
+		started:     started,
 		life:        lifecycle.New(log, plan),
 		backend:     backend,
-		attempts:    newAttempts(),
+		attempts:    newAttempts(started),
 		maps:        newExpertMaps(s, log, scope),
-		links:       make(map[*rpc.Conn]struct{}),
+		links:       make(map[*rpc.Conn]*entryLink),
 		part:        agentlink.PoolPart{Offset: -1},
 	}
+	a.writes = newWrites(incarnation, started, backend, log, scope, logClient, slots{
+		begin: func() bool { return a.bound.begin(a.concurrency()) == nil },
+		end:   a.bound.end,
+	})
+	return a
 }
 
 // Incarnation returns the incarnation of the agent.
@@ -71,7 +85,7 @@
 // Drain begins to leave; a second call ends the agent at once.
 func (a *Agent) Drain() {
 	a.life.Drain()
-	a.broadcast()
+	a.sendStatus()
 }
 
 // Run serves until ctx ends or the drain has ended.
@@ -106,6 +120,8 @@
 	group.Go(operatorServer.Run)
 	group.Go(func() error { return controlServer.Run(ctx) })
 	group.Go(func() error { return a.watchBackend(ctx) })
+	group.Go(func() error { return a.writes.run(ctx) })
+	group.Go(func() error { return a.forgetAttempts(ctx) })
 	group.Go(func() error { return a.maps.run(ctx) })
 	group.Go(func() error {
 		select {
@@ -126,6 +142,17 @@
 	return errors.CombineErrors(err, a.life.EndError())
 }
 
+// WritesReady reports whether dated keys made now can be claimed.
+func (a *Agent) WritesReady() bool { return a.writes.status().Ready }
+
+func (a *Agent) forgetAttempts(ctx context.Context) error {
+	for ctx.Err() == nil {
+		sleep(ctx, forgetInterval)
+		a.attempts.forget(time.Since(a.started))
+	}
+	return nil
+}
+
 func (a *Agent) dataHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+agentlink.AttemptsPath, a.serveAttempt)
--- a/pkg/agent/control.go
+++ b/pkg/agent/control.go
@@ -17,25 +17,13 @@
 		agentlink.MethodHello:     rpc.Typed(a.hello),
 		agentlink.MethodConfigure: rpc.Typed(a.configure),
 		agentlink.MethodRefuse:    rpc.Typed(a.refuse),
+		agentlink.MethodPermits:   rpc.Typed(a.permits),
+		agentlink.MethodClaims:    rpc.Typed(a.openClaims),
 	}
 	maps.Copy(methods, a.maps.methods())
 	return methods
 }
 
-// hello registers the entry's connection for statuses.
-func (a *Agent) hello(_ context.Context, peer *rpc.Conn, _ agentlink.Hello) (any, error) {
-	a.mu.Lock()
-	a.links[peer] = struct{}{}
-	a.mu.Unlock()
-	go func() {
-		<-peer.Done()
-		a.mu.Lock()
-		defer a.mu.Unlock()
-		delete(a.links, peer)
-	}()
-	return a.status(), nil
-}
-
 // configure takes the pool's part of the configuration. An older part than the
 // one in force is ignored.
 func (a *Agent) configure(_ context.Context, _ *rpc.Conn, part agentlink.PoolPart) (any, error) {
@@ -48,13 +36,29 @@
 	return agentlink.PoolPart{Offset: a.part.Offset}, nil
 }
 
-// refuse certifies the outcome of an attempt.
+// refuse certifies the outcome of an unrepeatable call.
 func (a *Agent) refuse(_ context.Context, _ *rpc.Conn, request agentlink.RefuseRequest) (any, error) {
 	if request.Incarnation != a.incarnation {
 		return nil, problem.New(problem.WrongIncarnation, "look the action up at the service",
 			"the agent has restarted since the attempt was sent").WithOutcome(problem.NotKnown)
 	}
-	return agentlink.RefuseReply{Outcome: a.attempts.refuse(request.Attempt)}, nil
+	a.attempts.refuse(request.Attempt)
+	return a.writes.refuse(request.Route, request.Key, request.Digest)
+}
+
+// openClaims opens the claim streams of routes before their first call comes.
+func (a *Agent) openClaims(_ context.Context, _ *rpc.Conn, request agentlink.Claims) (any, error) {
+	for _, route := range request.Routes {
+		if _, err := a.writes.streams(route); err != nil {
+			return nil, err
+		}
+	}
+	return nil, nil
+}
+
+// permits issues keys that only this incarnation runs.
+func (a *Agent) permits(_ context.Context, _ *rpc.Conn, request agentlink.PermitRequest) (any, error) {
+	return a.writes.issue(request.Count), nil
 }
 
 func (a *Agent) status() agentlink.Status {
@@ -68,22 +72,8 @@
 		Pool:         a.settings.Pool,
 		Draining:     phase != drain.Serving,
 		BackendUp:    a.backendUp,
-		Load:         a.load.load,
+		Load:         a.load,
 		ConfigOffset: a.part.Offset,
 		GroupRank:    group,
 	}
 }
-
-// broadcast tells every connected entry the status.
-func (a *Agent) broadcast() {
-	status := a.status()
-	a.mu.Lock()
-	links := make([]*rpc.Conn, 0, len(a.links))
-	for l := range a.links {
-		links = append(links, l)
-	}
-	a.mu.Unlock()
-	for _, l := range links {
-		_ = l.Notify(context.Background(), agentlink.MethodStatus, status)
-	}
-}
--- a/pkg/entry/admission.go
+++ b/pkg/entry/admission.go
@@ -8,8 +8,6 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/fescuehub/fescuehub/pkg/flowcontrol"
-	"github.com/fescuehub/fescuehub/pkg/peer/instancelist"
-	"github.com/fescuehub/fescuehub/pkg/peer/plainservice"
 	"github.com/fescuehub/fescuehub/pkg/problem"
 	"github.com/fescuehub/fescuehub/pkg/tables"
 )
@@ -87,13 +85,7 @@
 
 func (e *Entry) readCapacity(g *gate, pool tables.Pool) {
 	whole := pool.Concurrency * e.usable(pool)
-	entries := 0
-	for _, i := range e.members.withRole(instancelist.Entry) {
-		if i.State == instancelist.Live {
-			entries++
-		}
-	}
-	entries = max(entries, 1)
+	entries := e.members.sharersOf(pool.Name)
 	g.setCapacity(pool, (whole+entries-1)/entries, whole)
 }
 
@@ -185,10 +177,10 @@
 }
 
 // unsentOutcome is the outcome of a request that this entry never sent. Where
-// the caller brought its own idempotency key, an earlier try under the same
-// key may have run.
+// the caller may have sent another request under the same idempotency key, that
+// one may have run.
 func unsentOutcome(x *exchange) problem.Outcome {
-	if x.key != "" && x.header.Get(plainservice.KeyHeader) != "" {
+	if x.call != nil && !x.call.OnlyTry {
 		return problem.NotKnown
 	}
 	return problem.NotRun
--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -26,12 +26,11 @@
 		return problem.New(problem.NoReplica, "nothing needs to be done", "replica %s has left", replica.Name).WithOutcome(problem.NotRun)
 	}
 	x.attempt = ident.NewAttemptID()
+	x.owner = ""
 	x.answer.Begin(x.attempt)
 	err := e.exchangeFrames(ctx, x, address, replica)
 	e.replicas.end(replica.Name, countsAgainst(ctx, err))
-	if err != nil && x.key != "" {
-		return e.certify(ctx, x, replica, err)
-	}
+	e.replicas.refused(replica, err)
 	return err
 }
 
@@ -46,6 +45,10 @@
 		if err != nil {
 			return deadlineOr(ctx, err)
 		}
+		e.replicas.heard(replica, f.Load)
+		if f.Attempt == x.attempt {
+			x.owner = f.Owner
+		}
 		out, err := x.answer.Accept(f)
 		if err != nil {
 			return err
@@ -73,10 +76,11 @@
 		Attempt:      x.attempt,
 		Incarnation:  replica.Incarnation,
 		Route:        x.route.Name,
+		Pool:         x.pool.Name,
 		Organisation: x.organisation.Name,
 		Priority:     priority,
 		DeadlineMS:   time.Until(x.deadline).Milliseconds(),
-		Key:          x.key,
+		Key:          x.keyText(),
 		Method:       x.method,
 		Path:         x.path,
 		Header:       x.header,
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -50,6 +50,7 @@
 	mesh        *entrylink.Mesh
 	members     *members
 	replicas    *replicas
+	permits     *permits
 	attempts    *agentlink.Client
 	selector    routing.Selector
 	planners    *planners
@@ -88,7 +89,8 @@
 	e.mesh = entrylink.NewMesh(s.Name, e.follower)
 	e.follower.SetPeers(e.mesh)
 	e.replicas = newReplicas(log, s.Name, incarnation, store, scope.SubScope("configuration"), e.follower.Claimed)
-	e.members = newMembers(log, instances, e.replicas)
+	e.permits = newPermits(e.replicas)
+	e.members = newMembers(log, instances, e.replicas, routing.Node{Name: s.Name, FailureDomain: s.FailureDomain})
 	e.planners = newPlanners(e, logClient)
 	return e
 }
@@ -124,9 +126,11 @@
 	group.Go(func() error { return e.follower.Run(ctx) })
 	group.Go(func() error { return e.members.run(ctx) })
 	group.Go(func() error { return e.replicas.sendParts(ctx) })
+	group.Go(func() error { e.replicas.keepLinks(ctx); return nil })
 	group.Go(func() error { return peers.Run(ctx) })
 	group.Go(func() error { return e.mesh.Run(ctx, e.config.Changed) })
 	group.Go(func() error { return e.followPeers(ctx) })
+	group.Go(func() error { return e.openClaims(ctx) })
 	group.Go(func() error { return e.planners.run(ctx) })
 	group.Go(func() error { return e.runAdmission(ctx) })
 	group.Go(func() error {
--- a/pkg/entry/planner.go
+++ b/pkg/entry/planner.go
@@ -101,7 +101,7 @@
 	}
 	scope := ps.entry.scope.SubScope("maps").Tagged(map[string]string{"pool": key.pool, "group": key.group})
 	agents := groupAgents{ps.entry.replicas, key}
-	p := mapplanner.New(options, ps.entry.incarnation, ps.entry.log, scope, ps.log, agents, time.Now())
+	p := mapplanner.New(options, s.Name, ps.entry.log, scope, ps.log, agents, time.Now())
 	ticker := time.NewTicker(mapplanner.RoundInterval)
 	defer ticker.Stop()
 	for {
@@ -163,6 +163,6 @@
 		return ""
 	}
 	return slices.MaxFunc(found, func(a, b *replica) int {
-		return cmp.Or(a.statusAt.Compare(b.statusAt), cmp.Compare(a.instance.Name, b.instance.Name))
+		return cmp.Or(a.loadAt.Compare(b.loadAt), cmp.Compare(a.instance.Name, b.instance.Name))
 	}).instance.Name
 }
--- a/pkg/faultmatrix/testing.go
+++ b/pkg/faultmatrix/testing.go
@@ -36,7 +36,10 @@
 		replay(t, s, cell)
 		return
 	}
-	report := mustRun(t, s, o)
+	report, err := Run(s, o)
+	if err != nil {
+		t.Fatal(err)
+	}
 	var table strings.Builder
 	report.Write(&table)
 	t.Log("\n" + table.String())
@@ -49,38 +52,33 @@
 	}
 }
 
-// MustFail runs the matrix of a scenario whose mechanism is off, and fails the
-// test if no cell has a violation.
+// MustFail runs the matrix of a scenario whose mechanism is off until a run has
+// a violation, and fails the test if none has.
 func MustFail(t *testing.T, s Scenario) {
 	t.Helper()
-	report := mustRun(t, s, Options{Seeds: seeds(), Pairs: defaultPairs, StopAtFailure: true})
+	report, err := Run(s, Options{Seeds: seeds(), Pairs: defaultPairs, StopAtFirst: true})
+	if err != nil {
+		t.Fatal(err)
+	}
 	if len(report.Failed) == 0 {
 		t.Fatalf("protocol %s without its mechanism: %d runs and no violation found", s.Protocol, report.Runs)
 	}
 	first := report.Failed[0]
-	t.Logf("%d of %d runs violate; first: step %q: %s (%s)", len(report.Failed), report.Runs, first.Step, strings.Join(first.Violations, "; "), first.Replay())
-}
-
-func mustRun(t *testing.T, s Scenario, o Options) Report {
-	t.Helper()
-	report, err := Run(s, o)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return report
+	t.Logf("run %d violates: step %q: %s (%s)", report.Runs, first.Step, strings.Join(first.Violations, "; "), first.Replay())
 }
 
-// seeds returns the seeds of a run, more of them where the environment says so.
+// seeds returns the seeds of a run: defaultSeeds, or as many as the variable
+// says.
 func seeds() []uint64 {
 	n := defaultSeeds
 	if v, err := strconv.Atoi(os.Getenv(SeedsVariable)); err == nil && v > 0 {
 		n = v
 	}
-	list := make([]uint64, n)
-	for i := range list {
-		list[i] = uint64(i + 1)
+	out := make([]uint64, n)
+	for i := range out {
+		out[i] = uint64(i + 1)
 	}
-	return list
+	return out
 }
 
 func replay(t *testing.T, s Scenario, cell string) {
--- a/pkg/peer/agentlink/messages.go
+++ b/pkg/peer/agentlink/messages.go
@@ -7,9 +7,9 @@
 	"net/http"
 
 	"github.com/fescuehub/fescuehub/pkg/ident"
-	"github.com/fescuehub/fescuehub/pkg/problem"
 	"github.com/fescuehub/fescuehub/pkg/routing"
 	"github.com/fescuehub/fescuehub/pkg/tables"
+	"github.com/fescuehub/fescuehub/pkg/writeonce"
 )
 
 // Names of the control methods.
@@ -18,17 +18,35 @@
 	MethodHello = "hello"
 	// MethodStatus is the agent's notification of a Status.
 	MethodStatus = "status"
+	// MethodBeat is the agent's notification of a Beat.
+	MethodBeat = "beat"
 	// MethodConfigure hands an agent its pool's part: PoolPart.
 	MethodConfigure = "configure"
-	// MethodRefuse asks for the outcome of an attempt: RefuseRequest, answered
-	// by RefuseReply.
+	// MethodRefuse asks for the outcome of an unrepeatable call: RefuseRequest,
+	// answered by writeonce.Certificate.
 	MethodRefuse = "refuse"
+	// MethodClaims names the routes whose keys are claimed in the log: Claims.
+	MethodClaims = "claims"
+	// MethodPermits asks for a block of permits: PermitRequest, answered by
+	// PermitBlock.
+	MethodPermits = "permits"
 )
 
 // Hello introduces an entry.
 type Hello struct {
 	Entry       string            `json:"entry"`
 	Incarnation ident.Incarnation `json:"incarnation"`
+	// BeatMS is how often the entry wants a Beat, in milliseconds.
+	BeatMS int64 `json:"beatMS"`
+}
+
+// Beat is the short form of a Status, sent while nothing else has changed.
+type Beat struct {
+	Running     int     `json:"r,omitempty"`
+	Waiting     int     `json:"w,omitempty"`
+	StepMS      float64 `json:"s,omitempty"`
+	Draining    bool    `json:"d,omitempty"`
+	BackendDown bool    `json:"x,omitempty"`
 }
 
 // Status is what an agent says of itself.
@@ -55,15 +73,33 @@
 	Pool *tables.Pool `json:"pool,omitempty"`
 }
 
-// RefuseRequest asks an agent to refuse an attempt for ever, unless it has run.
+// RefuseRequest asks an agent to refuse an attempt and its key for ever, unless
+// the call has run.
 type RefuseRequest struct {
 	Attempt     ident.AttemptID   `json:"attempt"`
+	Route       string            `json:"route"`
+	Key         string            `json:"key"`
+	Digest      writeonce.Digest  `json:"digest"`
 	Incarnation ident.Incarnation `json:"incarnation"`
 }
 
-// RefuseReply certifies the outcome of an attempt.
-type RefuseReply struct {
-	Outcome problem.Outcome `json:"outcome"`
+// Claims names the routes of a pool that have unrepeatable calls.
+type Claims struct {
+	Routes []string `json:"routes"`
+}
+
+// PermitRequest asks for a number of permits.
+type PermitRequest struct {
+	Count int `json:"count"`
+}
+
+// PermitBlock is a run of permits with consecutive serial numbers.
+type PermitBlock struct {
+	Incarnation ident.Incarnation `json:"incarnation"`
+	// IssuedMS is the time of issue in milliseconds since the agent started.
+	IssuedMS int64  `json:"issuedMS"`
+	First    uint64 `json:"first"`
+	Count    int    `json:"count"`
 }
 
 // AttemptRequest describes one attempt. It travels as one line of JSON before
@@ -71,10 +107,13 @@
 type AttemptRequest struct {
 	Attempt ident.AttemptID `json:"attempt"`
 	// Incarnation of the agent that the attempt is meant for.
-	Incarnation  ident.Incarnation `json:"incarnation"`
-	Route        string            `json:"route"`
-	Organisation string            `json:"organisation,omitempty"`
-	Priority     int               `json:"priority,omitempty"`
+	Incarnation ident.Incarnation `json:"incarnation"`
+	Route       string            `json:"route"`
+	// Pool that the route leads to now. An agent of another pool runs nothing
+	// new for the route and still answers for the keys that it has run.
+	Pool         string `json:"pool,omitempty"`
+	Organisation string `json:"organisation,omitempty"`
+	Priority     int    `json:"priority,omitempty"`
 	// DeadlineMS is the time left for the attempt, in milliseconds.
 	DeadlineMS int64 `json:"deadlineMS"`
 	// Key is the idempotency key of an unrepeatable call, empty otherwise.
