--- a/pkg/entry/replicas.go
+++ b/pkg/entry/replicas.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"sync"
 	"time"
 
@@ -69,6 +68,23 @@
 	}
 }
 
+type connectedReplica struct {
+	conn *rpc.Conn
+	pool string
+}
+
+func (rs *replicas) connected() []connectedReplica {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	var out []connectedReplica
+	for _, r := range rs.byKey {
+		if r.conn != nil {
+			out = append(out, connectedReplica{r.conn, r.instance.Pool})
+		}
+	}
+	return out
+}
+
 // usable counts the agents that take work.
 func (rs *replicas) usable() int {
 	rs.mu.Lock()
