Let entries tell each other that they leave

Cause: other entries named a leaving entry in address answers until the instance list showed it.

Ruled out: a longer linger time that covers the list's lag; the lag has no bound.

Change: pkg/departure remembers departures with a time to live that shrinks on the way; entries pass them on over the links that carry the configuration. A later life of the entry is named again at once by its direct peers.

Conclusion: what is left is an entry cut off from all others: the list decides.

--- a/pkg/entry/addresses.go
+++ b/pkg/entry/addresses.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"time"
 
-	"github.com/fescuehub/fescuehub/pkg/drain"
 	"github.com/fescuehub/fescuehub/pkg/peer/instancelist"
 	"github.com/fescuehub/fescuehub/pkg/problem"
 	"github.com/fescuehub/fescuehub/pkg/routing"
@@ -59,8 +58,7 @@
 	named := make(map[routing.Node]instancelist.Instance)
 	var nodes []routing.Node
 	for _, i := range e.members.withRole(instancelist.Entry) {
-		leaving := i.Name == e.settings.Name && e.life.Phase() != drain.Serving
-		if i.State == instancelist.Live && !leaving {
+		if i.State == instancelist.Live && !e.departures.leaving(i.Name) {
 			nodes = append(nodes, nodeOf(i))
 			named[nodeOf(i)] = i
 		}
--- /dev/null
+++ b/pkg/entry/departures.go
@@ -0,0 +1,59 @@
+package entry
+
+import (
+	"sync"
+	"time"
+
+	"github.com/fescuehub/fescuehub/pkg/departure"
+	"github.com/fescuehub/fescuehub/pkg/ident"
+)
+
+// departures shares what entries know of each other's leaving. It is safe for
+// concurrent use.
+type departures struct {
+	mu    sync.Mutex
+	known *departure.Known
+}
+
+func newDepartures() *departures { return &departures{known: departure.New()} }
+
+// Hear implements entrylink.Departures.
+func (d *departures) Hear(list []departure.Departure) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.known.Hear(time.Now(), list)
+}
+
+// Back implements entrylink.Departures.
+func (d *departures) Back(entry string, incarnation ident.Incarnation) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.known.Back(entry, incarnation)
+}
+
+// List implements entrylink.Departures.
+func (d *departures) List() []departure.Departure {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.known.List(time.Now())
+}
+
+func (d *departures) leaving(name string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.known.Leaving(time.Now(), name)
+}
+
+// announceDeparture tells the other entries that this one leaves. They need
+// to remember it until the instance list shows it.
+func (e *Entry) announceDeparture() {
+	e.departures.Hear([]departure.Departure{{
+		Name:        e.settings.Name,
+		Incarnation: e.incarnation,
+		LeftMS:      departureMemory.Milliseconds(),
+	}})
+	e.mesh.Announce()
+}
+
+// departureMemory is how long the instance list may lag behind a departure.
+const departureMemory = time.Minute
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -48,6 +48,7 @@
 	config      *configuration.Store
 	follower    *configuration.Follower
 	mesh        *entrylink.Mesh
+	departures  *departures
 	members     *members
 	replicas    *replicas
 	permits     *permits
@@ -79,6 +80,7 @@
 		incarnation: incarnation,
 		life:        lifecycle.New(log, planOf(s)),
 		config:      store,
+		departures:  newDepartures(),
 		attempts:    agentlink.NewClient(),
 		selector:    selector,
 		admission:   newAdmission(scope.SubScope("pool")),
@@ -90,7 +92,7 @@
 		Retention: time.Duration(s.LogRetentionSeconds) * time.Second,
 		Entries:   func() []string { return e.members.liveEntries() },
 	})
-	e.mesh = entrylink.NewMesh(s.Name, e.follower)
+	e.mesh = entrylink.NewMesh(s.Name, incarnation, e.follower, e.departures)
 	e.follower.SetPeers(e.mesh)
 	e.replicas = newReplicas(log, s.Name, incarnation, store, scope.SubScope("configuration"), e.follower.Claimed)
 	e.permits = newPermits(e.replicas)
@@ -107,7 +109,10 @@
 }
 
 // Drain begins to leave; a second call ends the entry at once.
-func (e *Entry) Drain() { e.life.Drain() }
+func (e *Entry) Drain() {
+	e.life.Drain()
+	e.announceDeparture()
+}
 
 // Run serves until ctx ends or the drain has ended.
 func (e *Entry) Run(ctx context.Context) error {
--- a/pkg/peer/entrylink/mesh.go
+++ b/pkg/peer/entrylink/mesh.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/fescuehub/fescuehub/pkg/configread"
+	"github.com/fescuehub/fescuehub/pkg/departure"
+	"github.com/fescuehub/fescuehub/pkg/ident"
 	"github.com/fescuehub/fescuehub/pkg/problem"
 	"github.com/fescuehub/fescuehub/pkg/rpc"
 )
@@ -28,6 +30,16 @@
 	PeersAsked()
 }
 
+// Departures is what the process knows of entries that leave.
+type Departures interface {
+	// Hear takes departures and reports whether one of them is news.
+	Hear(list []departure.Departure) bool
+	// Back notes that an entry serves in another life.
+	Back(entry string, incarnation ident.Incarnation)
+	// List returns what to tell other entries.
+	List() []departure.Departure
+}
+
 // Peer is another entry.
 type Peer struct {
 	Name    string
@@ -37,8 +49,12 @@
 // Mesh holds the connections of one entry to others. It is safe for concurrent
 // use.
 type Mesh struct {
-	self    string
-	handler Handler
+	self       string
+	life       ident.Incarnation
+	handler    Handler
+	departures Departures
+	// due receives a value where an announcement is due.
+	due chan struct{}
 
 	mu sync.Mutex
 	// links are the connections that this entry keeps.
@@ -59,8 +75,8 @@
 }
 
 // NewMesh returns a mesh without connections.
-func NewMesh(self string, handler Handler) *Mesh {
-	return &Mesh{self: self, handler: handler, links: make(map[Peer]*link), conns: make(map[string][]*rpc.Conn)}
+func NewMesh(self string, life ident.Incarnation, handler Handler, departures Departures) *Mesh {
+	return &Mesh{self: self, life: life, handler: handler, departures: departures, due: make(chan struct{}, 1), links: make(map[Peer]*link), conns: make(map[string][]*rpc.Conn)}
 }
 
 // Methods returns what the mesh serves to entries that connect.
@@ -165,7 +181,7 @@
 		return nil, err
 	}
 	m.add(p.Name, conn)
-	m.handler.HeardHead(p.Name, answer.Head)
+	m.heard(p.Name, answer)
 	return conn, nil
 }
 
@@ -187,10 +203,27 @@
 			m.remove(a.Entry, conn)
 		}()
 	}
-	m.handler.HeardHead(a.Entry, a.Head)
+	m.heard(a.Entry, a)
 	return m.announcement(), nil
 }
 
+// heard takes what another entry says. News of departures is passed on.
+func (m *Mesh) heard(entry string, a Announcement) {
+	m.handler.HeardHead(entry, a.Head)
+	m.departures.Back(entry, a.Incarnation)
+	if m.departures.Hear(a.Leaving) {
+		m.Announce()
+	}
+}
+
+// Announce makes Run tell the other entries what this one knows.
+func (m *Mesh) Announce() {
+	select {
+	case m.due <- struct{}{}:
+	default:
+	}
+}
+
 // add notes an open connection and reports whether it is new.
 func (m *Mesh) add(entry string, conn *rpc.Conn) bool {
 	m.mu.Lock()
@@ -216,7 +249,7 @@
 }
 
 func (m *Mesh) announcement() Announcement {
-	return Announcement{Entry: m.self, Head: m.handler.Head()}
+	return Announcement{Entry: m.self, Incarnation: m.life, Head: m.handler.Head(), Leaving: m.departures.List()}
 }
 
 // Run announces what is in force, after each change and from time to time,
@@ -235,6 +268,8 @@
 			return nil
 		case <-next:
 			sleep(ctx, announcePause)
+		case <-m.due:
+			sleep(ctx, announcePause)
 		case <-ticker.C:
 		}
 	}
--- a/pkg/peer/entrylink/messages.go
+++ b/pkg/peer/entrylink/messages.go
@@ -3,7 +3,11 @@
 // configuration they have in force and fetch what they lack.
 package entrylink
 
-import "github.com/fescuehub/fescuehub/pkg/configread"
+import (
+	"github.com/fescuehub/fescuehub/pkg/configread"
+	"github.com/fescuehub/fescuehub/pkg/departure"
+	"github.com/fescuehub/fescuehub/pkg/ident"
+)
 
 // Names of the methods. Both sides of a connection serve both.
 const (
@@ -17,6 +21,9 @@
 
 // Announcement says what an entry has in force.
 type Announcement struct {
-	Entry string          `json:"entry"`
-	Head  configread.Head `json:"head"`
+	Entry       string            `json:"entry"`
+	Incarnation ident.Incarnation `json:"incarnation"`
+	Head        configread.Head   `json:"head"`
+	// Leaving lists the entries that are known to be leaving.
+	Leaving []departure.Departure `json:"leaving,omitempty"`
 }
