--- a/pkg/writeonce/callers_test.go
+++ b/pkg/writeonce/callers_test.go
@@ -309,6 +309,10 @@
 func (c *callerNode) request(ctx *faultmatrix.Context, p *plan) {
 	p.conn = c.f.nextConn()
 	p.op = len(c.f.ops)
+	if _, ok := c.f.firstOps[p.name]; !ok {
+		c.f.firstOps[p.name] = p.op
+	}
+	c.f.lastOps[p.name] = p.op
 	c.f.ops = append(c.f.ops, operation{key: p.key, body: p.body, call: ctx.Now.Sub(c.begin), end: -1})
 	ctx.Send(p.entries[p.tries%2], callMsg{Conn: p.conn, Key: p.key, Body: p.body, FirstTry: p.firstTry && p.tries == 0})
 	p.tries++
--- a/pkg/writeonce/matrix_test.go
+++ b/pkg/writeonce/matrix_test.go
@@ -72,7 +72,8 @@
 }
 
 func build(w *faultmatrix.World, v variant) {
-	f := &facts{off: v.off, runs: make(map[string]int), conns: make(map[int]bool), loseState: v.logRestarts}
+	f := &facts{off: v.off, runs: make(map[string]int), conns: make(map[int]bool), loseState: v.logRestarts,
+		firstOps: make(map[string]int), lastOps: make(map[string]int)}
 	w.Facts = f
 	begin := w.Now()
 	f.records = []writeonce.Record{marker(begin.Add(-time.Hour))}
--- a/pkg/writeonce/world_test.go
+++ b/pkg/writeonce/world_test.go
@@ -133,6 +133,9 @@
 	downUntil time.Time
 	slowUntil time.Time
 	loseState bool
+	// outagePlans, firstOps and lastOps serve the count of a long outage.
+	outagePlans       []*plan
+	firstOps, lastOps map[string]int
 }
 
 // Inject applies the faults of the platform.
@@ -187,9 +190,14 @@
 		}
 	case delayed:
 		ctx.Send(m.to, m.m)
+	case longLogOutage:
+		l.f.downUntil = ctx.Now.Add(m.d)
 	}
 }
 
+// longLogOutage takes the log down for a time.
+type longLogOutage struct{ d time.Duration }
+
 type delayed struct {
 	to string
 	m  faultmatrix.Message
