--- a/pkg/agent/claims.go
+++ b/pkg/agent/claims.go
@@ -7,6 +7,7 @@
 
 	"github.com/google/uuid"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"github.com/fescuehub/fescuehub/pkg/peer/logservice"
 	"github.com/fescuehub/fescuehub/pkg/problem"
@@ -14,9 +15,11 @@
 )
 
 const (
-	// claimAppendsPerSecond bounds the records that one agent appends, over all
-	// partitions. Claims that arrive meanwhile go into one record.
-	claimAppendsPerSecond = 4
+	// claimAppendsPerSecond bounds the records that all agents together append.
+	// Claims that arrive meanwhile go into one record.
+	claimAppendsPerSecond = 240
+	// firstAppendsPerSecond is the bound of one agent until it knows its share.
+	firstAppendsPerSecond = 4
 	claimPage             = 1000
 	claimReadWait         = 10 * time.Second
 	claimRetryPause       = 300 * time.Millisecond
@@ -198,6 +201,15 @@
 	p.notify()
 }
 
+// share divides the bound on appends among the agents that claim keys.
+func (w *writes) share(owners int) {
+	each := max(1, claimAppendsPerSecond/max(1, owners))
+	if w.limit.Burst() != each {
+		w.limit.SetLimit(rate.Limit(each))
+		w.limit.SetBurst(each)
+	}
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/pkg/agent/control.go
+++ b/pkg/agent/control.go
@@ -62,6 +62,7 @@
 
 // openClaims opens the claim streams of routes before their first call comes.
 func (a *Agent) openClaims(_ context.Context, _ *rpc.Conn, request agentlink.Claims) (any, error) {
+	a.writes.share(request.Owners)
 	for _, route := range request.Routes {
 		if _, err := a.writes.streams(route); err != nil {
 			return nil, err
--- a/pkg/agent/writes.go
+++ b/pkg/agent/writes.go
@@ -70,7 +70,7 @@
 func newWrites(self ident.Incarnation, started time.Time, backend Backend, log *zap.Logger, scope tally.Scope, client *logservice.Client, s slots) *writes {
 	w := &writes{
 		self: self, backend: backend, log: log, scope: scope, client: client, slots: s, started: started,
-		limit: rate.NewLimiter(claimAppendsPerSecond, claimAppendsPerSecond),
+		limit: rate.NewLimiter(firstAppendsPerSecond, firstAppendsPerSecond),
 		ended: make(chan struct{}), routes: make(map[string]*partitions),
 	}
 	for i := range w.permits {
--- a/pkg/entry/claims.go
+++ b/pkg/entry/claims.go
@@ -2,12 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/fescuehub/fescuehub/pkg/peer/agentlink"
 	"github.com/fescuehub/fescuehub/pkg/rpc"
+	"github.com/fescuehub/fescuehub/pkg/writeonce"
 )
 
 // claimsInterval is how often the entry looks for agents that have not been
@@ -20,14 +21,17 @@
 	told := make(map[*rpc.Conn]string)
 	for ctx.Err() == nil {
 		routes := e.claimRoutes()
+		agents := e.replicas.connected()
+		owners := ownersOf(routes, agents)
 		now := make(map[*rpc.Conn]string)
-		for _, r := range e.replicas.connected() {
-			if len(routes[r.pool]) == 0 {
+		for _, a := range agents {
+			if len(routes[a.pool]) == 0 {
 				continue
 			}
-			key := strings.Join(routes[r.pool], "\x00")
-			if told[r.conn] == key || r.conn.Call(ctx, agentlink.MethodClaims, agentlink.Claims{Routes: routes[r.pool]}, nil) == nil {
-				now[r.conn] = key
+			claims := agentlink.Claims{Routes: routes[a.pool], Owners: owners}
+			text := fmt.Sprint(claims)
+			if told[a.conn] == text || a.conn.Call(ctx, agentlink.MethodClaims, claims, nil) == nil {
+				now[a.conn] = text
 			}
 		}
 		told = now
@@ -36,6 +40,20 @@
 	return nil
 }
 
+// ownersOf counts the agents that claim keys: one for each claim stream of a
+// route, and no more than its pool has.
+func ownersOf(routes map[string][]string, agents []connectedReplica) int {
+	size := make(map[string]int)
+	for _, a := range agents {
+		size[a.pool]++
+	}
+	owners := 0
+	for pool, names := range routes {
+		owners += len(names) * min(size[pool], writeonce.Partitions)
+	}
+	return owners
+}
+
 // claimRoutes returns the routes with unrepeatable calls of each pool.
 func (e *Entry) claimRoutes() map[string][]string {
 	out := make(map[string][]string)
--- a/pkg/peer/agentlink/messages.go
+++ b/pkg/peer/agentlink/messages.go
@@ -73,6 +73,8 @@
 // Claims names the routes of a pool that have unrepeatable calls.
 type Claims struct {
 	Routes []string `json:"routes"`
+	// Owners is the number of agents that claim keys, over all routes.
+	Owners int `json:"owners"`
 }
 
 // PermitRequest asks for a number of permits.
