--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -19,6 +19,7 @@
 	"github.com/fescuehub/fescuehub/pkg/lifecycle"
 	"github.com/fescuehub/fescuehub/pkg/peer/agentlink"
 	"github.com/fescuehub/fescuehub/pkg/peer/logservice"
+	"github.com/fescuehub/fescuehub/pkg/routing"
 	"github.com/fescuehub/fescuehub/pkg/rpc"
 	"github.com/fescuehub/fescuehub/pkg/settings"
 	"github.com/fescuehub/fescuehub/pkg/telemetry"
@@ -43,10 +44,12 @@
 	bound       bound
 
 	mu        sync.Mutex
-	links     map[*rpc.Conn]struct{}
+	links     map[*rpc.Conn]*entryLink
 	part      agentlink.PoolPart
 	backendUp bool
-	load      loadReading
+	load      routing.Load
+	// told is the status that entries were last told of.
+	told agentlink.Status
 }
 
 // New returns an agent that has opened nothing yet.
@@ -66,7 +69,7 @@
 		backend:     backend,
 		attempts:    newAttempts(started),
 		maps:        newExpertMaps(s, log, scope),
-		links:       make(map[*rpc.Conn]struct{}),
+		links:       make(map[*rpc.Conn]*entryLink),
 		part:        agentlink.PoolPart{Offset: -1},
 	}
 	a.writes = newWrites(incarnation, started, backend, log, scope, logClient, slots{
@@ -82,7 +85,7 @@
 // Drain begins to leave; a second call ends the agent at once.
 func (a *Agent) Drain() {
 	a.life.Drain()
-	a.broadcast()
+	a.sendStatus()
 }
 
 // Run serves until ctx ends or the drain has ended.
