--- a/pkg/entry/burn.go
+++ b/pkg/entry/burn.go
@@ -83,7 +83,7 @@
 		answered.Good = 1
 	}
 	objective := report.Answers
-	if x.key != "" {
+	if x.call != nil {
 		objective = report.Writes
 	}
 	counts := []objectiveCount{{objective, answered}}
--- a/pkg/writeonce/ledger.go
+++ b/pkg/writeonce/ledger.go
@@ -170,7 +170,7 @@
 	case l.claims.Expired(w.Key):
 		return reply(l.expired(w.Key))
 	case !w.Accepting && !isRefused:
-		return reply(draining())
+		return reply(notAccepting())
 	case w.Full && !isRefused:
 		return reply(overloaded())
 	}
--- a/pkg/writeonce/problems.go
+++ b/pkg/writeonce/problems.go
@@ -56,8 +56,9 @@
 	return problem.New(problem.OwnerElsewhere, sameKey, "key %s belongs to %s", k, agent).WithOutcome(problem.NotKnown)
 }
 
-func draining() *problem.Error {
-	return problem.New(problem.Draining, sameKey, "this agent is leaving").WithOutcome(problem.NotRun).WithRetryAfter(retryPause)
+func notAccepting() *problem.Error {
+	return problem.New(problem.Unavailable, sameKey, "this agent takes no new work for the route").
+		WithOutcome(problem.NotRun).WithRetryAfter(retryPause)
 }
 
 func overloaded() *problem.Error {
