--- a/cmd/fescuehub/scenario_commands_test.go
+++ b/cmd/fescuehub/scenario_commands_test.go
@@ -8,8 +8,10 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"regexp"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -17,7 +19,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 )
 
-// site [entries=N] [engines=N] [services=N] [linger=S] [shutdown=S] [bare] [relays] [group] [split]
+// site [entries=N] [engines=N] [services=N] [linger=S] [shutdown=S] [retention=S] [bare] [relays] [group] [split]
 //
 // Writes the settings of a deployment, starts its processes (not with bare)
 // and sets LOG, LIST, ENTRY1, ENTRY1_OP, ENGINE1, AGENT_ENGINE1, SERVICE1 and
@@ -29,6 +31,7 @@
 	numbers := map[string]*int{
 		"entries": &size.entries, "engines": &size.engines, "services": &size.services,
 		"linger": &size.linger, "shutdown": &size.shutdown,
+		"retention": &size.retention,
 	}
 	for _, arg := range args {
 		name, value, _ := strings.Cut(arg, "=")
@@ -210,6 +213,79 @@
 	}
 }
 
+// race N COMMAND [ARGUMENT ...]: runs the command N times at once, with the
+// number of the run, from 1, in place of N in the arguments.
+func cmdRace(ts *testscript.TestScript, _ bool, args []string) {
+	n, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	results := make([]raceResult, n)
+	var group sync.WaitGroup
+	for i := range results {
+		group.Go(func() {
+			command := make([]string, len(args)-2)
+			for j, a := range args[2:] {
+				command[j] = strings.ReplaceAll(a, "-N.", fmt.Sprintf("-%d.", i+1))
+			}
+			cmd := exec.Command(args[1], command...)
+			cmd.Dir = siteOf(ts).dir
+			out, _ := cmd.CombinedOutput()
+			results[i] = raceResult{cmd.ProcessState.ExitCode(), string(out)}
+		})
+	}
+	group.Wait()
+	siteOf(ts).race = results
+}
+
+// raceResult is how one run of a race ended.
+type raceResult struct {
+	code int
+	text string
+}
+
+// accepted N and rejected N: that many runs of the last race ended so.
+func cmdRaceCount(code int) func(*testscript.TestScript, bool, []string) {
+	return func(ts *testscript.TestScript, _ bool, args []string) {
+		n := 0
+		for _, r := range siteOf(ts).race {
+			if r.code == code {
+				n++
+			}
+		}
+		if strconv.Itoa(n) != args[0] {
+			ts.Fatalf("%d runs ended with %d: %v", n, code, siteOf(ts).race)
+		}
+	}
+}
+
+// raced TEXT: every rejected run of the last race printed the text.
+func cmdRaced(ts *testscript.TestScript, _ bool, args []string) {
+	for _, r := range siteOf(ts).race {
+		if r.code != 0 && !strings.Contains(r.text, args[0]) {
+			ts.Fatalf("a run printed %q", r.text)
+		}
+	}
+}
+
+// same URL URL: two GETs give the same answer.
+func cmdSame(ts *testscript.TestScript, _ bool, args []string) {
+	_, a, _, errA := request(http.MethodGet, args[0], nil, "")
+	_, b, _, errB := request(http.MethodGet, args[1], nil, "")
+	ts.Check(errors.CombineErrors(errA, errB))
+	if a != b {
+		ts.Fatalf("%s\nand\n%s differ", a, b)
+	}
+}
+
+// capture NAME REGEXP: sets the variable to the first group of the first match
+// in the standard error of the last exec.
+func cmdCapture(ts *testscript.TestScript, _ bool, args []string) {
+	match := regexp.MustCompile(args[1]).FindStringSubmatch(ts.ReadFile("stderr"))
+	if len(match) < 2 {
+		ts.Fatalf("capture: no match in %q", ts.ReadFile("stderr"))
+	}
+	ts.Setenv(args[0], match[1])
+}
+
 // cut NAME: breaks every connection to the agent and refuses new ones.
 func cmdCut(ts *testscript.TestScript, _ bool, args []string) { setRelays(ts, args[0], true) }
 
--- a/pkg/configuration/share.go
+++ b/pkg/configuration/share.go
@@ -6,7 +6,7 @@
 	largest := 0.0
 	for _, r := range v.routes {
 		total, own := 0, 0
-		for _, o := range r.Organisations {
+		for _, o := range r.route.Organisations {
 			share := max(1, o.Share)
 			total += share
 			if o.Name == organisation {
--- a/pkg/standin/logservice/logservice.go
+++ b/pkg/standin/logservice/logservice.go
@@ -26,6 +26,8 @@
 	SlowMS int `json:"slowMS,omitempty"`
 	// LoseReplies is the number of appends that take effect without a reply.
 	LoseReplies int `json:"loseReplies,omitempty"`
+	// OutageAfterLoss begins an outage with each lost reply.
+	OutageAfterLoss bool `json:"outageAfterLoss,omitempty"`
 	// OldReplicaRecords hides this many of the newest records from readers.
 	OldReplicaRecords int `json:"oldReplicaRecords,omitempty"`
 }
@@ -117,6 +119,7 @@
 	s.Faults.Update(func(f *Faults) {
 		if f.LoseReplies > 0 {
 			f.LoseReplies--
+			f.Outage = f.Outage || f.OutageAfterLoss
 			lost = true
 		}
 	})
