Let a planner find the agents of its group that its entry isn't linked to

Cause: entries will be linked to a subset of a large pool's agents, so a planner could not have reached every rank, and a group that is not fully heard gets no plan.

--- a/pkg/entry/planner.go
+++ b/pkg/entry/planner.go
@@ -13,7 +13,6 @@
 	"github.com/fescuehub/fescuehub/pkg/mapplanner"
 	"github.com/fescuehub/fescuehub/pkg/peer/instancelist"
 	"github.com/fescuehub/fescuehub/pkg/peer/logservice"
-	"github.com/fescuehub/fescuehub/pkg/problem"
 )
 
 const (
@@ -100,7 +99,9 @@
 		StoreBytesPerSecond: s.WeightBytesPerSecond,
 	}
 	scope := ps.entry.scope.SubScope("maps").Tagged(map[string]string{"pool": key.pool, "group": key.group})
-	agents := groupAgents{ps.entry.replicas, key}
+	listed := func() []instancelist.Instance { return ps.entry.members.withRole(instancelist.Agent) }
+	agents := newGroupLinks(ps.entry.replicas, listed, key)
+	defer agents.close()
 	p := mapplanner.New(options, s.Name, ps.entry.log, scope, ps.log, agents, time.Now())
 	ticker := time.NewTicker(mapplanner.RoundInterval)
 	defer ticker.Stop()
@@ -130,23 +131,6 @@
 	return out
 }
 
-// groupAgents reaches the agents of one group.
-type groupAgents struct {
-	replicas *replicas
-	key      groupKey
-}
-
-// Call implements mapplanner.Agents. The error has the kind Unavailable where
-// no agent of the rank is connected.
-func (g groupAgents) Call(ctx context.Context, rank int, method string, params, result any) error {
-	conn, ok := g.replicas.conn(g.replicas.agentOf(g.key, rank))
-	if !ok {
-		return problem.New(problem.Unavailable, "nothing needs to be done; the connection is made again",
-			"no agent of rank %d is connected", rank)
-	}
-	return conn.Call(ctx, method, params, result)
-}
-
 // agentOf returns the name of the agent before a rank, and nothing where none
 // is connected. Of two, the one heard last counts.
 func (rs *replicas) agentOf(key groupKey, rank int) string {
