--- a/cmd/fescuehub/scenario_maps_test.go
+++ b/cmd/fescuehub/scenario_maps_test.go
@@ -124,7 +124,7 @@
 	ts.Fatalf("awaitany: no %s", args[0])
 }
 
-// ordermap CONTROL FENCING: orders a map at an agent as the holder of a lease
+// ordermap CONTROL FENCING: orders a map for four ranks at an agent as the holder of a lease
 // with that number and prints the answer to call.out.
 func cmdOrderMap(ts *testscript.TestScript, _ bool, args []string) {
 	fencing, err := strconv.ParseInt(args[1], 10, 64)
@@ -134,7 +134,7 @@
 	conn, err := rpc.Dial(ctx, args[0], nil)
 	ts.Check(err)
 	defer conn.Close()
-	m := expertmap.Map{Version: expertmap.Version{Fencing: fencing, Sequence: 1 << 20}, Ranks: 1}
+	m := expertmap.Map{Version: expertmap.Version{Fencing: fencing, Sequence: 1 << 20}, Ranks: 4}
 	var reply agentlink.OrderMapReply
 	err = conn.Call(ctx, agentlink.MethodOrderMap, agentlink.OrderMap{Fencing: fencing, Map: m}, &reply)
 	ts.Check(os.WriteFile(ts.MkAbs("call.out"), []byte(fmt.Sprintf("%+v %v\n", reply, err)), 0o644))
--- a/pkg/agent/expertmap.go
+++ b/pkg/agent/expertmap.go
@@ -113,6 +113,10 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.rank.Incarnation != "" && order.Map.Ranks != m.rank.Ranks {
+		return nil, problem.New(problem.BadRequest, "order a map for the group's size",
+			"the map is for %d ranks, the group has %d", order.Map.Ranks, m.rank.Ranks).WithOutcome(problem.NotRun)
+	}
 	if err := m.fence.Admit(order.Fencing); err != nil {
 		m.scope.Counter("orders_fenced_off").Inc(1)
 		return nil, err
--- a/pkg/expertplan/planner.go
+++ b/pkg/expertplan/planner.go
@@ -70,6 +70,9 @@
 // is worth its cost. It has no memory: what keeps it from flapping is that
 // each move has a price.
 func Make(o Options, present []expertmap.Layer, in Input) (Plan, bool) {
+	if !in.fits(present) {
+		return Plan{}, false
+	}
 	speed := usableSpeed(in.Speed)
 	searches := make([]*search, len(present))
 	for l, layer := range present {
@@ -79,6 +82,25 @@
 	return choose(searches)
 }
 
+// fits reports whether the input describes the placement: reports of engines
+// may be malformed.
+func (in Input) fits(present []expertmap.Layer) bool {
+	if len(in.Popularity) != len(present) || len(in.Speed) == 0 || slices.Max(in.Speed) <= 0 {
+		return false
+	}
+	for l, layer := range present {
+		if len(in.Popularity[l]) != len(layer) || slices.ContainsFunc(in.Popularity[l], func(v float64) bool { return !(v >= 0) }) {
+			return false
+		}
+		for _, replicas := range layer {
+			if slices.ContainsFunc(replicas, func(r expertmap.Replica) bool { return r.Rank >= len(in.Speed) }) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 func usableSpeed(speed []float64) []float64 {
 	fastest := slices.Max(speed)
 	out := slices.Clone(speed)
--- a/pkg/expertplan/planner_test.go
+++ b/pkg/expertplan/planner_test.go
@@ -108,6 +108,29 @@
 	}
 }
 
+func TestMalformedReportsGiveNoPlan(t *testing.T) {
+	good := func() expertplan.Input {
+		return expertplan.Input{Popularity: [][]float64{{8, 1, 1, 1}}, Speed: ones(2)}
+	}
+	if _, ok := expertplan.Make(options(3, 1), uniform(1, 2, 4), good()); !ok {
+		t.Fatal("no plan for a good report")
+	}
+	for name, spoil := range map[string]func(*expertplan.Input){
+		"no layer":            func(in *expertplan.Input) { in.Popularity = nil },
+		"too few experts":     func(in *expertplan.Input) { in.Popularity[0] = in.Popularity[0][:3] },
+		"negative popularity": func(in *expertplan.Input) { in.Popularity[0][1] = -1 },
+		"no popularity":       func(in *expertplan.Input) { clear(in.Popularity[0]) },
+		"too few ranks":       func(in *expertplan.Input) { in.Speed = ones(1) },
+		"no speed":            func(in *expertplan.Input) { clear(in.Speed) },
+	} {
+		in := good()
+		spoil(&in)
+		if plan, ok := expertplan.Make(options(3, 1), uniform(1, 2, 4), in); ok {
+			t.Errorf("%s: %+v", name, plan)
+		}
+	}
+}
+
 // TestSlowRankGetsLess checks that a rank of half the speed gets about half the
 // load, and a stalled one next to none, once its experts have replicas.
 func TestSlowRankGetsLess(t *testing.T) {
--- a/pkg/mapplanner/mapplanner.go
+++ b/pkg/mapplanner/mapplanner.go
@@ -196,7 +196,7 @@
 	}
 	for rank := range p.options.Ranks {
 		var m expertmap.Map
-		if p.agents.Call(ctx, rank, agentlink.MethodExpertMap, struct{}{}, &m) == nil && m.Version == target {
+		if p.agents.Call(ctx, rank, agentlink.MethodExpertMap, struct{}{}, &m) == nil && m.Version == target && m.Ranks == p.options.Ranks && m.Check() == nil {
 			p.content = m
 			return
 		}
@@ -257,7 +257,7 @@
 	for rank := range p.options.Ranks {
 		var out engine.Popularity
 		err := p.agents.Call(ctx, rank, agentlink.MethodPopularity, struct{}{}, &out)
-		if err == nil && len(out.Layers) == len(p.content.Layers) {
+		if err == nil {
 			return out, true
 		}
 	}
