--- a/pkg/agent/serve.go
+++ b/pkg/agent/serve.go
@@ -29,6 +29,7 @@
 		return
 	}
 	out := agentlink.NewFrameWriter(w, request.Attempt)
+	out.Load = a.frameLoad
 	if request.Key != "" {
 		a.serveWrite(r.Context(), out, request, body)
 		return
--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -30,6 +30,7 @@
 	x.answer.Begin(x.attempt)
 	err := e.exchangeFrames(ctx, x, address, replica)
 	e.replicas.end(replica.Name, countsAgainst(ctx, err))
+	e.replicas.refused(replica, err)
 	return err
 }
 
@@ -44,6 +45,7 @@
 		if err != nil {
 			return deadlineOr(ctx, err)
 		}
+		e.replicas.heard(replica, f.Load)
 		if f.Attempt == x.attempt {
 			x.owner = f.Owner
 		}
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -52,6 +52,8 @@
 	selector    routing.Selector
 	planners    *planners
 	admission   *admission
+	burn        *burn
+	logClient   *logservice.Client
 }
 
 // New returns an entry that has opened nothing yet.
@@ -76,12 +78,14 @@
 		life:        lifecycle.New(log, planOf(s)),
 		config:      store,
 		follower:    configuration.NewFollower(log, logClient, store),
-		members:     newMembers(log, instances, replicas),
+		members:     newMembers(log, instances, replicas, routing.Node{Name: s.Name, FailureDomain: s.FailureDomain}),
 		replicas:    replicas,
 		permits:     newPermits(replicas),
 		attempts:    agentlink.NewClient(),
 		selector:    selector,
 		admission:   newAdmission(scope.SubScope("pool")),
+		burn:        newBurn(),
+		logClient:   logClient,
 	}
 	e.planners = newPlanners(e, logClient)
 	return e
@@ -120,6 +124,7 @@
 	group.Go(func() error { return e.openClaims(ctx) })
 	group.Go(func() error { return e.planners.run(ctx) })
 	group.Go(func() error { return e.runAdmission(ctx) })
+	group.Go(func() error { return e.watchConfiguration(ctx, e.logClient) })
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
--- a/pkg/entry/planner.go
+++ b/pkg/entry/planner.go
@@ -147,6 +147,6 @@
 		return ""
 	}
 	return slices.MaxFunc(found, func(a, b *replica) int {
-		return cmp.Or(a.statusAt.Compare(b.statusAt), cmp.Compare(a.instance.Name, b.instance.Name))
+		return cmp.Or(a.loadAt.Compare(b.loadAt), cmp.Compare(a.instance.Name, b.instance.Name))
 	}).instance.Name
 }
