--- a/pkg/entry/replicas.go
+++ b/pkg/entry/replicas.go
@@ -1,10 +1,10 @@
 package entry
 
 import (
-	"context"
 	"sync"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
 	"github.com/fescuehub/fescuehub/pkg/configuration"
@@ -25,6 +25,11 @@
 	entry       string
 	incarnation ident.Incarnation
 	config      *configuration.Store
+	scope       tally.Scope
+	// claimed takes the offsets that agents have been given.
+	claimed func(offset int64)
+	// partsDue receives a value after an agent has connected.
+	partsDue chan struct{}
 
 	mu    sync.Mutex
 	table *membership.Table
@@ -50,35 +55,19 @@
 	inFlight       int
 	failures       int
 	failedAt       time.Time
+	// partRevision is the revision of the pool that the agent has been sent
+	// over the present link.
+	partRevision int64
 }
 
-func newReplicas(log *zap.Logger, entry string, incarnation ident.Incarnation, config *configuration.Store) *replicas {
+func newReplicas(log *zap.Logger, entry string, incarnation ident.Incarnation, config *configuration.Store, scope tally.Scope, claimed func(offset int64)) *replicas {
 	return &replicas{
 		log: log, entry: entry, incarnation: incarnation, config: config,
+		scope: scope, claimed: claimed, partsDue: make(chan struct{}, 1),
 		table: membership.New(membership.Standard()), rows: make(map[rowKey]instancelist.Instance), byKey: make(map[string]*replica),
 	}
 }
 
-// run hands every configuration change to the connected agents, and carries out
-// what the membership table decides, until ctx ends.
-func (rs *replicas) run(ctx context.Context) error {
-	go rs.keepLinks(ctx)
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-rs.config.Changed():
-			rs.configureAll(ctx)
-		}
-	}
-}
-
-func (rs *replicas) configureAll(ctx context.Context) {
-	for _, r := range rs.connected() {
-		rs.configure(ctx, r.conn, r.pool)
-	}
-}
-
 type connectedReplica struct {
 	conn *rpc.Conn
 	pool string
@@ -96,17 +85,6 @@
 	return out
 }
 
-// configure hands an agent its pool's part of the configuration.
-func (rs *replicas) configure(ctx context.Context, conn *rpc.Conn, pool string) {
-	view := rs.config.View()
-	part := agentlink.PoolPart{Offset: view.State.Offset}
-	if p, ok := view.Pool(pool); ok {
-		part.Pool = &p
-	}
-	var in agentlink.PoolPart
-	_ = conn.Call(ctx, agentlink.MethodConfigure, part, &in)
-}
-
 // usable counts the agents that take work.
 func (rs *replicas) usable() int {
 	rs.mu.Lock()
--- a/pkg/faultmatrix/testing.go
+++ b/pkg/faultmatrix/testing.go
@@ -25,12 +25,21 @@
 // Test runs the matrix of the scenario, prints its table, and fails the test
 // for every cell with a violation, with the command that replays it.
 func Test(t *testing.T, s Scenario) {
+	t.Helper()
+	TestWith(t, s, Options{Seeds: seeds(), Pairs: defaultPairs})
+}
+
+// TestWith is Test with the options of a smaller or larger matrix.
+func TestWith(t *testing.T, s Scenario, o Options) {
 	t.Helper()
 	if cell := os.Getenv(CellVariable); cell != "" {
 		replay(t, s, cell)
 		return
 	}
-	report := mustRun(t, s)
+	report, err := Run(s, o)
+	if err != nil {
+		t.Fatal(err)
+	}
 	var table strings.Builder
 	report.Write(&table)
 	t.Log("\n" + table.String())
@@ -58,15 +67,6 @@
 	t.Logf("run %d violates: step %q: %s (%s)", report.Runs, first.Step, strings.Join(first.Violations, "; "), first.Replay())
 }
 
-func mustRun(t *testing.T, s Scenario) Report {
-	t.Helper()
-	report, err := Run(s, Options{Seeds: seeds(), Pairs: defaultPairs})
-	if err != nil {
-		t.Fatal(err)
-	}
-	return report
-}
-
 // seeds returns the seeds of a run: defaultSeeds, or as many as the variable
 // says.
 func seeds() []uint64 {
