--- a/pkg/measure/membership/bytes.go
+++ b/pkg/measure/membership/bytes.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"runtime"
 	"sync/atomic"
 	"time"
 
@@ -80,6 +81,8 @@
 	Hello  float64 `json:"helloBytesPerLink"`
 	Status float64 `json:"statusBytesPerLink"`
 	Beat   float64 `json:"beatBytesPerLink"`
+	// Memory is the heap and the stacks of both ends of a link.
+	Memory float64 `json:"memoryBytesPerLink"`
 }
 
 // linkBytes opens links as entries do, and sends one status and one beat on
@@ -107,6 +110,7 @@
 	for _, name := range []string{agentlink.MethodStatus, agentlink.MethodBeat} {
 		methods[name] = rpc.Typed(func(context.Context, *rpc.Conn, agentlink.Status) (any, error) { got <- struct{}{}; return nil, nil })
 	}
+	empty := memoryInUse()
 	for range links {
 		conn, err := rpc.Dial(ctx, listener.Addr().String(), methods)
 		if err != nil {
@@ -124,6 +128,7 @@
 	for i := range all {
 		all[i] = <-peers
 	}
+	out.Memory = (memoryInUse() - empty) / float64(links)
 	send := func(method string, message any) float64 {
 		before := listener.bytes.Load()
 		for _, p := range all {
@@ -142,6 +147,14 @@
 	return out, nil
 }
 
+// memoryInUse returns the bytes of live objects and of stacks.
+func memoryInUse() float64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc + m.StackInuse)
+}
+
 const receiveBound = 5 * time.Second
 
 // counting is a listener that counts the bytes of its connections.
--- a/pkg/measure/membership/measure.go
+++ b/pkg/measure/membership/measure.go
@@ -70,8 +70,8 @@
 	for _, l := range t.List {
 		fmt.Fprintf(out, "| %d | %d | %d | %d | %.0f | %.0f |\n", l.Instances, l.Whole, l.Unchanged, l.OneChange, l.EverySecond, l.Since)
 	}
-	fmt.Fprintln(out, "\n| links | hello and answer, bytes a link | status | beat |\n|---|---|---|---|")
+	fmt.Fprintln(out, "\n| links | hello and answer, bytes a link | status | beat | memory of both ends, bytes |\n|---|---|---|---|---|")
 	for _, l := range t.Link {
-		fmt.Fprintf(out, "| %d | %.0f | %.0f | %.0f |\n", l.Links, l.Hello, l.Status, l.Beat)
+		fmt.Fprintf(out, "| %d | %.0f | %.0f | %.0f | %.0f |\n", l.Links, l.Hello, l.Status, l.Beat, l.Memory)
 	}
 }
--- a/pkg/membership/membership_test.go
+++ b/pkg/membership/membership_test.go
@@ -1,6 +1,7 @@
 package membership_test
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -195,7 +196,7 @@
 
 func BenchmarkTable(b *testing.B) {
 	for _, n := range []int{15, 176, 2000} {
-		b.Run(time.Duration(n).String()[:len(time.Duration(n).String())-2], func(b *testing.B) {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			table := membership.New(membership.Standard())
 			rows := make([]membership.Row, n)
 			for i := range rows {
