--- a/pkg/entry/operator.go
+++ b/pkg/entry/operator.go
@@ -31,6 +31,7 @@
 	mux.HandleFunc("GET /readyz", e.serveReady)
 	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.status()) })
 	mux.HandleFunc("GET /v1/configuration", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.config.View().State) })
+	mux.HandleFunc("GET /v1/agents", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.replicas.standings()) })
 	mux.HandleFunc("POST /v1/drain", func(w http.ResponseWriter, _ *http.Request) {
 		e.Drain()
 		w.WriteHeader(http.StatusAccepted)
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -290,12 +290,46 @@
 
 func (t *Table) silent(now time.Time, a *agent) bool { return now.Sub(a.heard) > t.rules.Silence }
 
-// TakesWork reports whether the agent may be given new work.
-func (t *Table) TakesWork(now time.Time, name string) bool {
+// Standing says whether an agent takes work, and if not, why.
+type Standing string
+
+// The standings.
+const (
+	TakesWork     Standing = "takes-work"
+	Unknown       Standing = "unknown"
+	NoLink        Standing = "no-link"
+	OtherName     Standing = "other-name"
+	Draining      Standing = "draining"
+	ListedLeaving Standing = "listed-leaving"
+	BackendDown   Standing = "backend-down"
+	Silent        Standing = "silent"
+)
+
+// Standing returns the standing of an agent.
+func (t *Table) Standing(now time.Time, name string) Standing {
 	a, ok := t.agents[name]
-	return ok && a.link == up && !a.stranger && !a.draining && !a.leaving && a.backend && !t.silent(now, a)
+	switch {
+	case !ok:
+		return Unknown
+	case a.draining:
+		return Draining
+	case a.leaving:
+		return ListedLeaving
+	case a.link != up:
+		return NoLink
+	case t.silent(now, a):
+		return Silent
+	case a.stranger:
+		return OtherName
+	case !a.backend:
+		return BackendDown
+	}
+	return TakesWork
 }
 
+// TakesWork reports whether the agent may be given new work.
+func (t *Table) TakesWork(now time.Time, name string) bool { return t.Standing(now, name) == TakesWork }
+
 // Len returns the number of agents known.
 func (t *Table) Len() int { return len(t.agents) }
 
