End the link where a connection for an attempt cannot be opened

The list stand-in froze at the first reading and not when it was told to, so that a change between the two showed; found by the test of readings since a revision.

--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -30,7 +30,7 @@
 	x.answer.Begin(x.attempt)
 	err := e.exchangeFrames(ctx, x, address, replica)
 	e.replicas.end(replica.Name, countsAgainst(ctx, err))
-	e.replicas.refused(replica, err)
+	e.replicas.failed(ctx, replica, err)
 	return err
 }
 
--- /dev/null
+++ b/pkg/entry/members_test.go
@@ -0,0 +1,42 @@
+package entry
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/fescuehub/fescuehub/pkg/peer/instancelist"
+	"github.com/fescuehub/fescuehub/pkg/routing"
+)
+
+// TestAgentsAreSplitAmongEntries holds every entry to all agents of a small
+// site, and to its own part of a large one.
+func TestAgentsAreSplitAmongEntries(t *testing.T) {
+	for _, size := range []struct{ entries, agents, want int }{{9, 15, 9}, {40, 128, 40}, {40, 400, 4}} {
+		var entries, agents []instancelist.Instance
+		for i := range size.entries {
+			entries = append(entries, instancelist.Instance{Name: fmt.Sprint("entry-", i), State: instancelist.Live, FailureDomain: fmt.Sprint(i % 4)})
+		}
+		for i := range size.agents {
+			agents = append(agents, instancelist.Instance{Name: fmt.Sprint("agent-", i), Pool: "engines", FailureDomain: fmt.Sprint(i % 4)})
+		}
+		reached := make(map[string]int)
+		for _, e := range entries {
+			m := newMembers(nil, nil, nil, nodeOf(e))
+			mine, others := m.subsets(entries, agents)
+			if len(mine)+len(others) != size.agents || m.sharersOf("engines") != size.want {
+				t.Fatalf("%v: %d and %d agents, %d sharers", size, len(mine), len(others), m.sharersOf("engines"))
+			}
+			for _, a := range mine {
+				reached[a.Name]++
+			}
+		}
+		for _, a := range agents {
+			if reached[a.Name] != size.want {
+				t.Fatalf("%v: %s is reached by %d entries", size, a.Name, reached[a.Name])
+			}
+		}
+	}
+	if routing.LinksWithoutSubsets < 16 {
+		t.Error("a site of today would be split")
+	}
+}
--- a/pkg/entry/replicas.go
+++ b/pkg/entry/replicas.go
@@ -193,15 +193,17 @@
 	}
 }
 
-// refused takes the agent out of the choice at once where its refusal says
-// that this incarnation takes no work again.
-func (rs *replicas) refused(by routing.Replica, err error) {
-	if !problem.Is(err, problem.Draining) && !problem.Is(err, problem.WrongIncarnation) {
-		return
-	}
+// failed takes the agent out of the choice at once where the failure says that
+// this incarnation takes no work again, or that the agent is out of reach.
+func (rs *replicas) failed(ctx context.Context, at routing.Replica, err error) {
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
-	rs.table.Refused(by.Name, by.Incarnation)
+	switch {
+	case problem.Is(err, problem.Draining), problem.Is(err, problem.WrongIncarnation):
+		rs.table.Refused(at.Name, at.Incarnation)
+	case problem.Is(err, problem.BackendUnreachable) && problem.Of(err).Outcome == problem.NotRun && ctx.Err() == nil:
+		rs.apply(ctx, rs.table.Unreached(time.Now(), at.Name, at.Incarnation))
+	}
 }
 
 func (r *replica) takeLoad(now time.Time, load routing.Load) {
--- a/pkg/measure/membership/spread.go
+++ b/pkg/measure/membership/spread.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 
 	"github.com/fescuehub/fescuehub/pkg/membership"
@@ -64,7 +65,7 @@
 	out.Spread = loads[len(loads)-1]
 	out.Spread99 = loads[len(loads)*99/100]
 	out.Moved = float64(moved) / (out.MeanLinks * float64(entries))
-	out.BeatMS = membership.BeatInterval(int(out.MeanLinks)).Milliseconds()
+	out.BeatMS = membership.BeatInterval(int(math.Round(out.MeanLinks))).Milliseconds()
 	return out
 }
 
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -245,6 +245,18 @@
 	}
 }
 
+// Unreached notes that a connection for an attempt could not be opened. The
+// link is made again before the agent takes work.
+func (t *Table) Unreached(now time.Time, name string, life ident.Incarnation) []Action {
+	a, ok := t.agents[name]
+	if !ok || a.link != up || a.life != life {
+		return nil
+	}
+	a.link = down
+	a.dialAt = now
+	return []Action{{Close, name, a.row.Address}}
+}
+
 // LinkDown notes that the link has ended or could not be opened.
 func (t *Table) LinkDown(now time.Time, name string, random uint64) {
 	a, ok := t.agents[name]
--- a/pkg/membership/membership_test.go
+++ b/pkg/membership/membership_test.go
@@ -77,6 +77,8 @@
 		{"its backend server is down", func(m *membership.Table) {
 			m.Heard(at(1.5), "a", membership.Report{Name: "a", Incarnation: "a@1"})
 		}, false},
+		{"a connection for an attempt was not opened", func(m *membership.Table) { m.Unreached(at(1.5), "a", "a@1") }, false},
+		{"a connection to its last incarnation was not opened", func(m *membership.Table) { m.Unreached(at(1.5), "a", "a@0") }, true},
 		{"the link has ended", func(m *membership.Table) { m.LinkDown(at(1.5), "a", 1) }, false},
 		{"another agent answers at its address", func(m *membership.Table) { m.LinkUp(at(1.5), "a", serving("b", "b@1")) }, false},
 		{"the list gives it another address", func(m *membership.Table) {
--- a/pkg/standin/instancelist/instancelist.go
+++ b/pkg/standin/instancelist/instancelist.go
@@ -182,13 +182,9 @@
 	if f.Empty {
 		return peer.List{Epoch: s.epoch, Revision: s.revision + emptyAhead}
 	}
-	if f.Frozen {
-		if s.frozen == nil {
-			s.frozen = &s.history[len(s.history)-1].list
-		}
+	if s.hold(f); s.frozen != nil {
 		return *s.frozen
 	}
-	s.frozen = nil
 	horizon := time.Now().Add(-time.Duration(f.LagMS) * time.Millisecond)
 	for i := len(s.history) - 1; i > 0; i-- {
 		if !s.history[i].at.After(horizon) {
@@ -201,7 +197,21 @@
 	return s.history[len(s.history)-1].list
 }
 
+// hold keeps the list that is served while the list is frozen. It runs before
+// each change, so that the first one is hidden too.
+func (s *Service) hold(f Faults) {
+	switch {
+	case !f.Frozen:
+		s.frozen = nil
+	case s.frozen == nil:
+		s.frozen = &s.history[len(s.history)-1].list
+	}
+}
+
 func (s *Service) record() {
+	if len(s.history) > 0 {
+		s.hold(s.Faults.Get())
+	}
 	s.revision++
 	list := peer.List{Epoch: s.epoch, Revision: s.revision}
 	for _, i := range s.current {
