--- a/pkg/membership/membership_test.go
+++ b/pkg/membership/membership_test.go
@@ -1,6 +1,7 @@
 package membership_test
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -76,6 +77,8 @@
 		{"its backend server is down", func(m *membership.Table) {
 			m.Heard(at(1.5), "a", membership.Report{Name: "a", Incarnation: "a@1"})
 		}, false},
+		{"a connection for an attempt was not opened", func(m *membership.Table) { m.Unreached(at(1.5), "a", "a@1") }, false},
+		{"a connection to its last incarnation was not opened", func(m *membership.Table) { m.Unreached(at(1.5), "a", "a@0") }, true},
 		{"the link has ended", func(m *membership.Table) { m.LinkDown(at(1.5), "a", 1) }, false},
 		{"another agent answers at its address", func(m *membership.Table) { m.LinkUp(at(1.5), "a", serving("b", "b@1")) }, false},
 		{"the list gives it another address", func(m *membership.Table) {
@@ -195,7 +198,7 @@
 
 func BenchmarkTable(b *testing.B) {
 	for _, n := range []int{15, 176, 2000} {
-		b.Run(time.Duration(n).String()[:len(time.Duration(n).String())-2], func(b *testing.B) {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			table := membership.New(membership.Standard())
 			rows := make([]membership.Row, n)
 			for i := range rows {
