--- a/pkg/entry/replicas.go
+++ b/pkg/entry/replicas.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"sync"
 	"time"
 
