Call JSON over HTTP and pause in one place each

Cause: six packages made the same HTTP client and read JSON the same way, seven had the same function to pause.

Ruled out: one client package for all peers; each peer keeps its own package with its own errors.

Change: pkg/httpclient and pkg/wait; the engine's client loses two calls that nothing used.

--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -23,6 +23,7 @@
 	"github.com/fescuehub/fescuehub/pkg/rpc"
 	"github.com/fescuehub/fescuehub/pkg/settings"
 	"github.com/fescuehub/fescuehub/pkg/telemetry"
+	"github.com/fescuehub/fescuehub/pkg/wait"
 )
 
 // closeBound bounds the closing of listeners after the drain has ended.
@@ -147,7 +148,7 @@
 
 func (a *Agent) forgetAttempts(ctx context.Context) error {
 	for ctx.Err() == nil {
-		sleep(ctx, forgetInterval)
+		wait.For(ctx, forgetInterval)
 		a.attempts.forget(time.Since(a.started))
 	}
 	return nil
--- a/pkg/agent/claims.go
+++ b/pkg/agent/claims.go
@@ -11,6 +11,7 @@
 
 	"github.com/fescuehub/fescuehub/pkg/peer/logservice"
 	"github.com/fescuehub/fescuehub/pkg/problem"
+	"github.com/fescuehub/fescuehub/pkg/wait"
 	"github.com/fescuehub/fescuehub/pkg/writeonce"
 )
 
@@ -54,7 +55,7 @@
 	go p.appendAll(ctx)
 	for ctx.Err() == nil {
 		if err := p.read(ctx); err != nil {
-			sleep(ctx, claimRetryPause)
+			wait.For(ctx, claimRetryPause)
 		}
 	}
 }
@@ -82,7 +83,7 @@
 			err = p.appendMarker(ctx)
 		}
 		if err != nil {
-			sleep(ctx, claimRetryPause)
+			wait.For(ctx, claimRetryPause)
 		}
 	}
 }
@@ -119,7 +120,7 @@
 		return p.appendMarker(ctx)
 	}
 	if behind {
-		sleep(ctx, claimRetryPause)
+		wait.For(ctx, claimRetryPause)
 	}
 	return nil
 }
@@ -209,12 +210,3 @@
 		w.limit.SetBurst(each)
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/pkg/agent/expertmap.go
+++ b/pkg/agent/expertmap.go
@@ -18,6 +18,7 @@
 	"github.com/fescuehub/fescuehub/pkg/problem"
 	"github.com/fescuehub/fescuehub/pkg/rpc"
 	"github.com/fescuehub/fescuehub/pkg/settings"
+	"github.com/fescuehub/fescuehub/pkg/wait"
 )
 
 const (
@@ -143,11 +144,11 @@
 	for ctx.Err() == nil {
 		state, err := m.engine.RankState(ctx)
 		if err != nil {
-			pause(ctx, rankAbsentInterval)
+			wait.For(ctx, rankAbsentInterval)
 			continue
 		}
 		m.observe(state)
-		pause(ctx, rankInterval)
+		wait.For(ctx, rankInterval)
 	}
 	return nil
 }
@@ -235,7 +236,7 @@
 			}
 			if err := m.load(ctx, order, rank); err != nil && ctx.Err() == nil {
 				m.scope.Counter("loads_failed").Inc(1)
-				pause(ctx, loadRetryPause)
+				wait.For(ctx, loadRetryPause)
 			}
 		}
 	}
@@ -306,12 +307,3 @@
 	m.scope.Counter("maps_loaded").Inc(1)
 	m.log.Info("expert map loaded", zap.String("map", order.Map.Version.String()), zap.Int64("fencing", order.Fencing))
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/pkg/agent/writes.go
+++ b/pkg/agent/writes.go
@@ -18,6 +18,7 @@
 	"github.com/fescuehub/fescuehub/pkg/peer/agentlink"
 	"github.com/fescuehub/fescuehub/pkg/peer/logservice"
 	"github.com/fescuehub/fescuehub/pkg/problem"
+	"github.com/fescuehub/fescuehub/pkg/wait"
 	"github.com/fescuehub/fescuehub/pkg/writeonce"
 )
 
@@ -141,7 +142,7 @@
 func (w *writes) run(ctx context.Context) error {
 	defer close(w.ended)
 	for ctx.Err() == nil {
-		sleep(ctx, forgetInterval)
+		wait.For(ctx, forgetInterval)
 		for _, p := range w.all() {
 			p.mu.Lock()
 			p.counted(func() { p.ledger.Forget(w.elapsed()) })
--- a/pkg/configclient/configclient.go
+++ b/pkg/configclient/configclient.go
@@ -13,6 +13,7 @@
 	"github.com/fescuehub/fescuehub/pkg/peer/logservice"
 	"github.com/fescuehub/fescuehub/pkg/problem"
 	"github.com/fescuehub/fescuehub/pkg/strictjson"
+	"github.com/fescuehub/fescuehub/pkg/wait"
 )
 
 const pageRecords = 1000
@@ -70,7 +71,7 @@
 }
 
 func (c *Client) read(ctx context.Context, p *configpublish.Publication, a configpublish.Action) {
-	sleep(ctx, a.Request.Pause)
+	wait.For(ctx, a.Request.Pause)
 	if a.Request.Snapshots {
 		states, err := configuration.ReadSnapshots(ctx, c.log)
 		if err != nil {
@@ -89,7 +90,7 @@
 }
 
 func (c *Client) append(ctx context.Context, p *configpublish.Publication, a configpublish.Action) {
-	sleep(ctx, a.Pause)
+	wait.For(ctx, a.Pause)
 	if _, err := c.log.Append(ctx, configuration.Stream, a.Record); err != nil {
 		p.AppendFailed(time.Now(), err)
 		return
@@ -177,12 +178,3 @@
 	}
 	return best, found
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/pkg/configuration/follow.go
+++ b/pkg/configuration/follow.go
@@ -13,6 +13,7 @@
 	"github.com/fescuehub/fescuehub/pkg/configfold"
 	"github.com/fescuehub/fescuehub/pkg/configread"
 	"github.com/fescuehub/fescuehub/pkg/peer/logservice"
+	"github.com/fescuehub/fescuehub/pkg/wait"
 )
 
 // Streams of the log.
@@ -154,7 +155,7 @@
 		f.mu.Lock()
 		q := f.reader.Next()
 		f.mu.Unlock()
-		sleep(ctx, jitter(q.Pause))
+		wait.For(ctx, jitter(q.Pause))
 		if q.Idle {
 			continue
 		}
@@ -197,7 +198,7 @@
 		return nil
 	}
 	for ctx.Err() == nil {
-		sleep(ctx, peerInterval)
+		wait.For(ctx, peerInterval)
 		f.mu.Lock()
 		peer, fetch, ok := f.reader.NextFetch(time.Now())
 		f.mu.Unlock()
@@ -244,15 +245,3 @@
 	}
 	return d/2 + rand.N(d/2)
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/pkg/configuration/snapshots.go
+++ b/pkg/configuration/snapshots.go
@@ -14,6 +14,7 @@
 	"github.com/fescuehub/fescuehub/pkg/configread"
 	"github.com/fescuehub/fescuehub/pkg/configsnapshot"
 	"github.com/fescuehub/fescuehub/pkg/peer/logservice"
+	"github.com/fescuehub/fescuehub/pkg/wait"
 )
 
 const (
@@ -68,7 +69,7 @@
 	}
 	check := min(max(w.options.Retention/snapshotCheckShare, minSnapshotCheck), maxSnapshotCheck)
 	for ctx.Err() == nil {
-		sleep(ctx, jitter(check))
+		wait.For(ctx, jitter(check))
 		if w.follower.Status().Condition != configread.Following {
 			continue
 		}
--- a/pkg/entry/claims.go
+++ b/pkg/entry/claims.go
@@ -8,6 +8,7 @@
 
 	"github.com/fescuehub/fescuehub/pkg/peer/agentlink"
 	"github.com/fescuehub/fescuehub/pkg/rpc"
+	"github.com/fescuehub/fescuehub/pkg/wait"
 	"github.com/fescuehub/fescuehub/pkg/writeonce"
 )
 
@@ -35,7 +36,7 @@
 			}
 		}
 		told = now
-		sleep(ctx, claimsInterval)
+		wait.For(ctx, claimsInterval)
 	}
 	return nil
 }
--- a/pkg/entry/configuration.go
+++ b/pkg/entry/configuration.go
@@ -11,6 +11,7 @@
 	"github.com/fescuehub/fescuehub/pkg/peer/entrylink"
 	"github.com/fescuehub/fescuehub/pkg/peer/instancelist"
 	"github.com/fescuehub/fescuehub/pkg/rpc"
+	"github.com/fescuehub/fescuehub/pkg/wait"
 )
 
 const (
@@ -32,11 +33,11 @@
 	for ctx.Err() == nil {
 		peers, known := e.members.otherEntries(e.settings.Name)
 		if !known {
-			sleep(ctx, firstListPause)
+			wait.For(ctx, firstListPause)
 			continue
 		}
 		e.mesh.Reconcile(ctx, peers)
-		sleep(ctx, listInterval)
+		wait.For(ctx, listInterval)
 	}
 	return nil
 }
--- a/pkg/entry/members.go
+++ b/pkg/entry/members.go
@@ -11,6 +11,7 @@
 	"github.com/fescuehub/fescuehub/pkg/membership"
 	"github.com/fescuehub/fescuehub/pkg/peer/instancelist"
 	"github.com/fescuehub/fescuehub/pkg/routing"
+	"github.com/fescuehub/fescuehub/pkg/wait"
 )
 
 const (
@@ -64,7 +65,7 @@
 		} else {
 			pause = min(2*pause, longestListPause)
 		}
-		sleep(ctx, pause/2+rand.N(pause/2+1))
+		wait.For(ctx, pause/2+rand.N(pause/2+1))
 	}
 }
 
@@ -148,12 +149,3 @@
 	}
 	return out
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/pkg/entry/retry.go
+++ b/pkg/entry/retry.go
@@ -7,6 +7,7 @@
 	"github.com/fescuehub/fescuehub/pkg/answer"
 	"github.com/fescuehub/fescuehub/pkg/problem"
 	"github.com/fescuehub/fescuehub/pkg/retry"
+	"github.com/fescuehub/fescuehub/pkg/wait"
 )
 
 // forward tries replicas until one gives a whole answer or no further try is
@@ -56,7 +57,7 @@
 		e.scope.Tagged(map[string]string{"reason": string(verdict.Reason)}).Counter("retries_refused").Inc(1)
 		return false
 	}
-	sleep(ctx, verdict.Wait)
+	wait.For(ctx, verdict.Wait)
 	return ctx.Err() == nil
 }
 
--- /dev/null
+++ b/pkg/httpclient/httpclient.go
@@ -0,0 +1,78 @@
+// Package httpclient calls JSON over HTTP for the packages of single peers. It
+// uses no proxy.
+package httpclient
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+)
+
+// idlePerHost bounds the idle connections that are kept to one address.
+const idlePerHost = 256
+
+// New returns a client without a proxy and without a timeout of its own.
+func New() *http.Client { return &http.Client{Transport: NewTransport()} }
+
+// NewTransport returns a transport without a proxy.
+func NewTransport() *http.Transport {
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.Proxy = nil
+	transport.MaxIdleConnsPerHost = idlePerHost
+	return transport
+}
+
+// StatusError is an answer with a status other than 200.
+type StatusError struct {
+	Status int
+	// Body is the start of the answer's body.
+	Body []byte
+}
+
+// Error implements the error interface.
+func (e *StatusError) Error() string { return fmt.Sprintf("status %d", e.Status) }
+
+// Get reads a JSON document of at most maxBytes bytes. An answer with a status
+// other than 200 is a StatusError.
+func Get(ctx context.Context, c *http.Client, url string, maxBytes int64, into any) error {
+	return call(ctx, c, http.MethodGet, url, nil, maxBytes, into)
+}
+
+// Post sends a JSON document and reads the answer as Get does. The answer is
+// dropped where into is nil.
+func Post(ctx context.Context, c *http.Client, url string, body any, maxBytes int64, into any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return errors.Wrap(err, "encode the document")
+	}
+	return call(ctx, c, http.MethodPost, url, bytes.NewReader(data), maxBytes, into)
+}
+
+func call(ctx context.Context, c *http.Client, method, url string, body io.Reader, maxBytes int64, into any) error {
+	req, err := http.NewRequestWithContext(ctx, method, url, body)
+	if err != nil {
+		return errors.Wrap(err, "make the request")
+	}
+	if body != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	res, err := c.Do(req)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	defer res.Body.Close()
+	limited := io.LimitReader(res.Body, maxBytes)
+	if res.StatusCode != http.StatusOK {
+		data, _ := io.ReadAll(limited)
+		return &StatusError{Status: res.StatusCode, Body: data}
+	}
+	if into == nil {
+		return nil
+	}
+	return errors.Wrap(json.NewDecoder(limited).Decode(into), "decode the document")
+}
--- a/pkg/peer/engine/engine.go
+++ b/pkg/peer/engine/engine.go
@@ -5,12 +5,11 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
+	"github.com/fescuehub/fescuehub/pkg/httpclient"
 	"github.com/fescuehub/fescuehub/pkg/problem"
 )
 
@@ -117,10 +116,7 @@
 
 // New returns a client of the engine at the base URL.
 func New(base string) *Client {
-	transport := http.DefaultTransport.(*http.Transport).Clone()
-	transport.Proxy = nil
-	transport.MaxIdleConnsPerHost = 256
-	return &Client{base: base, http: &http.Client{Transport: transport}}
+	return &Client{base: base, http: httpclient.New()}
 }
 
 // Complete sends a chat completion request. The caller closes the body of the
@@ -147,56 +143,13 @@
 	return report, err
 }
 
-// CacheEvents reads the cache events from the sequence number on.
-func (c *Client) CacheEvents(ctx context.Context, from int64) (CacheEvents, error) {
-	var events CacheEvents
-	err := c.get(ctx, fmt.Sprintf("/cache/events?from=%d", from), &events)
-	return events, err
-}
-
-// GiveOrder sends an order. The error has the kind FencedOff where the engine
-// refused an old fencing number.
-func (c *Client) GiveOrder(ctx context.Context, order Order) error {
-	body, err := json.Marshal(order)
-	if err != nil {
-		return unreachable(err)
-	}
-	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+"/orders", bytes.NewReader(body))
-	if err != nil {
-		return unreachable(err)
-	}
-	res, err := c.http.Do(req)
-	if err != nil {
-		return unreachable(err)
-	}
-	defer res.Body.Close()
-	switch res.StatusCode {
-	case http.StatusOK:
-		return nil
-	case http.StatusConflict:
-		return problem.New(problem.FencedOff, "stop giving orders; a newer lease holder exists", "order %s carried an old fencing number", order.Kind)
-	}
-	return unreachable(fmt.Errorf("status %d", res.StatusCode))
-}
-
 func (c *Client) get(ctx context.Context, path string, into any) error {
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, nil)
-	if err != nil {
+	if err := httpclient.Get(ctx, c.http, c.base+path, maxControlBytes, into); err != nil {
 		return unreachable(err)
 	}
-	res, err := c.http.Do(req)
-	if err != nil {
-		return unreachable(err)
-	}
-	defer res.Body.Close()
-	if res.StatusCode != http.StatusOK {
-		return unreachable(fmt.Errorf("status %d", res.StatusCode))
-	}
-	return json.NewDecoder(io.LimitReader(res.Body, maxControlBytes)).Decode(into)
+	return nil
 }
 
 func unreachable(cause error) error {
--- a/pkg/peer/engine/ranks.go
+++ b/pkg/peer/engine/ranks.go
@@ -1,14 +1,13 @@
 package engine
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
-	"io"
-	"net/http"
+
+	"github.com/cockroachdb/errors"
 
 	"github.com/fescuehub/fescuehub/pkg/expertmap"
+	"github.com/fescuehub/fescuehub/pkg/httpclient"
 	"github.com/fescuehub/fescuehub/pkg/ident"
 	"github.com/fescuehub/fescuehub/pkg/problem"
 )
@@ -94,28 +93,21 @@
 // has the kind FencedOff where the rank refused an old fencing number, and
 // WrongIncarnation where it has restarted since the weights were loaded.
 func (c *Client) InstallMap(ctx context.Context, order MapOrder) error {
-	body, err := json.Marshal(order)
-	if err != nil {
-		return unreachable(err)
-	}
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+RankMapPath, bytes.NewReader(body))
-	if err != nil {
-		return unreachable(err)
-	}
-	res, err := c.http.Do(req)
-	if err != nil {
-		return unreachable(err)
-	}
-	defer res.Body.Close()
-	if res.StatusCode == http.StatusOK {
+	err := httpclient.Post(ctx, c.http, c.base+RankMapPath, order, maxControlBytes, nil)
+	if err == nil {
 		return nil
 	}
+	var status *httpclient.StatusError
 	var refusal problem.Document
-	_ = json.NewDecoder(io.LimitReader(res.Body, maxControlBytes)).Decode(&refusal)
-	if refusal.Title == problem.FencedOff || refusal.Title == problem.WrongIncarnation {
+	if errors.As(err, &status) && json.Unmarshal(status.Body, &refusal) == nil && ofRank(refusal.Title) {
 		return problem.New(refusal.Title, refusal.Remedy, "%s", refusal.Detail).WithOutcome(problem.NotRun)
 	}
-	return unreachable(fmt.Errorf("status %d", res.StatusCode))
+	return unreachable(err)
+}
+
+// ofRank reports whether a rank refuses orders with the kind.
+func ofRank(kind problem.Kind) bool {
+	return kind == problem.FencedOff || kind == problem.WrongIncarnation
 }
--- a/pkg/peer/entrylink/mesh.go
+++ b/pkg/peer/entrylink/mesh.go
@@ -11,6 +11,7 @@
 	"github.com/fescuehub/fescuehub/pkg/ident"
 	"github.com/fescuehub/fescuehub/pkg/problem"
 	"github.com/fescuehub/fescuehub/pkg/rpc"
+	"github.com/fescuehub/fescuehub/pkg/wait"
 )
 
 const (
@@ -158,7 +159,7 @@
 		conn, err := m.connect(ctx, p)
 		m.tried(l)
 		if err != nil {
-			sleep(ctx, retryPause)
+			wait.For(ctx, retryPause)
 			continue
 		}
 		select {
@@ -267,9 +268,9 @@
 		case <-ctx.Done():
 			return nil
 		case <-next:
-			sleep(ctx, announcePause)
+			wait.For(ctx, announcePause)
 		case <-m.due:
-			sleep(ctx, announcePause)
+			wait.For(ctx, announcePause)
 		case <-ticker.C:
 		}
 	}
@@ -297,12 +298,3 @@
 	err := list[0].Call(ctx, MethodFetch, f, &reply)
 	return reply, err
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/pkg/peer/instancelist/instancelist.go
+++ b/pkg/peer/instancelist/instancelist.go
@@ -4,13 +4,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	neturl "net/url"
 	"time"
 
+	"github.com/fescuehub/fescuehub/pkg/httpclient"
 	"github.com/fescuehub/fescuehub/pkg/problem"
 )
 
@@ -76,9 +75,7 @@
 
 // New returns a client of the list at the base URL.
 func New(base string) *Client {
-	transport := http.DefaultTransport.(*http.Transport).Clone()
-	transport.Proxy = nil
-	return &Client{base: base, http: &http.Client{Transport: transport, Timeout: readTimeout}}
+	return &Client{base: base, http: httpclient.New()}
 }
 
 // ReadSince returns the whole list, of which last has been read before. Only
@@ -99,20 +96,10 @@
 }
 
 func (c *Client) get(ctx context.Context, url string) (List, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return List{}, unavailable(err)
-	}
-	res, err := c.http.Do(req)
-	if err != nil {
-		return List{}, unavailable(err)
-	}
-	defer res.Body.Close()
-	if res.StatusCode != http.StatusOK {
-		return List{}, unavailable(fmt.Errorf("status %d", res.StatusCode))
-	}
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
 	var list List
-	if err := json.NewDecoder(io.LimitReader(res.Body, maxListBytes)).Decode(&list); err != nil {
+	if err := httpclient.Get(ctx, c.http, url, maxListBytes, &list); err != nil {
 		return List{}, unavailable(err)
 	}
 	return list, nil
--- a/pkg/peer/logservice/logservice.go
+++ b/pkg/peer/logservice/logservice.go
@@ -15,6 +15,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/fescuehub/fescuehub/pkg/httpclient"
 	"github.com/fescuehub/fescuehub/pkg/problem"
 )
 
@@ -59,9 +60,7 @@
 
 // New returns a client of the service at the base URL.
 func New(base string) *Client {
-	transport := http.DefaultTransport.(*http.Transport).Clone()
-	transport.Proxy = nil
-	return &Client{base: base, http: &http.Client{Transport: transport}}
+	return &Client{base: base, http: httpclient.New()}
 }
 
 // Append adds a record to the stream and returns its offset. The error has
--- a/pkg/peer/plainservice/plainservice.go
+++ b/pkg/peer/plainservice/plainservice.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/fescuehub/fescuehub/pkg/httpclient"
 	"github.com/fescuehub/fescuehub/pkg/problem"
 )
 
@@ -33,8 +34,7 @@
 // New returns a client of the service at the base URL. It never sends a call
 // again by itself.
 func New(base string) *Client {
-	transport := http.DefaultTransport.(*http.Transport).Clone()
-	transport.Proxy = nil
+	transport := httpclient.NewTransport()
 	// A kept connection that the service closes makes net/http send some calls
 	// again; a fresh connection for each call rules that out.
 	transport.DisableKeepAlives = true
--- a/pkg/peer/weightstore/weightstore.go
+++ b/pkg/peer/weightstore/weightstore.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/url"
 
+	"github.com/fescuehub/fescuehub/pkg/httpclient"
 	"github.com/fescuehub/fescuehub/pkg/problem"
 )
 
@@ -20,9 +21,7 @@
 
 // New returns a client of the store at the base URL.
 func New(base string) *Client {
-	transport := http.DefaultTransport.(*http.Transport).Clone()
-	transport.Proxy = nil
-	return &Client{base: base, http: &http.Client{Transport: transport}}
+	return &Client{base: base, http: httpclient.New()}
 }
 
 // Fetch reads one object to its end and returns its size in bytes. An object
--- a/pkg/standin/engine/ranklink.go
+++ b/pkg/standin/engine/ranklink.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/fescuehub/fescuehub/pkg/expertmap"
+	"github.com/fescuehub/fescuehub/pkg/httpclient"
 	peer "github.com/fescuehub/fescuehub/pkg/peer/engine"
 )
 
@@ -25,11 +26,9 @@
 }
 
 func newRankLink(base string) *rankLink {
-	transport := http.DefaultTransport.(*http.Transport).Clone()
-	transport.Proxy = nil
 	return &rankLink{
 		url:    base + peer.RankBarrierPath,
-		client: &http.Client{Transport: transport, Timeout: rankLinkTimeout},
+		client: &http.Client{Transport: httpclient.NewTransport(), Timeout: rankLinkTimeout},
 		queue:  make(chan expertmap.Report, queuedReports),
 	}
 }
--- a/pkg/standin/logservice/logservice.go
+++ b/pkg/standin/logservice/logservice.go
@@ -16,6 +16,7 @@
 	peer "github.com/fescuehub/fescuehub/pkg/peer/logservice"
 	"github.com/fescuehub/fescuehub/pkg/problem"
 	"github.com/fescuehub/fescuehub/pkg/standin/faults"
+	"github.com/fescuehub/fescuehub/pkg/wait"
 )
 
 // Faults are the switchable faults of the service.
@@ -88,7 +89,7 @@
 func (s *Service) guard(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		f := s.Faults.Get()
-		sleep(r.Context(), time.Duration(f.SlowMS)*time.Millisecond)
+		wait.For(r.Context(), time.Duration(f.SlowMS)*time.Millisecond)
 		if f.Outage {
 			problem.Write(w, problem.New(problem.LogUnavailable, "wait for the end of the outage", "outage"))
 			return
@@ -243,18 +244,6 @@
 	return min(n, maxPageRecords)
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 func writeJSON(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(v)
