--- a/cmd/fescuehub/scenario_site_test.go
+++ b/cmd/fescuehub/scenario_site_test.go
@@ -43,6 +43,7 @@
 	procs       map[string]*process
 	relays      map[string]*relay
 	calls       map[string]*pendingCall
+	race        []raceResult
 	storm       *storm
 	maps        mapsSeen
 	// rankURLs are the base URLs of the engines.
@@ -132,9 +133,11 @@
 type siteSize struct {
 	entries, engines, services int
 	linger, shutdown           int
-	bare                       bool
-	relays                     bool
-	split                      bool
+	// retention of the log in seconds, 0 for a day.
+	retention int
+	bare      bool
+	relays    bool
+	split     bool
 	// group makes the engines the ranks of one group that check no fencing.
 	group bool
 }
@@ -146,7 +149,11 @@
 	ts.Setenv("LIST", "http://"+listAddr)
 	ts.Setenv("WEIGHTS", "http://"+weights)
 	order := []string{"log", "weights", "instances"}
-	s.prepare("log", "standin", "log", "--listen", logAddr)
+	keep := "24h"
+	if size.retention > 0 {
+		keep = fmt.Sprint(size.retention) + "s"
+	}
+	s.prepare("log", "standin", "log", "--listen", logAddr, "--retention", keep)
 	s.prepare("weights", "standin", "weights", "--listen", weights)
 	var list instancelist.List
 	s.rankURLs = nil
@@ -235,13 +242,14 @@
 		LogURL: ts.Getenv("LOG"), InstancesURL: ts.Getenv("LIST"),
 		AddressLifetimeSeconds: size.linger, ShutdownSeconds: size.shutdown,
 		MaxBodyBytes: maxTestBodyBytes, BodySeconds: 1,
-		PlanSeconds: 1, PlannerLeaseSeconds: 4,
+		PlanSeconds: 1, PlannerLeaseSeconds: 4, LogRetentionSeconds: size.retention,
 	}
 	upper := fmt.Sprintf("ENTRY%d", i)
 	ts.Setenv(upper, "http://"+es.CallerAddress)
 	ts.Setenv(upper+"_CALLER", es.CallerAddress)
 	ts.Setenv(upper+"_OP", "http://"+es.OperatorAddress)
 	ts.Setenv(upper+"_OPADDR", es.OperatorAddress)
+	ts.Setenv(upper+"_ADDR", es.CallerAddress)
 	s.mustWriteJSON(es.Name+".json", es)
 	s.prepare(es.Name, "entry", "--settings", filepath.Join(s.dir, es.Name+".json"))
 	list.Instances = append(list.Instances, instancelist.Instance{
--- a/pkg/demo/demo.go
+++ b/pkg/demo/demo.go
@@ -4,15 +4,16 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/fescuehub/fescuehub/pkg/configpublish"
-	"github.com/fescuehub/fescuehub/pkg/peer/logservice"
+	"github.com/fescuehub/fescuehub/pkg/configclient"
 	"github.com/fescuehub/fescuehub/pkg/problem"
+	"github.com/fescuehub/fescuehub/pkg/report"
 	"github.com/fescuehub/fescuehub/pkg/tables"
 )
 
@@ -102,7 +103,7 @@
 	}
 	fmt.Fprintf(out, "Caller asked for addresses and uses %s\n", c.address)
 	for _, step := range []func(context.Context, Deployment, *site, *caller, io.Writer) error{
-		showModel, showWrites, showChange, showDrain,
+		showModel, showWrites, showChange, showDrain, showBurn,
 	} {
 		if err := step(ctx, d, s, c, out); err != nil {
 			return err
@@ -176,6 +177,20 @@
 	return nil
 }
 
+func showBurn(ctx context.Context, _ Deployment, s *site, _ *caller, out io.Writer) error {
+	fmt.Fprintln(out, "\nThe service-level burn over all entries (fescuehub report):")
+	var snapshots []report.Snapshot
+	for _, es := range s.entrySets {
+		var snapshot report.Snapshot
+		if err := getJSON(ctx, "http://"+es.OperatorAddress+"/v1/burn", &snapshot); err != nil {
+			return err
+		}
+		snapshots = append(snapshots, snapshot)
+	}
+	report.Merge(time.Now(), snapshots, 0).Write(out)
+	return nil
+}
+
 func errorText(err error) string {
 	if err == nil {
 		return ""
@@ -202,20 +217,14 @@
 }
 
 func publishTables(ctx context.Context, s *site, doc tables.Document) error {
-	client := logservice.New(s.logURL)
-	state, _, err := configpublish.Read(ctx, client)
-	if err != nil {
-		return err
-	}
-	edit, err := configpublish.Difference(state, doc)
+	data, err := json.Marshal(doc)
 	if err != nil {
 		return err
 	}
-	_, err = configpublish.Publish(ctx, client, edit)
+	_, err = configclient.New(s.logURL).Apply(ctx, data)
 	return err
 }
 
-// await polls until condition holds or ctx ends.
 func await(ctx context.Context, what string, condition func() bool) error {
 	const pause = 10 * time.Millisecond
 	for !condition() {
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -20,10 +20,12 @@
 	"github.com/fescuehub/fescuehub/pkg/ident"
 	"github.com/fescuehub/fescuehub/pkg/lifecycle"
 	"github.com/fescuehub/fescuehub/pkg/peer/agentlink"
+	"github.com/fescuehub/fescuehub/pkg/peer/entrylink"
 	"github.com/fescuehub/fescuehub/pkg/peer/instancelist"
 	"github.com/fescuehub/fescuehub/pkg/peer/logservice"
 	"github.com/fescuehub/fescuehub/pkg/problem"
 	"github.com/fescuehub/fescuehub/pkg/routing"
+	"github.com/fescuehub/fescuehub/pkg/rpc"
 	"github.com/fescuehub/fescuehub/pkg/settings"
 	"github.com/fescuehub/fescuehub/pkg/telemetry"
 )
@@ -45,6 +47,7 @@
 	life        *lifecycle.Lifecycle
 	config      *configuration.Store
 	follower    *configuration.Follower
+	mesh        *entrylink.Mesh
 	members     *members
 	replicas    *replicas
 	permits     *permits
@@ -52,6 +55,8 @@
 	selector    routing.Selector
 	planners    *planners
 	admission   *admission
+	burn        *burn
+	logClient   *logservice.Client
 }
 
 // New returns an entry that has opened nothing yet.
@@ -66,7 +71,6 @@
 	store := configuration.NewStore()
 	incarnation := ident.NewIncarnation(s.Name)
 	scope := metrics.Scope.SubScope("entry")
-	replicas := newReplicas(log, s.Name, incarnation, store)
 	e := &Entry{
 		settings:    s,
 		log:         log,
@@ -75,14 +79,22 @@
 		incarnation: incarnation,
 		life:        lifecycle.New(log, planOf(s)),
 		config:      store,
-		follower:    configuration.NewFollower(log, logClient, store),
-		members:     newMembers(log, instances, replicas, routing.Node{Name: s.Name, FailureDomain: s.FailureDomain}),
-		replicas:    replicas,
-		permits:     newPermits(replicas),
 		attempts:    agentlink.NewClient(),
 		selector:    selector,
 		admission:   newAdmission(scope.SubScope("pool")),
+		burn:        newBurn(),
+		logClient:   logClient,
 	}
+	e.follower = configuration.NewFollower(log, scope.SubScope("configuration"), logClient, store, configuration.SnapshotOptions{
+		Name:      s.Name,
+		Retention: time.Duration(s.LogRetentionSeconds) * time.Second,
+		Entries:   func() []string { return e.members.liveEntries() },
+	})
+	e.mesh = entrylink.NewMesh(s.Name, e.follower)
+	e.follower.SetPeers(e.mesh)
+	e.replicas = newReplicas(log, s.Name, incarnation, store, scope.SubScope("configuration"), e.follower.Claimed)
+	e.permits = newPermits(e.replicas)
+	e.members = newMembers(log, instances, e.replicas, routing.Node{Name: s.Name, FailureDomain: s.FailureDomain})
 	e.planners = newPlanners(e, logClient)
 	return e
 }
@@ -108,6 +120,7 @@
 	defer cutOff(nil)
 	callers := httpserver.NewWithContext(requests, listeners[0], e.scope.SubScope("caller"), e.callerHandler())
 	operators := httpserver.New(listeners[1], e.scope.SubScope("operator"), e.operatorHandler())
+	peers := rpc.NewServer(listeners[2], e.scope.SubScope("peer"), e.mesh.Methods())
 
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
@@ -116,10 +129,15 @@
 	group.Go(operators.Run)
 	group.Go(func() error { return e.follower.Run(ctx) })
 	group.Go(func() error { return e.members.run(ctx) })
-	group.Go(func() error { return e.replicas.run(ctx) })
+	group.Go(func() error { return e.replicas.sendParts(ctx) })
+	group.Go(func() error { e.replicas.keepLinks(ctx); return nil })
+	group.Go(func() error { return peers.Run(ctx) })
+	group.Go(func() error { return e.mesh.Run(ctx, e.config.Changed) })
+	group.Go(func() error { return e.followPeers(ctx) })
 	group.Go(func() error { return e.openClaims(ctx) })
 	group.Go(func() error { return e.planners.run(ctx) })
 	group.Go(func() error { return e.runAdmission(ctx) })
+	group.Go(func() error { return e.watchConfiguration(ctx, e.logClient) })
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
@@ -145,6 +163,7 @@
 	for _, a := range []struct{ setting, address string }{
 		{"callerAddress", e.settings.CallerAddress},
 		{"operatorAddress", e.settings.OperatorAddress},
+		{"peerAddress", e.settings.PeerAddress},
 	} {
 		l, err := httpserver.Listen(a.setting, a.address)
 		if err != nil {
--- a/pkg/entry/exchange.go
+++ b/pkg/entry/exchange.go
@@ -43,6 +43,7 @@
 	mayHaveRun bool
 	answer     *answer.Assembler
 	out        *answerWriter
+	watch      *streamWatch
 }
 
 // keyText returns the idempotency key, or empty for a call without one.
@@ -56,7 +57,8 @@
 // answerTo prepares the answer of the exchange.
 func (x *exchange) answerTo(w http.ResponseWriter) {
 	x.answer = answer.New(x.stream, heldAnswerBytes)
-	x.out = newAnswerWriter(w, x.stream)
+	x.watch = newStreamWatch(w)
+	x.out = newAnswerWriter(x.watch, x.stream)
 }
 
 // note remembers what is known of an attempt that failed.
@@ -119,11 +121,5 @@
 	}, nil
 }
 
-// notReady returns an error while the entry has no configuration.
-func (e *Entry) notReady() error {
-	if e.follower.CaughtUp() {
-		return nil
-	}
-	return problem.New(problem.Unavailable, "use another address, or come back",
-		"this entry has not read the configuration yet").WithOutcome(problem.NotRun).WithRetryAfter(time.Second)
-}
+// notReady returns an error while the configuration here must not be served.
+func (e *Entry) notReady() error { return e.follower.Ready() }
--- a/pkg/entry/links.go
+++ b/pkg/entry/links.go
@@ -111,7 +111,7 @@
 	conn := rs.connect(ctx, r, l)
 	if conn != nil {
 		defer conn.Close()
-		rs.configure(ctx, conn, l.instance.Pool)
+		rs.wakeParts()
 		select {
 		case <-ctx.Done():
 		case <-conn.Done():
@@ -143,6 +143,7 @@
 		conn.Close()
 		return nil
 	}
+	rs.claimed(status.ConfigOffset)
 	if !rs.opened(r, l, conn, status, time.Since(asked)) {
 		conn.Close()
 		return nil
@@ -164,6 +165,7 @@
 		return false
 	}
 	r.conn = conn
+	r.partRevision = unsentPart
 	r.rtt = rtt
 	rs.log.Info("agent link", zap.String("agent", l.instance.Name), zap.Bool("up", true))
 	if status.Name != l.instance.Name {
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -38,6 +38,10 @@
 	// MaxBodyBytes bounds the body of a request. 0 stands for
 	// DefaultMaxBodyBytes.
 	MaxBodyBytes int `json:"maxBodyBytes,omitempty"`
+	// LogRetentionSeconds is how long the log service keeps a record. Snapshots
+	// of the configuration are written eight times within it. 0 stands for
+	// DefaultLogRetentionSeconds.
+	LogRetentionSeconds int `json:"logRetentionSeconds,omitempty"`
 	// BodySeconds bounds the time in which the body of a request must arrive.
 	// 0 stands for DefaultBodySeconds.
 	BodySeconds int `json:"bodySeconds,omitempty"`
@@ -100,6 +104,8 @@
 	MaxShutdownSeconds            = 3600
 	DefaultMaxBodyBytes           = 4 << 20
 	MaxMaxBodyBytes               = 64 << 20
+	DefaultLogRetentionSeconds    = 24 * 3600
+	MaxLogRetentionSeconds        = 366 * 24 * 3600
 	DefaultBodySeconds            = 30
 	MaxBodySeconds                = 600
 	DefaultPlanSeconds            = 60
@@ -134,6 +140,7 @@
 	s.AddressLifetimeSeconds = orDefault(s.AddressLifetimeSeconds, DefaultAddressLifetimeSeconds)
 	s.ShutdownSeconds = orDefault(s.ShutdownSeconds, DefaultShutdownSeconds)
 	s.MaxBodyBytes = orDefault(s.MaxBodyBytes, DefaultMaxBodyBytes)
+	s.LogRetentionSeconds = orDefault(s.LogRetentionSeconds, DefaultLogRetentionSeconds)
 	s.BodySeconds = orDefault(s.BodySeconds, DefaultBodySeconds)
 	s.PlanSeconds = orDefault(s.PlanSeconds, DefaultPlanSeconds)
 	s.PlannerLeaseSeconds = orDefault(s.PlannerLeaseSeconds, DefaultPlannerLeaseSeconds)
@@ -159,6 +166,7 @@
 	c.within("addressLifetimeSeconds", s.AddressLifetimeSeconds, MaxAddressLifetimeSeconds)
 	c.within("shutdownSeconds", s.ShutdownSeconds, MaxShutdownSeconds)
 	c.within("maxBodyBytes", s.MaxBodyBytes, MaxMaxBodyBytes)
+	c.within("logRetentionSeconds", s.LogRetentionSeconds, MaxLogRetentionSeconds)
 	c.within("bodySeconds", s.BodySeconds, MaxBodySeconds)
 	c.within("weightBytesPerSecond", s.WeightBytesPerSecond, MaxWeightBytesPerSecond)
 	c.within("planSeconds", s.PlanSeconds, MaxPlanSeconds)
