--- a/pkg/measure/membership/bytes.go
+++ b/pkg/measure/membership/bytes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -11,6 +12,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/fescuehub/fescuehub/pkg/frame"
 	"github.com/fescuehub/fescuehub/pkg/ident"
 	"github.com/fescuehub/fescuehub/pkg/peer/agentlink"
 	"github.com/fescuehub/fescuehub/pkg/peer/instancelist"
@@ -81,6 +83,8 @@
 	Hello  float64 `json:"helloBytesPerLink"`
 	Status float64 `json:"statusBytesPerLink"`
 	Beat   float64 `json:"beatBytesPerLink"`
+	// FrameLoad is what a load adds to a frame.
+	FrameLoad float64 `json:"frameLoadBytes"`
 	// Memory is the heap and the stacks of both ends of a link.
 	Memory float64 `json:"memoryBytesPerLink"`
 }
@@ -142,11 +146,19 @@
 		}
 		return float64(listener.bytes.Load()-before) / float64(links)
 	}
+	out.FrameLoad = frameLoadBytes()
 	out.Status = send(agentlink.MethodStatus, status)
 	out.Beat = send(agentlink.MethodBeat, agentlink.Beat{Running: 12, Waiting: 3, StepMS: 23.4})
 	return out, nil
 }
 
+// frameLoadBytes returns by how much a load lengthens a frame.
+func frameLoadBytes() float64 {
+	with, _ := json.Marshal(frame.Frame{Load: &frame.Load{Running: 12, Waiting: 3, StepMS: 23.4}})
+	less, _ := json.Marshal(frame.Frame{})
+	return float64(len(with) - len(less))
+}
+
 // memoryInUse returns the bytes of live objects and of stacks.
 func memoryInUse() float64 {
 	runtime.GC()
