--- a/pkg/entry/operator.go
+++ b/pkg/entry/operator.go
@@ -40,6 +40,7 @@
 	mux.HandleFunc("GET /v1/burn", func(w http.ResponseWriter, _ *http.Request) {
 		writeJSON(w, e.burn.snapshot(time.Now(), e.settings.Name))
 	})
+	mux.HandleFunc("GET /v1/agents", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.replicas.standings()) })
 	mux.HandleFunc("POST /v1/drain", func(w http.ResponseWriter, _ *http.Request) {
 		e.Drain()
 		w.WriteHeader(http.StatusAccepted)
