Read the capacity of pools each second, and split the types of flow control

Cause: a look at every known replica ten times a second would cost an entry of the target size more than its part of a core for control (not measured; 13 pools of some hundred replicas). Waiting requests are still reassessed every 100 ms.

--- a/pkg/entry/admission.go
+++ b/pkg/entry/admission.go
@@ -12,9 +12,13 @@
 	"github.com/fescuehub/fescuehub/pkg/tables"
 )
 
-// capacityInterval is how often the capacity of the pools is read again and
-// waiting requests that can no longer be answered in time are given up.
-const capacityInterval = 100 * time.Millisecond
+const (
+	// capacityInterval is how often the capacity of the pools is read again.
+	capacityInterval = time.Second
+	// reassessInterval is how often waiting requests that can no longer be
+	// answered in time are given up.
+	reassessInterval = 100 * time.Millisecond
+)
 
 // admission holds the gate of each pool.
 type admission struct {
@@ -39,6 +43,13 @@
 	return g, !ok
 }
 
+// drop forgets the gate of a pool that is no longer in the table.
+func (a *admission) drop(pool string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.gates, pool)
+}
+
 // pools returns the names of the pools that have a gate.
 func (a *admission) pools() []string {
 	a.mu.Lock()
@@ -60,29 +71,48 @@
 	return g
 }
 
-// runAdmission keeps the capacity of every pool up to date until ctx ends.
+// runAdmission keeps the capacity of every pool up to date, and gives up
+// requests that wait in vain, until ctx ends.
 func (e *Entry) runAdmission(ctx context.Context) error {
-	ticker := time.NewTicker(capacityInterval)
-	defer ticker.Stop()
+	capacity := time.NewTicker(capacityInterval)
+	defer capacity.Stop()
+	waiting := time.NewTicker(reassessInterval)
+	defer waiting.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-ticker.C:
+		case <-capacity.C:
+			e.readCapacities()
+		case <-waiting.C:
+			e.reassess()
 		}
-		view := e.config.View()
-		for _, name := range e.admission.pools() {
-			pool, ok := view.Pool(name)
-			if !ok {
-				pool = tables.Pool{Name: name}
-			}
-			g, _ := e.admission.gate(name)
-			e.readCapacity(g, pool)
-			e.reportGate(name, g)
+	}
+}
+
+func (e *Entry) readCapacities() {
+	view := e.config.View()
+	for _, name := range e.admission.pools() {
+		pool, ok := view.Pool(name)
+		if !ok {
+			pool = tables.Pool{Name: name}
+		}
+		g, _ := e.admission.gate(name)
+		e.readCapacity(g, pool)
+		if waiting, inFlight, _ := g.size(); !ok && waiting+inFlight == 0 {
+			e.admission.drop(name)
 		}
 	}
 }
 
+func (e *Entry) reassess() {
+	for _, name := range e.admission.pools() {
+		g, _ := e.admission.gate(name)
+		g.reassess()
+		e.reportGate(name, g)
+	}
+}
+
 func (e *Entry) readCapacity(g *gate, pool tables.Pool) {
 	whole := pool.Concurrency * e.usable(pool)
 	entries := e.members.sharersOf(pool.Name)
--- a/pkg/entry/gate.go
+++ b/pkg/entry/gate.go
@@ -36,7 +36,15 @@
 	now := time.Now()
 	g.control.SetLimits(flowcontrol.Limits{QueueLimit: pool.QueueLimit})
 	g.carryOut(g.control.SetCapacity(now, share, whole, rand.Uint64()))
-	g.carryOut(g.control.Reassess(now, rand.Uint64()))
+}
+
+// reassess gives up waiting requests that can no longer be answered in time.
+func (g *gate) reassess() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.control.Waiting() > 0 {
+		g.carryOut(g.control.Reassess(time.Now(), rand.Uint64()))
+	}
 }
 
 // acquire waits for admission. It returns a refusal, or the error of ctx if
