--- a/pkg/cli/measure.go
+++ b/pkg/cli/measure.go
@@ -14,5 +14,6 @@
 	cmd.AddCommand(a.measureRouting(), a.measureMembership())
 	cmd.AddCommand(a.measureExpertMaps())
 	cmd.AddCommand(a.measureLimits())
+	cmd.AddCommand(a.measureConfiguration())
 	return cmd
 }
--- /dev/null
+++ b/pkg/measure/configuration/force.go
@@ -0,0 +1,93 @@
+package configuration
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/fescuehub/fescuehub/pkg/configclient"
+	"github.com/fescuehub/fescuehub/pkg/problem"
+)
+
+const (
+	statusPause   = 2 * time.Millisecond
+	statusTimeout = 3 * time.Second
+	// bound is the users' bound for an edit to be in force everywhere.
+	bound = 6 * time.Second
+)
+
+// InForce is the time from the start of an apply to its being in force at all
+// entries.
+type InForce struct {
+	Entries      int     `json:"entries"`
+	Applies      int     `json:"applies"`
+	MedianMillis float64 `json:"medianMillis"`
+	MaxMillis    float64 `json:"maxMillis"`
+}
+
+// MeasureInForce applies edits of a pool to a running deployment and waits for
+// each at every entry. The tables of the deployment are replaced. The error has
+// the kind Unavailable where an entry does not have an edit in force in time.
+func MeasureInForce(ctx context.Context, logURL string, operators []string, applies int) (InForce, error) {
+	client := configclient.New(logURL)
+	var times []time.Duration
+	for i := range applies {
+		document := fmt.Sprintf(`{"routes":[],"pools":[{"name":"engines","kind":"model","concurrency":%d}]}`, 1+i)
+		start := time.Now()
+		result, err := client.Apply(ctx, []byte(document))
+		if err != nil {
+			return InForce{}, err
+		}
+		if err := awaitEverywhere(ctx, operators, result.Offset); err != nil {
+			return InForce{}, err
+		}
+		times = append(times, time.Since(start))
+	}
+	slices.Sort(times)
+	return InForce{Entries: len(operators), Applies: applies, MedianMillis: millis(times[len(times)/2]), MaxMillis: millis(times[len(times)-1])}, nil
+}
+
+func millis(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
+func awaitEverywhere(ctx context.Context, operators []string, offset int64) error {
+	ctx, cancel := context.WithTimeout(ctx, bound)
+	defer cancel()
+	var group sync.WaitGroup
+	for _, o := range operators {
+		group.Go(func() {
+			for ctx.Err() == nil && offsetAt(ctx, o) < offset {
+				time.Sleep(statusPause)
+			}
+		})
+	}
+	group.Wait()
+	if ctx.Err() != nil {
+		return problem.New(problem.Unavailable, "look at the entries with fescuehub status", "offset %d is not in force everywhere within %v", offset, bound)
+	}
+	return nil
+}
+
+// offsetAt returns the offset in force at an entry, -1 where it does not
+// answer.
+func offsetAt(ctx context.Context, operator string) int64 {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+operator+"/v1/status", nil)
+	if err != nil {
+		return -1
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return -1
+	}
+	defer res.Body.Close()
+	status := struct {
+		ConfigOffset int64 `json:"configOffset"`
+	}{-1}
+	_ = json.NewDecoder(res.Body).Decode(&status)
+	return status.ConfigOffset
+}
--- /dev/null
+++ b/pkg/measure/configuration/sizes.go
@@ -0,0 +1,253 @@
+// Package configuration measures what the configuration costs a node: bytes,
+// processor time and memory by the size of the tables, and the time from an
+// edit to its being in force.
+package configuration
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"runtime"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"github.com/fescuehub/fescuehub/pkg/configfold"
+	"github.com/fescuehub/fescuehub/pkg/configpublish"
+	"github.com/fescuehub/fescuehub/pkg/configsnapshot"
+	"github.com/fescuehub/fescuehub/pkg/configuration"
+	"github.com/fescuehub/fescuehub/pkg/ident"
+	peer "github.com/fescuehub/fescuehub/pkg/peer/logservice"
+	"github.com/fescuehub/fescuehub/pkg/standin/logservice"
+)
+
+// changes is the number of edits that a row is measured over.
+const changes = 100
+
+// Size is one row: tables with routes of some organisations each.
+type Size struct {
+	Routes        int `json:"routes"`
+	Organisations int `json:"organisations"`
+	// WholeBytes is the record that publishes all of the tables at once.
+	WholeBytes int `json:"wholeBytes"`
+	// SnapshotBytes and SnapshotRecords are those of one snapshot.
+	SnapshotBytes   int `json:"snapshotBytes"`
+	SnapshotRecords int `json:"snapshotRecords"`
+	// ChangeBytes is the record that changes one organisation of one route.
+	ChangeBytes int `json:"changeBytes"`
+	// NodeBytes is what one entry and the log exchange for such a change, in
+	// both directions, without TCP and IP. The headers of the append are
+	// included.
+	NodeBytes int `json:"nodeBytes"`
+	// FoldMicros and ViewMicros are the processor time for such a change.
+	FoldMicros float64 `json:"foldMicros"`
+	ViewMicros float64 `json:"viewMicros"`
+	// StateMB is the heap of the state and its view.
+	StateMB float64 `json:"stateMB"`
+}
+
+// Sizes measures tables of several sizes.
+func Sizes(ctx context.Context) ([]Size, error) {
+	var rows []Size
+	for _, s := range []Size{{Routes: 1, Organisations: 490}, {Routes: 1, Organisations: 4900}, {Routes: 4, Organisations: 4900}, {Routes: 13, Organisations: 4900}} {
+		row, err := measure(ctx, s)
+		if err != nil {
+			return nil, err
+		}
+		rows = append(rows, row)
+	}
+	return rows, nil
+}
+
+func measure(ctx context.Context, row Size) (Size, error) {
+	before := heap()
+	record, err := whole(row)
+	if err != nil {
+		return row, err
+	}
+	row.WholeBytes = len(record)
+	state, result, err := configfold.Fold(configfold.Empty(), 0, record)
+	if err != nil || !result.Accepted {
+		return row, fmt.Errorf("the tables were not accepted: %v %v", result, err)
+	}
+	view := configuration.NewView(state)
+	row.StateMB = float64(heap()-before) / 1e6
+	snapshot, err := configsnapshot.Split(state, "snapshot")
+	if err != nil {
+		return row, err
+	}
+	row.SnapshotRecords = len(snapshot)
+	for _, r := range snapshot {
+		row.SnapshotBytes += len(r)
+	}
+	if err := measureFold(&row, state, view); err != nil {
+		return row, err
+	}
+	return row, measureNode(ctx, &row, record)
+}
+
+func heap() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+func whole(row Size) ([]byte, error) {
+	t := configpublish.Tables{
+		Routes:        make(map[string]json.RawMessage),
+		Pools:         map[string]json.RawMessage{"engines": json.RawMessage(`{"name":"engines","kind":"model","concurrency":8}`)},
+		Organisations: make(map[string]map[string]json.RawMessage),
+	}
+	for r := range row.Routes {
+		name := routeName(r)
+		t.Routes[name] = json.RawMessage(fmt.Sprintf(`{"name":%q,"pool":"engines","deadlineMS":20000}`, name))
+		t.Organisations[name] = make(map[string]json.RawMessage, row.Organisations)
+		for o := range row.Organisations {
+			t.Organisations[name][organisationName(o)] = organisation(o, 1)
+		}
+	}
+	return configfold.Encode(configpublish.Difference(configfold.Empty(), t, ident.NewEditID()))
+}
+
+func routeName(r int) string { return fmt.Sprintf("asistente-%d", r) }
+
+func organisationName(o int) string { return fmt.Sprintf("organisation-%d", o) }
+
+func organisation(o, share int) json.RawMessage {
+	return json.RawMessage(fmt.Sprintf(`{"name":%q,"share":%d,"class":"interactive"}`, organisationName(o), share))
+}
+
+// change returns the record that changes one organisation of the first route.
+func change(s configfold.State, i int) ([]byte, error) {
+	name := organisationName(i)
+	return configfold.Encode(configfold.Edit{
+		FoldVersion: configfold.FoldVersion, ID: ident.NewEditID(),
+		Changes: []configfold.Change{{
+			Table: configfold.Routes, Name: routeName(0), Organisation: name,
+			Base: s.Organisations[routeName(0)][name].Revision, Value: organisation(i, 2),
+		}},
+	})
+}
+
+func measureFold(row *Size, s configfold.State, v *configuration.View) error {
+	var folding, viewing time.Duration
+	for i := range changes {
+		record, err := change(s, i)
+		if err != nil {
+			return err
+		}
+		row.ChangeBytes = len(record)
+		start := time.Now()
+		next, _, err := configfold.Fold(s, s.Offset+1, record)
+		if err != nil {
+			return err
+		}
+		folded := time.Now()
+		v = v.Next(next)
+		folding += folded.Sub(start)
+		viewing += time.Since(folded)
+		s = next
+	}
+	row.FoldMicros = float64(folding.Microseconds()) / changes
+	row.ViewMicros = float64(viewing.Microseconds()) / changes
+	return nil
+}
+
+// measureNode lets one follower take changes one by one from a log over
+// loopback and counts the bytes.
+func measureNode(ctx context.Context, row *Size, record []byte) error {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	counted := &countedListener{Listener: listener}
+	server := &http.Server{Handler: logservice.New(logservice.Options{AppendsPerSecond: 10_000, Retention: time.Hour}).Handler()}
+	go func() { _ = server.Serve(counted) }()
+	defer server.Close()
+
+	writer := peer.New("http://" + listener.Addr().String())
+	if _, err := writer.Append(ctx, configuration.Stream, record); err != nil {
+		return err
+	}
+	store := configuration.NewStore()
+	follower := configuration.NewFollower(zap.NewNop(), tally.NoopScope, peer.New("http://"+listener.Addr().String()), store, configuration.SnapshotOptions{})
+	go func() { _ = follower.Run(ctx) }()
+	if err := awaitOffset(ctx, store, 0); err != nil {
+		return err
+	}
+	var own, start int64
+	for i := range changes + 1 {
+		if i == 1 {
+			// The first change makes the follower read the whole edit again.
+			own, start = 0, counted.bytes.Load()
+		}
+		r, err := change(store.View().State, i)
+		if err != nil {
+			return err
+		}
+		if _, err := writer.Append(ctx, configuration.Stream, r); err != nil {
+			return err
+		}
+		own += int64(len(r))
+		if err := awaitOffset(ctx, store, int64(1+i)); err != nil {
+			return err
+		}
+	}
+	row.NodeBytes = int((counted.bytes.Load() - start - own) / changes)
+	return nil
+}
+
+func awaitOffset(ctx context.Context, store *configuration.Store, offset int64) error {
+	for {
+		changed := store.Changed()
+		if store.View().State.Offset >= offset {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		}
+	}
+}
+
+// countedListener counts the bytes of all its connections.
+type countedListener struct {
+	net.Listener
+	bytes atomic.Int64
+}
+
+// Accept implements net.Listener.
+func (l *countedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{Conn: c, bytes: &l.bytes}, nil
+}
+
+type countedConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
