--- a/pkg/configread/log.go
+++ b/pkg/configread/log.go
@@ -5,6 +5,7 @@
 
 	"github.com/fescuehub/fescuehub/pkg/configfold"
 	"github.com/fescuehub/fescuehub/pkg/peer/logservice"
+	"github.com/fescuehub/fescuehub/pkg/problem"
 )
 
 // Bounds of reading the log.
@@ -83,7 +84,7 @@
 
 // LogFailed notes that the log did not answer.
 func (r *Reader) LogFailed(err error) {
-	r.unusable(Unreachable, err.Error())
+	r.unusable(Unreachable, problem.Of(err).Detail)
 }
 
 // TakeSnapshots takes the snapshots that the log holds. The newest one that is
