--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -48,6 +48,7 @@
 	config      *configuration.Store
 	follower    *configuration.Follower
 	mesh        *entrylink.Mesh
+	departures  *departures
 	members     *members
 	replicas    *replicas
 	permits     *permits
@@ -55,6 +56,8 @@
 	selector    routing.Selector
 	planners    *planners
 	admission   *admission
+	burn        *burn
+	logClient   *logservice.Client
 }
 
 // New returns an entry that has opened nothing yet.
@@ -77,16 +80,19 @@
 		incarnation: incarnation,
 		life:        lifecycle.New(log, planOf(s)),
 		config:      store,
+		departures:  newDepartures(),
 		attempts:    agentlink.NewClient(),
 		selector:    selector,
 		admission:   newAdmission(scope.SubScope("pool")),
+		burn:        newBurn(),
+		logClient:   logClient,
 	}
 	e.follower = configuration.NewFollower(log, scope.SubScope("configuration"), logClient, store, configuration.SnapshotOptions{
 		Name:      s.Name,
 		Retention: time.Duration(s.LogRetentionSeconds) * time.Second,
 		Entries:   func() []string { return e.members.liveEntries() },
 	})
-	e.mesh = entrylink.NewMesh(s.Name, e.follower)
+	e.mesh = entrylink.NewMesh(s.Name, incarnation, e.follower, e.departures)
 	e.follower.SetPeers(e.mesh)
 	e.replicas = newReplicas(log, s.Name, incarnation, store, scope.SubScope("configuration"), e.follower.Claimed)
 	e.permits = newPermits(e.replicas)
@@ -103,7 +109,10 @@
 }
 
 // Drain begins to leave; a second call ends the entry at once.
-func (e *Entry) Drain() { e.life.Drain() }
+func (e *Entry) Drain() {
+	e.life.Drain()
+	e.announceDeparture()
+}
 
 // Run serves until ctx ends or the drain has ended.
 func (e *Entry) Run(ctx context.Context) error {
@@ -133,6 +142,7 @@
 	group.Go(func() error { return e.openClaims(ctx) })
 	group.Go(func() error { return e.planners.run(ctx) })
 	group.Go(func() error { return e.runAdmission(ctx) })
+	group.Go(func() error { return e.watchConfiguration(ctx, e.logClient) })
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
--- a/pkg/entry/exchange.go
+++ b/pkg/entry/exchange.go
@@ -43,6 +43,7 @@
 	mayHaveRun bool
 	answer     *answer.Assembler
 	out        *answerWriter
+	watch      *streamWatch
 }
 
 // keyText returns the idempotency key, or empty for a call without one.
@@ -56,7 +57,8 @@
 // answerTo prepares the answer of the exchange.
 func (x *exchange) answerTo(w http.ResponseWriter) {
 	x.answer = answer.New(x.stream, heldAnswerBytes)
-	x.out = newAnswerWriter(w, x.stream)
+	x.watch = newStreamWatch(w)
+	x.out = newAnswerWriter(x.watch, x.stream)
 }
 
 // note remembers what is known of an attempt that failed.
