--- a/pkg/cli/measure.go
+++ b/pkg/cli/measure.go
@@ -13,7 +13,6 @@
 	}
 	cmd.AddCommand(a.measureRouting(), a.measureMembership())
 	cmd.AddCommand(a.measureExpertMaps())
-	cmd.AddCommand(a.measureLimits())
 	cmd.AddCommand(a.measureConfiguration())
 	cmd.AddCommand(a.measureLimits(), a.measureRetries())
 	return cmd
--- a/pkg/peer/entrylink/mesh.go
+++ b/pkg/peer/entrylink/mesh.go
@@ -62,6 +62,8 @@
 	// conns are the open connections by entry, in both directions. Two entries
 	// that link to each other share two.
 	conns map[string][]*rpc.Conn
+	// sending holds the connections with an announcement under way.
+	sending map[*rpc.Conn]bool
 	// listed is every other entry of the last list.
 	listed []Peer
 	asked  bool
@@ -76,7 +78,7 @@
 
 // NewMesh returns a mesh without connections.
 func NewMesh(self string, life ident.Incarnation, handler Handler, departures Departures) *Mesh {
-	return &Mesh{self: self, life: life, handler: handler, departures: departures, due: make(chan struct{}, 1), links: make(map[Peer]*link), conns: make(map[string][]*rpc.Conn)}
+	return &Mesh{self: self, life: life, handler: handler, departures: departures, due: make(chan struct{}, 1), links: make(map[Peer]*link), conns: make(map[string][]*rpc.Conn), sending: make(map[*rpc.Conn]bool)}
 }
 
 // Methods returns what the mesh serves to entries that connect.
@@ -261,7 +263,7 @@
 		next := changed()
 		a := m.announcement()
 		for _, conn := range m.open() {
-			_ = conn.Notify(ctx, MethodHead, a)
+			go m.announceTo(ctx, conn, a)
 		}
 		select {
 		case <-ctx.Done():
@@ -275,6 +277,22 @@
 	}
 }
 
+// announceTo sends an announcement, unless the one before it is still held up:
+// a peer that has stopped reading must not hold back the others.
+func (m *Mesh) announceTo(ctx context.Context, conn *rpc.Conn, a Announcement) {
+	m.mu.Lock()
+	held := m.sending[conn]
+	m.sending[conn] = true
+	m.mu.Unlock()
+	if held {
+		return
+	}
+	_ = conn.Notify(ctx, MethodHead, a)
+	m.mu.Lock()
+	delete(m.sending, conn)
+	m.mu.Unlock()
+}
+
 func (m *Mesh) open() []*rpc.Conn {
 	m.mu.Lock()
 	defer m.mu.Unlock()
