Measure one entry at the target's size

Change: a benchmark runs one entry process against the instance list, the tables and the control links of 10, 33 and 100% of the target, with all agents' control ports served by the benchmark; it counts bytes at the peers. Conclusion: go test -run '^$' -bench TargetEntry -benchtime 1x ./cmd/fescuehub.

--- /dev/null
+++ b/cmd/fescuehub/target_bench_test.go
@@ -0,0 +1,215 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os/exec"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/fescuehub/fescuehub/pkg/ident"
+	"github.com/fescuehub/fescuehub/pkg/peer/agentlink"
+	"github.com/fescuehub/fescuehub/pkg/peer/instancelist"
+	"github.com/fescuehub/fescuehub/pkg/rpc"
+	"github.com/fescuehub/fescuehub/pkg/settings"
+	listing "github.com/fescuehub/fescuehub/pkg/standin/instancelist"
+	"github.com/fescuehub/fescuehub/pkg/standin/logservice"
+	"github.com/fescuehub/fescuehub/pkg/tables"
+)
+
+const (
+	targetEntries       = 410
+	targetAgents        = 12_000
+	targetOrganisations = 4_900
+	targetPools         = 13
+	// targetChanges are made in targetWindow: 20,000 a day are 0.23 a second.
+	targetChanges = 5
+	targetWindow  = 22 * time.Second
+	targetSettle  = 45 * time.Second
+)
+
+// counted counts the bytes of the connections of a listener, both ways.
+type counted struct {
+	net.Listener
+	bytes *atomic.Int64
+}
+
+func (c counted) Accept() (net.Conn, error) {
+	conn, err := c.Listener.Accept()
+	return countedConn{conn, c.bytes}, err
+}
+
+type countedConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// targetSite holds what one entry process talks to at a part of the target's
+// size: the platform's stand-ins and the control ports of all agents.
+type targetSite struct {
+	*benchSite
+	links, list, log atomic.Int64
+}
+
+// BenchmarkTargetEntry runs one entry process against the instance list, the
+// tables and the control links of a part of the target, and reports what it
+// spends on control without requests.
+func BenchmarkTargetEntry(b *testing.B) {
+	for _, percent := range []int{10, 33, 100} {
+		b.Run(fmt.Sprintf("percent=%d", percent), func(b *testing.B) { benchTarget(b, percent) })
+	}
+}
+
+func benchTarget(b *testing.B, percent int) {
+	s := &targetSite{benchSite: &benchSite{testSite: newSite(b.TempDir()), vars: make(map[string]string)}}
+	b.Cleanup(s.stopAll)
+	log := logservice.New(logservice.Options{AppendsPerSecond: 400, Retention: time.Hour}).Handler()
+	logURL := s.serve(b, log, &s.log)
+	// Operators reach the log at an address of its own, which is not counted.
+	operatorLogURL := s.serve(b, log, new(atomic.Int64))
+	agents := s.agents(b, targetAgents*percent/100)
+	listURL := s.serve(b, listing.New(append(agents, otherEntries(targetEntries*percent/100)...)).Handler(), &s.list)
+	entry := settings.Entry{
+		Name: "entry-0", FailureDomain: "domain-0", CallerAddress: freeAddress(), PeerAddress: freeAddress(), OperatorAddress: freeAddress(),
+		LogURL: logURL, InstancesURL: listURL,
+	}
+	s.mustWriteJSON("entry.json", entry)
+	s.prepare("entry", "entry", "--settings", s.dir+"/entry.json")
+	if err := s.start("entry"); err != nil {
+		b.Fatal(err)
+	}
+	operator := "http://" + entry.OperatorAddress
+	s.awaitBody(b, operator+"/readyz", "")
+	s.apply(b, operatorLogURL, entry.OperatorAddress, percent, 1)
+	time.Sleep(targetSettle)
+	for b.Loop() {
+		cpu := s.metric(b, operator, "process_cpu_seconds_total")
+		linkBytes, listBytes, logBytes := s.links.Load(), s.list.Load(), s.log.Load()
+		for i := range targetChanges {
+			time.Sleep(targetWindow / targetChanges)
+			s.apply(b, operatorLogURL, entry.OperatorAddress, percent, 2+i)
+		}
+		seconds := targetWindow.Seconds()
+		b.ReportMetric(100*(s.metric(b, operator, "process_cpu_seconds_total")-cpu)/seconds, "%core")
+		b.ReportMetric(s.metric(b, operator, "process_resident_memory_bytes")/(1<<20), "MB")
+		b.ReportMetric(float64(s.links.Load()-linkBytes)/seconds, "link-B/s")
+		b.ReportMetric(float64(s.list.Load()-listBytes)/seconds, "list-B/s")
+		b.ReportMetric(float64(s.log.Load()-logBytes)/seconds, "log-B/s")
+		var status struct{ Replicas int }
+		_, body, _, _ := request(http.MethodGet, operator+"/v1/status", nil, "")
+		_ = json.Unmarshal([]byte(body), &status)
+		b.ReportMetric(float64(status.Replicas), "links")
+	}
+}
+
+// serve runs a stand-in in this process and returns its base URL.
+func (s *targetSite) serve(b *testing.B, handler http.Handler, bytes *atomic.Int64) string {
+	l, err := net.Listen("tcp", freeAddress())
+	if err != nil {
+		b.Fatal(err)
+	}
+	server := &http.Server{Handler: handler}
+	go func() { _ = server.Serve(counted{l, bytes}) }()
+	b.Cleanup(func() { _ = server.Close() })
+	return "http://" + l.Addr().String()
+}
+
+// agents opens the control ports of n agents and returns their rows.
+func (s *targetSite) agents(b *testing.B, n int) []instancelist.Instance {
+	const portsPerAddress = 2000
+	ctx, stop := context.WithCancel(context.Background())
+	b.Cleanup(stop)
+	rows := make([]instancelist.Instance, n)
+	for i := range n {
+		address := fmt.Sprintf("127.0.%d.1:%d", 1+i/portsPerAddress, firstPort+i%portsPerAddress)
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			b.Fatal(err)
+		}
+		row := instancelist.Instance{
+			Name: fmt.Sprintf("agent-%05d", i), Role: instancelist.Agent, State: instancelist.Live,
+			FailureDomain: fmt.Sprintf("domain-%d", i%16), Pool: fmt.Sprintf("pool-%d", i%targetPools),
+			DataAddress: fmt.Sprintf("127.0.%d.2:%d", 1+i/portsPerAddress, firstPort+i%portsPerAddress), ControlAddress: address,
+		}
+		rows[i] = row
+		server := rpc.NewServer(counted{l, &s.links}, tally.NoopScope, agentMethods(ctx, row))
+		go func() { _ = server.Run(ctx) }()
+	}
+	return rows
+}
+
+// agentMethods answers an entry as the agent of an idle engine does.
+func agentMethods(ctx context.Context, row instancelist.Instance) rpc.Methods {
+	return rpc.Methods{
+		agentlink.MethodHello: rpc.Typed(func(_ context.Context, conn *rpc.Conn, hello agentlink.Hello) (any, error) {
+			go beat(ctx, conn, time.Duration(hello.BeatMS)*time.Millisecond)
+			return agentlink.Status{Name: row.Name, Incarnation: ident.Incarnation(row.Name + "@1"), Pool: row.Pool, BackendUp: true, ConfigOffset: -1}, nil
+		}),
+		agentlink.MethodConfigure: rpc.Typed(func(_ context.Context, _ *rpc.Conn, part agentlink.PoolPart) (any, error) {
+			return agentlink.PoolPart{Offset: part.Offset}, nil
+		}),
+	}
+}
+
+func beat(ctx context.Context, conn *rpc.Conn, every time.Duration) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-conn.Done():
+			return
+		case <-time.After(every):
+			_ = conn.Notify(ctx, agentlink.MethodBeat, agentlink.Beat{Running: 3, StepMS: 14.2})
+		}
+	}
+}
+
+func otherEntries(n int) []instancelist.Instance {
+	rows := make([]instancelist.Instance, n)
+	for i := range n {
+		rows[i] = instancelist.Instance{
+			Name: fmt.Sprintf("entry-%d", i), Role: instancelist.Entry, State: instancelist.Live,
+			FailureDomain: fmt.Sprintf("domain-%d", i%16), CallerAddress: fmt.Sprintf("127.0.9.%d:%d", 1+i/250, 1000+i%250),
+		}
+	}
+	return rows
+}
+
+// apply publishes the tables of a part of the target. Each turn changes one
+// organisation's share.
+func (s *targetSite) apply(b *testing.B, logURL, operator string, percent, turn int) {
+	var doc tables.Document
+	for p := range targetPools {
+		pool := fmt.Sprintf("pool-%d", p)
+		doc.Pools = append(doc.Pools, tables.Pool{Name: pool, Kind: tables.Model, Concurrency: 16})
+		route := tables.Route{Name: fmt.Sprintf("model-%d", p), Pool: pool}
+		for o := range targetOrganisations * percent / 100 {
+			route.Organisations = append(route.Organisations, tables.Organisation{Name: fmt.Sprintf("organisation-%d", o), Share: 1 + o%4})
+		}
+		route.Organisations[0].Share = turn
+		doc.Routes = append(doc.Routes, route)
+	}
+	s.mustWriteJSON("target.json", doc)
+	out, err := exec.Command("fescuehub", "config", "apply", s.dir+"/target.json", "--log", logURL, "--operator", operator).CombinedOutput()
+	if err != nil {
+		b.Fatalf("%v: %s", err, out)
+	}
+}
--- a/pkg/cli/config.go
+++ b/pkg/cli/config.go
@@ -25,10 +25,11 @@
 
 func (a *app) configCommand() *cobra.Command {
 	cmd := &cobra.Command{
-		Use:   "config",
-		Short: "Edit and publish the tables of routes and pools",
-		Args:  cobra.NoArgs,
-		RunE:  func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
+		Use:     "config",
+		Short:   "Edit and publish the tables of routes and pools",
+		Example: "  fescuehub config check tables.json",
+		Args:    cobra.NoArgs,
+		RunE:    func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
 	}
 	cmd.AddCommand(a.configCheckCommand(), a.configApplyCommand(), a.configShowCommand(), a.configHistoryCommand())
 	return cmd
--- a/pkg/cli/measure.go
+++ b/pkg/cli/measure.go
@@ -6,10 +6,11 @@
 // docs/MEASUREMENTS.md again.
 func (a *app) measureCommand() *cobra.Command {
 	cmd := &cobra.Command{
-		Use:   "measure",
-		Short: "Give a table of docs/MEASUREMENTS.md again",
-		Args:  cobra.NoArgs,
-		RunE:  func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
+		Use:     "measure",
+		Short:   "Give a table of docs/MEASUREMENTS.md again",
+		Example: "  fescuehub measure routing --seed 1",
+		Args:    cobra.NoArgs,
+		RunE:    func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
 	}
 	cmd.AddCommand(a.measureRouting(), a.measureMembership())
 	cmd.AddCommand(a.measureExpertMaps())
--- a/pkg/cli/standin.go
+++ b/pkg/cli/standin.go
@@ -24,10 +24,11 @@
 
 func (a *app) standinCommand() *cobra.Command {
 	cmd := &cobra.Command{
-		Use:   "standin",
-		Short: "Run a small stand-in of a system that fescuehub talks to, for tests",
-		Args:  cobra.NoArgs,
-		RunE:  func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
+		Use:     "standin",
+		Short:   "Run a small stand-in of a system that fescuehub talks to, for tests",
+		Example: "  fescuehub standin log --listen 127.0.0.1:7001",
+		Args:    cobra.NoArgs,
+		RunE:    func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
 	}
 	cmd.AddCommand(a.standinLog(), a.standinInstances(), a.standinWeights(), a.standinEngine(), a.standinService())
 	return cmd
