--- a/pkg/agent/claims.go
+++ b/pkg/agent/claims.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -23,6 +24,8 @@
 	claimPage             = 1000
 	claimReadWait         = 10 * time.Second
 	claimRetryPause       = 300 * time.Millisecond
+	// markerSpread spreads the markers of agents that start together.
+	markerSpread = 500 * time.Millisecond
 )
 
 // partition is one claim stream and the ledger of its keys.
@@ -79,7 +82,7 @@
 			return
 		}
 		if err == nil {
-			err = p.appendMarker(ctx)
+			err = p.markEmpty(ctx)
 		}
 		if err != nil {
 			sleep(ctx, claimRetryPause)
@@ -87,6 +90,17 @@
 	}
 }
 
+// markEmpty appends a marker to an empty stream, unless another agent does so
+// first: many agents may find it empty at the same time.
+func (p *partition) markEmpty(ctx context.Context) error {
+	sleep(ctx, rand.N(markerSpread))
+	page, err := p.writes.client.Read(ctx, p.stream, 0, 1, 0)
+	if err != nil || len(page.Records) > 0 {
+		return err
+	}
+	return p.appendMarker(ctx)
+}
+
 func (p *partition) appendMarker(ctx context.Context) error {
 	data, err := writeonce.EncodeBatch(writeonce.Batch{ID: uuid.NewString(), Agent: p.writes.self})
 	if err != nil {
@@ -116,7 +130,7 @@
 		p.writes.log.Warn("claim stream lost records; keys made before are refused", zap.String("stream", p.stream))
 	}
 	if !open && len(page.Records) == 0 {
-		return p.appendMarker(ctx)
+		return p.markEmpty(ctx)
 	}
 	if behind {
 		sleep(ctx, claimRetryPause)
