--- a/pkg/agent/claims.go
+++ b/pkg/agent/claims.go
@@ -12,6 +12,7 @@
 
 	"github.com/fescuehub/fescuehub/pkg/peer/logservice"
 	"github.com/fescuehub/fescuehub/pkg/problem"
+	"github.com/fescuehub/fescuehub/pkg/wait"
 	"github.com/fescuehub/fescuehub/pkg/writeonce"
 )
 
@@ -57,7 +58,7 @@
 	go p.appendAll(ctx)
 	for ctx.Err() == nil {
 		if err := p.read(ctx); err != nil {
-			sleep(ctx, claimRetryPause)
+			wait.For(ctx, claimRetryPause)
 		}
 	}
 }
@@ -85,7 +86,7 @@
 			err = p.markEmpty(ctx)
 		}
 		if err != nil {
-			sleep(ctx, claimRetryPause)
+			wait.For(ctx, claimRetryPause)
 		}
 	}
 }
@@ -133,7 +134,7 @@
 		return p.markEmpty(ctx)
 	}
 	if behind {
-		sleep(ctx, claimRetryPause)
+		wait.For(ctx, claimRetryPause)
 	}
 	return nil
 }
@@ -223,12 +224,3 @@
 		w.limit.SetBurst(each)
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/pkg/measure/membership/bytes.go
+++ b/pkg/measure/membership/bytes.go
@@ -2,14 +2,17 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
+	"runtime"
 	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/fescuehub/fescuehub/pkg/frame"
 	"github.com/fescuehub/fescuehub/pkg/ident"
 	"github.com/fescuehub/fescuehub/pkg/peer/agentlink"
 	"github.com/fescuehub/fescuehub/pkg/peer/instancelist"
@@ -80,6 +83,10 @@
 	Hello  float64 `json:"helloBytesPerLink"`
 	Status float64 `json:"statusBytesPerLink"`
 	Beat   float64 `json:"beatBytesPerLink"`
+	// FrameLoad is what a load adds to a frame.
+	FrameLoad float64 `json:"frameLoadBytes"`
+	// Memory is the heap and the stacks of both ends of a link.
+	Memory float64 `json:"memoryBytesPerLink"`
 }
 
 // linkBytes opens links as entries do, and sends one status and one beat on
@@ -107,6 +114,7 @@
 	for _, name := range []string{agentlink.MethodStatus, agentlink.MethodBeat} {
 		methods[name] = rpc.Typed(func(context.Context, *rpc.Conn, agentlink.Status) (any, error) { got <- struct{}{}; return nil, nil })
 	}
+	empty := memoryInUse()
 	for range links {
 		conn, err := rpc.Dial(ctx, listener.Addr().String(), methods)
 		if err != nil {
@@ -124,6 +132,7 @@
 	for i := range all {
 		all[i] = <-peers
 	}
+	out.Memory = (memoryInUse() - empty) / float64(links)
 	send := func(method string, message any) float64 {
 		before := listener.bytes.Load()
 		for _, p := range all {
@@ -137,11 +146,27 @@
 		}
 		return float64(listener.bytes.Load()-before) / float64(links)
 	}
+	out.FrameLoad = frameLoadBytes()
 	out.Status = send(agentlink.MethodStatus, status)
 	out.Beat = send(agentlink.MethodBeat, agentlink.Beat{Running: 12, Waiting: 3, StepMS: 23.4})
 	return out, nil
 }
 
+// frameLoadBytes returns by how much a load lengthens a frame.
+func frameLoadBytes() float64 {
+	with, _ := json.Marshal(frame.Frame{Load: &frame.Load{Running: 12, Waiting: 3, StepMS: 23.4}})
+	less, _ := json.Marshal(frame.Frame{})
+	return float64(len(with) - len(less))
+}
+
+// memoryInUse returns the bytes of live objects and of stacks.
+func memoryInUse() float64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc + m.StackInuse)
+}
+
 const receiveBound = 5 * time.Second
 
 // counting is a listener that counts the bytes of its connections.
