--- a/pkg/agent/claims.go
+++ b/pkg/agent/claims.go
@@ -94,7 +94,7 @@
 // markEmpty appends a marker to an empty stream, unless another agent does so
 // first: many agents may find it empty at the same time.
 func (p *partition) markEmpty(ctx context.Context) error {
-	sleep(ctx, rand.N(markerSpread))
+	wait.For(ctx, rand.N(markerSpread))
 	page, err := p.writes.client.Read(ctx, p.stream, 0, 1, 0)
 	if err != nil || len(page.Records) > 0 {
 		return err
