--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -21,16 +21,21 @@
 
 // attemptAt sends the request to one replica and relays the answer.
 func (e *Entry) attemptAt(ctx context.Context, x *exchange, replica routing.Replica) error {
-	address, ok := e.replicas.begin(replica.Name)
-	if !ok {
+	address, linked := e.replicas.begin(replica.Name)
+	if !linked {
+		address = e.listed(replica.Name).DataAddress
+	}
+	if address == "" {
 		return problem.New(problem.NoReplica, "nothing needs to be done", "replica %s has left", replica.Name).WithOutcome(problem.NotRun)
 	}
 	x.attempt = ident.NewAttemptID()
 	x.owner = ""
 	x.answer.Begin(x.attempt)
 	err := e.exchangeFrames(ctx, x, address, replica)
-	e.replicas.end(replica.Name, countsAgainst(ctx, err))
-	e.replicas.failed(ctx, replica, err)
+	if linked {
+		e.replicas.end(replica.Name, countsAgainst(ctx, err))
+		e.replicas.failed(ctx, replica, err)
+	}
 	return err
 }
 
--- a/pkg/entry/claims.go
+++ b/pkg/entry/claims.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/fescuehub/fescuehub/pkg/peer/agentlink"
+	"github.com/fescuehub/fescuehub/pkg/peer/instancelist"
+	"github.com/fescuehub/fescuehub/pkg/routing"
 	"github.com/fescuehub/fescuehub/pkg/rpc"
 	"github.com/fescuehub/fescuehub/pkg/wait"
 	"github.com/fescuehub/fescuehub/pkg/writeonce"
@@ -23,7 +25,7 @@
 	for ctx.Err() == nil {
 		routes := e.claimRoutes()
 		agents := e.replicas.connected()
-		owners := ownersOf(routes, agents)
+		owners := ownersOf(routes, e.members.withRole(instancelist.Agent))
 		now := make(map[*rpc.Conn]string)
 		for _, a := range agents {
 			if len(routes[a.pool]) == 0 {
@@ -42,15 +44,20 @@
 }
 
 // ownersOf counts the agents that claim keys: one for each claim stream of a
-// route, and no more than its pool has.
-func ownersOf(routes map[string][]string, agents []connectedReplica) int {
+// route and no more than its pool has, or the whole pool where entries are
+// linked to subsets of it and so choose different agents.
+func ownersOf(routes map[string][]string, agents []instancelist.Instance) int {
 	size := make(map[string]int)
 	for _, a := range agents {
-		size[a.pool]++
+		size[a.Pool]++
 	}
 	owners := 0
 	for pool, names := range routes {
-		owners += len(names) * min(size[pool], writeonce.Partitions)
+		each := size[pool]
+		if len(agents) <= routing.LinksWithoutSubsets {
+			each = min(each, writeonce.Partitions)
+		}
+		owners += len(names) * each
 	}
 	return owners
 }
--- a/pkg/entry/writes.go
+++ b/pkg/entry/writes.go
@@ -12,9 +12,11 @@
 
 	"github.com/fescuehub/fescuehub/pkg/ident"
 	"github.com/fescuehub/fescuehub/pkg/peer/agentlink"
+	"github.com/fescuehub/fescuehub/pkg/peer/instancelist"
 	"github.com/fescuehub/fescuehub/pkg/peer/plainservice"
 	"github.com/fescuehub/fescuehub/pkg/problem"
 	"github.com/fescuehub/fescuehub/pkg/routing"
+	"github.com/fescuehub/fescuehub/pkg/rpc"
 	"github.com/fescuehub/fescuehub/pkg/writeonce"
 )
 
@@ -134,10 +136,25 @@
 // one of the pool that the route led to before, still answers for its keys.
 func (e *Entry) replicaOf(x *exchange, agent ident.Incarnation) (routing.Replica, error) {
 	replica, dead, ok := e.replicas.find(agent)
-	if !ok {
-		return replica, x.call.Unreachable(dead)
+	if ok {
+		return replica, nil
 	}
-	return replica, nil
+	name, _, _ := strings.Cut(string(agent), "@")
+	if !dead && e.listed(name).DataAddress != "" {
+		return routing.Replica{Name: name, Incarnation: agent}, nil
+	}
+	return routing.Replica{}, x.call.Unreachable(dead)
+}
+
+// listed returns the agent's row of the instance list. Agents that the entry is
+// not linked to are reached by it; each checks its incarnation itself.
+func (e *Entry) listed(agent string) instancelist.Instance {
+	for _, i := range e.members.withRole(instancelist.Agent) {
+		if i.Name == agent {
+			return i
+		}
+	}
+	return instancelist.Instance{}
 }
 
 // find returns the connected agent with the incarnation. dead is true where
@@ -202,18 +219,22 @@
 	return writeonce.Content{Route: x.route.Name, Organisation: x.organisation.Name, Method: x.method, Path: x.path, Body: x.body}
 }
 
+// askRefusal asks an agent to refuse the call's key, over a connection of its
+// own where the entry is not linked to the agent.
 func (e *Entry) askRefusal(ctx context.Context, x *exchange, agent ident.Incarnation) (writeonce.Certificate, bool) {
 	var cert writeonce.Certificate
-	replica, err := e.replicaOf(x, agent)
-	if err != nil {
-		return cert, false
-	}
-	conn, ok := e.replicas.conn(replica.Name)
-	if !ok {
-		return cert, false
-	}
 	ctx, cancel := context.WithTimeout(ctx, refuseTimeout)
 	defer cancel()
+	name, _, _ := strings.Cut(string(agent), "@")
+	conn, ok := e.replicas.conn(name)
+	if !ok {
+		own, err := rpc.Dial(ctx, e.listed(name).ControlAddress, nil)
+		if err != nil {
+			return cert, false
+		}
+		defer own.Close()
+		conn = own
+	}
 	request := agentlink.RefuseRequest{
 		Attempt: x.attempt, Route: x.route.Name, Key: x.call.Key.String(), Digest: x.content().Digest(), Incarnation: agent,
 	}
