--- a/pkg/drain/drain.go
+++ b/pkg/drain/drain.go
@@ -34,8 +34,8 @@
 	Bound time.Duration
 }
 
-// Machine is the state of one process. It is not safe for concurrent use.
-type Machine struct {
+// Progress is how far one process has come in leaving. It is not safe for concurrent use.
+type Progress struct {
 	plan    Plan
 	phase   Phase
 	started time.Time
@@ -43,11 +43,11 @@
 	cut int
 }
 
-// New returns a machine in the phase Serving.
-func New(plan Plan) *Machine { return &Machine{plan: plan} }
+// New returns the progress of a process that serves.
+func New(plan Plan) *Progress { return &Progress{plan: plan} }
 
 // Start begins the drain. A second call ends it at once.
-func (m *Machine) Start(now time.Time, inFlight int) Phase {
+func (m *Progress) Start(now time.Time, inFlight int) Phase {
 	if m.phase == Serving {
 		m.phase = Announced
 		m.started = now
@@ -58,7 +58,7 @@
 
 // Advance moves to the phase that follows from the time and the number of
 // requests in flight.
-func (m *Machine) Advance(now time.Time, inFlight int) Phase {
+func (m *Progress) Advance(now time.Time, inFlight int) Phase {
 	if m.phase == Serving || m.phase == Ended {
 		return m.phase
 	}
@@ -76,18 +76,18 @@
 }
 
 // Phase returns the present phase.
-func (m *Machine) Phase() Phase { return m.phase }
+func (m *Progress) Phase() Phase { return m.phase }
 
 // TakesWork reports whether new work is taken.
-func (m *Machine) TakesWork() bool { return m.phase <= Announced }
+func (m *Progress) TakesWork() bool { return m.phase <= Announced }
 
 // Named reports whether the process is named to new callers.
-func (m *Machine) Named() bool { return m.phase == Serving }
+func (m *Progress) Named() bool { return m.phase == Serving }
 
 // Cut returns the number of requests that the bound cut off.
-func (m *Machine) Cut() int { return m.cut }
+func (m *Progress) Cut() int { return m.cut }
 
-func (m *Machine) end(inFlight int) Phase {
+func (m *Progress) end(inFlight int) Phase {
 	if m.phase != Ended {
 		m.cut = inFlight
 	}
--- a/pkg/drain/matrix_test.go
+++ b/pkg/drain/matrix_test.go
@@ -53,11 +53,11 @@
 	f.violations = append(f.violations, fmt.Sprintf(format, args...))
 }
 
-// entryNode drives the machine of an entry that is told to leave.
+// entryNode drives the progress of an entry that is told to leave.
 type entryNode struct {
 	f        *facts
 	on       mechanisms
-	machine  *drain.Machine
+	progress *drain.Progress
 	inFlight int
 	life     int
 }
@@ -69,7 +69,7 @@
 	e.advance(ctx.Now)
 	switch m := m.(type) {
 	case where:
-		if !e.on.unnamed || e.machine.Named() {
+		if !e.on.unnamed || e.progress.Named() {
 			e.named(ctx.Now)
 			ctx.Send(from, here{true})
 			return
@@ -85,12 +85,12 @@
 		if e.f.drained.IsZero() {
 			e.f.drained = ctx.Now
 		}
-		if e.machine.Phase() == drain.Serving {
+		if e.progress.Phase() == drain.Serving {
 			ctx.After(advance, turn{})
 		}
-		e.end(ctx.Now, e.machine.Start(ctx.Now, e.counted()))
+		e.end(ctx.Now, e.progress.Start(ctx.Now, e.counted()))
 	case turn:
-		if e.machine.Phase() != drain.Ended {
+		if e.progress.Phase() != drain.Ended {
 			ctx.After(advance, turn{})
 		}
 	}
@@ -103,7 +103,7 @@
 }
 
 func (e *entryNode) take(ctx *faultmatrix.Context, from string, m work) {
-	if e.machine.TakesWork() {
+	if e.progress.TakesWork() {
 		if e.life == 0 {
 			e.f.begun[m.id] = true
 		}
@@ -125,7 +125,7 @@
 	return e.inFlight
 }
 
-func (e *entryNode) advance(now time.Time) { e.end(now, e.machine.Advance(now, e.counted())) }
+func (e *entryNode) advance(now time.Time) { e.end(now, e.progress.Advance(now, e.counted())) }
 
 func (e *entryNode) end(now time.Time, p drain.Phase) {
 	if p != drain.Ended || !e.f.ended.IsZero() || e.life > 0 {
@@ -184,7 +184,7 @@
 			w.Facts = f
 			w.Add("entry", func(life int) faultmatrix.Node {
 				f.killed = life > 0
-				return &entryNode{f: f, on: on, machine: drain.New(plan), life: life}
+				return &entryNode{f: f, on: on, progress: drain.New(plan), life: life}
 			})
 			for i, name := range []string{"caller-1", "caller-2"} {
 				w.Add(name, func(int) faultmatrix.Node { return &callerNode{base: 1000 * i} })
--- a/pkg/entry/departures.go
+++ b/pkg/entry/departures.go
@@ -8,6 +8,10 @@
 	"github.com/fescuehub/fescuehub/pkg/ident"
 )
 
+// listLag is how long after its end the instance list may still show an entry
+// as live.
+const listLag = time.Minute
+
 // departures shares what entries know of each other's leaving. It is safe for
 // concurrent use.
 type departures struct {
@@ -50,10 +54,7 @@
 	e.departures.Hear([]departure.Departure{{
 		Name:        e.settings.Name,
 		Incarnation: e.incarnation,
-		LeftMS:      departureMemory.Milliseconds(),
+		LeftMS:      (e.shutdownBound() + listLag).Milliseconds(),
 	}})
 	e.mesh.Announce()
 }
-
-// departureMemory is how long the instance list may lag behind a departure.
-const departureMemory = time.Minute
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -108,6 +108,9 @@
 	}
 }
 
+// shutdownBound is the longest time from the start of a drain to its end.
+func (e *Entry) shutdownBound() time.Duration { return planOf(e.settings).Bound }
+
 // Drain begins to leave; a second call ends the entry at once.
 func (e *Entry) Drain() {
 	e.life.Drain()
--- a/pkg/lifecycle/lifecycle.go
+++ b/pkg/lifecycle/lifecycle.go
@@ -18,7 +18,7 @@
 type Lifecycle struct {
 	log      *zap.Logger
 	mu       sync.Mutex
-	machine  *drain.Machine
+	progress *drain.Progress
 	inFlight int
 	started  bool
 	ended    chan struct{}
@@ -26,7 +26,7 @@
 
 // New returns a lifecycle in the phase Serving.
 func New(log *zap.Logger, plan drain.Plan) *Lifecycle {
-	return &Lifecycle{log: log, machine: drain.New(plan), ended: make(chan struct{})}
+	return &Lifecycle{log: log, progress: drain.New(plan), ended: make(chan struct{})}
 }
 
 // Begin admits one request. The error has the kind Draining and the outcome
@@ -34,7 +34,7 @@
 func (l *Lifecycle) Begin() error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.machine.TakesWork() {
+	if !l.progress.TakesWork() {
 		return problem.New(problem.Draining, "ask for addresses again and send the request there",
 			"this instance is leaving").WithOutcome(problem.NotRun).WithRetryAfter(time.Second)
 	}
@@ -60,14 +60,14 @@
 func (l *Lifecycle) Phase() drain.Phase {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.machine.Phase()
+	return l.progress.Phase()
 }
 
 // Drain begins to leave. A second call ends the process at once.
 func (l *Lifecycle) Drain() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.note(l.machine.Start(time.Now(), l.inFlight))
+	l.note(l.progress.Start(time.Now(), l.inFlight))
 	if !l.started {
 		l.started = true
 		go l.advance()
@@ -79,7 +79,7 @@
 func (l *Lifecycle) Cut() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.machine.Cut()
+	return l.progress.Cut()
 }
 
 // CutError is what requests in flight end with when the drain ends before them.
@@ -114,8 +114,8 @@
 func (l *Lifecycle) step() drain.Phase {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	before := l.machine.Phase()
-	after := l.machine.Advance(time.Now(), l.inFlight)
+	before := l.progress.Phase()
+	after := l.progress.Advance(time.Now(), l.inFlight)
 	if before != after {
 		l.note(after)
 	}
@@ -123,5 +123,5 @@
 }
 
 func (l *Lifecycle) note(p drain.Phase) {
-	l.log.Info("drain phase", zap.Stringer("phase", p), zap.Int("inFlight", l.inFlight), zap.Int("cut", l.machine.Cut()))
+	l.log.Info("drain phase", zap.Stringer("phase", p), zap.Int("inFlight", l.inFlight), zap.Int("cut", l.progress.Cut()))
 }
--- a/pkg/membership/matrix_test.go
+++ b/pkg/membership/matrix_test.go
@@ -89,25 +89,25 @@
 }
 
 type agentNode struct {
-	facts   *facts
-	name    string
-	life    ident.Incarnation
-	machine *drain.Machine
-	link    int
-	seq     int
+	facts    *facts
+	name     string
+	life     ident.Incarnation
+	progress *drain.Progress
+	link     int
+	seq      int
 }
 
 func newAgent(f *facts, name string, life int) *agentNode {
 	return &agentNode{
 		facts: f, name: name, life: ident.Incarnation(fmt.Sprintf("%s@%d", name, life)),
-		machine: drain.New(drain.Plan{Bound: time.Hour}),
+		progress: drain.New(drain.Plan{Bound: time.Hour}),
 	}
 }
 
 func (a *agentNode) Handle(c *faultmatrix.Context, from string, m faultmatrix.Message) {
 	switch m := m.(type) {
 	case drainOrder:
-		a.machine.Start(c.Now, 1)
+		a.progress.Start(c.Now, 1)
 		a.facts.drained[a.life] = c.Now
 		a.say(c)
 	case hello:
@@ -125,11 +125,11 @@
 }
 
 func (a *agentNode) admit(c *faultmatrix.Context, from string, m attempt) {
-	if m.life != a.life || !a.machine.TakesWork() && !a.facts.off.refusal {
+	if m.life != a.life || !a.progress.TakesWork() && !a.facts.off.refusal {
 		c.Send(from, refused(m))
 		return
 	}
-	if !a.machine.TakesWork() {
+	if !a.progress.TakesWork() {
 		a.facts.violate("%s began new work while draining", a.life)
 	}
 	c.Send(from, done{})
@@ -141,7 +141,7 @@
 	}
 	a.seq++
 	c.Send("entry", report{a.link, a.seq, membership.Report{
-		Name: a.name, Incarnation: a.life, BackendUp: true, Draining: !a.machine.TakesWork(),
+		Name: a.name, Incarnation: a.life, BackendUp: true, Draining: !a.progress.TakesWork(),
 	}})
 }
 
