Tell a caller that has gone from a failure, and show agents in status

Cause: a load of 159 whole answers burnt one: a caller that closes after the end marker cancels the attempt before its last frame, and the entry counted that as a failure of the backend server. fescuehub status printed an agent as an entry.

Ruled out: the load tool; it closes the body as HTTP clients do.

Change: an attempt that ends because the caller's connection has ended is caller-gone, which the burn report leaves out; status prints what an agent says.

--- a/cmd/fescuehub/scenario_site_test.go
+++ b/cmd/fescuehub/scenario_site_test.go
@@ -214,6 +214,7 @@
 	}
 	ts.Setenv("AGENT_"+upper, "http://"+as.OperatorAddress)
 	ts.Setenv("AGENT_"+upper+"_CONTROL", as.ControlAddress)
+	ts.Setenv("AGENT_"+upper+"_OPADDR", as.OperatorAddress)
 	s.mustWriteJSON(as.Name+".json", as)
 	s.prepare(as.Name, "agent", "--settings", filepath.Join(s.dir, as.Name+".json"))
 	data, control := as.DataAddress, as.ControlAddress
--- a/pkg/cli/status.go
+++ b/pkg/cli/status.go
@@ -16,17 +16,34 @@
 
 const operatorTimeout = 3 * time.Second
 
+// statusRow is the status of an entry or of an agent. Only an agent has a pool.
+type statusRow struct {
+	entry.Status
+	Pool      string `json:"pool,omitempty"`
+	Draining  bool   `json:"draining,omitempty"`
+	BackendUp bool   `json:"backendUp,omitempty"`
+}
+
+// String returns the status on one line.
+func (s statusRow) String() string {
+	if s.Pool != "" {
+		return fmt.Sprintf("%s pool=%s draining=%t backendUp=%t offset=%d", s.Name, s.Pool, s.Draining, s.BackendUp, s.ConfigOffset)
+	}
+	return fmt.Sprintf("%s %s phase=%s ready=%t version=%d offset=%d inFlight=%d replicas=%d",
+		s.Name, s.FailureDomain, s.Phase, s.Ready, s.ConfigVersion, s.ConfigOffset, s.InFlight, s.Replicas)
+}
+
 func (a *app) statusCommand() *cobra.Command {
 	var addresses []string
 	cmd := &cobra.Command{
 		Use:     "status --operator ADDRESS",
-		Short:   "Show the state of entries",
+		Short:   "Show the state of entries and agents",
 		Example: "  fescuehub status --operator 127.0.0.1:7101 --operator 127.0.0.1:7102",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			var list []entry.Status
+			var list []statusRow
 			for _, address := range addresses {
-				var s entry.Status
+				var s statusRow
 				if err := getJSON(cmd.Context(), "http://"+address+"/v1/status", &s); err != nil {
 					return err
 				}
@@ -34,13 +51,12 @@
 			}
 			return a.print(list, func(w io.Writer) {
 				for _, s := range list {
-					fmt.Fprintf(w, "%s %s phase=%s ready=%t version=%d offset=%d inFlight=%d\n",
-						s.Name, s.FailureDomain, s.Phase, s.Ready, s.ConfigVersion, s.ConfigOffset, s.InFlight)
+					fmt.Fprintln(w, s)
 				}
 			})
 		},
 	}
-	cmd.Flags().StringSliceVar(&addresses, "operator", nil, "operator address of an entry; may be given many times (required)")
+	cmd.Flags().StringSliceVar(&addresses, "operator", nil, "operator address of an entry or an agent; may be given many times (required)")
 	_ = cmd.MarkFlagRequired("operator")
 	return cmd
 }
--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -105,6 +105,9 @@
 	if errors.As(context.Cause(ctx), &cut) {
 		return cut
 	}
+	if ctx.Err() == context.Canceled && problem.Of(err).Outcome != problem.NotRun {
+		return callerGone(err)
+	}
 	if ctx.Err() == context.DeadlineExceeded && problem.Of(err).Outcome != problem.NotRun {
 		return problem.New(problem.DeadlineExceeded, "send the request again if it is idempotent, or raise the route's deadline",
 			"no whole answer came within the deadline").WithOutcome(problem.NotKnown)
