Give the plots of the burn report their size

Cause: seen in a browser, each plot shrank to the width of its title. Change: the page fixes the plots' size.

--- a/pkg/report/html.go
+++ b/pkg/report/html.go
@@ -29,7 +29,7 @@
 td:nth-child(-n+3),th:nth-child(-n+3){text-align:left}
 .urgent{background:#c62828;color:#fff}.burning{background:#ffb300}.ok{background:#c8e6c9}.no-data{background:#eee}
 .state{padding:.2em .6em;border-radius:.3em;font-weight:bold}
-.plots{display:flex;flex-wrap:wrap;gap:1em}figure{margin:0;border:1px solid #ddd;padding:.5em}
+.plots{display:flex;flex-wrap:wrap;gap:1em}figure{margin:0;border:1px solid #ddd;padding:.5em}figure svg{width:460px;height:160px}
 </style></head><body>
 <h1>Service-level burn <span class="state {{.Report.State}}">{{.Report.State}}</span></h1>
 <p>{{.Report.At.UTC.Format "2006-01-02 15:04:05 UTC"}}, {{len .Report.Entries}} entries. A burn of 1 uses the error budget up exactly; urgent from 10 over 5 min and 1 h, burning from 2 over 1 h and 6 h.</p>
