Close processes and count bytes in one place each

Cause: agent and entry ended alike in two copies; three measurements counted the bytes of connections with three copies.

Change: lifecycle.CloseAfter and pkg/measure/counted.

--- a/cmd/fescuehub/target_bench_test.go
+++ b/cmd/fescuehub/target_bench_test.go
@@ -14,6 +14,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/fescuehub/fescuehub/pkg/ident"
+	"github.com/fescuehub/fescuehub/pkg/measure/counted"
 	"github.com/fescuehub/fescuehub/pkg/peer/agentlink"
 	"github.com/fescuehub/fescuehub/pkg/peer/instancelist"
 	"github.com/fescuehub/fescuehub/pkg/rpc"
@@ -34,34 +35,6 @@
 	targetSettle  = 45 * time.Second
 )
 
-// counted counts the bytes of the connections of a listener, both ways.
-type counted struct {
-	net.Listener
-	bytes *atomic.Int64
-}
-
-func (c counted) Accept() (net.Conn, error) {
-	conn, err := c.Listener.Accept()
-	return countedConn{conn, c.bytes}, err
-}
-
-type countedConn struct {
-	net.Conn
-	bytes *atomic.Int64
-}
-
-func (c countedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-func (c countedConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
 // targetSite holds what one entry process talks to at a part of the target's
 // size: the platform's stand-ins and the control ports of all agents.
 type targetSite struct {
@@ -131,7 +104,7 @@
 		b.Fatal(err)
 	}
 	server := &http.Server{Handler: handler}
-	go func() { _ = server.Serve(counted{l, bytes}) }()
+	go func() { _ = server.Serve(counted.New(l, bytes)) }()
 	b.Cleanup(func() { _ = server.Close() })
 	return "http://" + l.Addr().String()
 }
@@ -154,7 +127,7 @@
 			DataAddress: fmt.Sprintf("127.0.%d.2:%d", 1+i/portsPerAddress, firstPort+i%portsPerAddress), ControlAddress: address,
 		}
 		rows[i] = row
-		server := rpc.NewServer(counted{l, &s.links}, tally.NoopScope, agentMethods(ctx, row))
+		server := rpc.NewServer(counted.New(l, &s.links), tally.NoopScope, agentMethods(ctx, row))
 		go func() { _ = server.Run(ctx) }()
 	}
 	return rows
--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -26,9 +26,6 @@
 	"github.com/fescuehub/fescuehub/pkg/wait"
 )
 
-// closeBound bounds the closing of listeners after the drain has ended.
-const closeBound = 2 * time.Second
-
 // Agent is the process.
 type Agent struct {
 	settings    settings.Agent
@@ -125,16 +122,7 @@
 	group.Go(func() error { return a.forgetAttempts(ctx) })
 	group.Go(func() error { return a.maps.run(ctx) })
 	group.Go(func() error {
-		select {
-		case <-ctx.Done():
-		case <-a.life.Ended():
-		}
-		stop()
-		cutOff(lifecycle.CutError())
-		closing, cancel := context.WithTimeout(context.Background(), closeBound)
-		defer cancel()
-		_ = dataServer.Shutdown(closing)
-		_ = operatorServer.Shutdown(closing)
+		a.life.CloseAfter(ctx, stop, cutOff, dataServer, operatorServer)
 		return nil
 	})
 	a.log.Info("agent started", zap.String("incarnation", string(a.incarnation)), zap.String("pool", a.settings.Pool))
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -30,9 +30,6 @@
 	"github.com/fescuehub/fescuehub/pkg/telemetry"
 )
 
-// closeBound bounds the closing of listeners after the drain has ended.
-const closeBound = 2 * time.Second
-
 // addressGrace is added to the lifetime of address answers: an answer and the
 // request that follows it take time on the way.
 const addressGrace = time.Second
@@ -147,16 +144,7 @@
 	group.Go(func() error { return e.runAdmission(ctx) })
 	group.Go(func() error { return e.watchConfiguration(ctx, e.logClient) })
 	group.Go(func() error {
-		select {
-		case <-ctx.Done():
-		case <-e.life.Ended():
-		}
-		stop()
-		cutOff(lifecycle.CutError())
-		closing, cancel := context.WithTimeout(context.Background(), closeBound)
-		defer cancel()
-		_ = callers.Shutdown(closing)
-		_ = operators.Shutdown(closing)
+		e.life.CloseAfter(ctx, stop, cutOff, callers, operators)
 		return nil
 	})
 	e.log.Info("entry started", zap.String("incarnation", string(e.incarnation)), zap.String("callerAddress", e.settings.CallerAddress))
--- a/pkg/lifecycle/lifecycle.go
+++ b/pkg/lifecycle/lifecycle.go
@@ -3,6 +3,7 @@
 package lifecycle
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -12,6 +13,9 @@
 	"github.com/fescuehub/fescuehub/pkg/problem"
 )
 
+// closeBound bounds the closing of the servers after the drain has ended.
+const closeBound = 2 * time.Second
+
 const advanceInterval = 20 * time.Millisecond
 
 // Lifecycle is the drain of one process. It is safe for concurrent use.
@@ -100,6 +104,29 @@
 // Ended is closed when the process may end.
 func (l *Lifecycle) Ended() <-chan struct{} { return l.ended }
 
+// Server is what a process closes when it ends.
+type Server interface {
+	// Shutdown stops taking requests and waits for those in flight until ctx
+	// ends.
+	Shutdown(ctx context.Context) error
+}
+
+// CloseAfter waits until ctx or the drain has ended. Then it calls stop, ends
+// the requests in flight with CutError, and closes the servers.
+func (l *Lifecycle) CloseAfter(ctx context.Context, stop func(), cutOff context.CancelCauseFunc, servers ...Server) {
+	select {
+	case <-ctx.Done():
+	case <-l.ended:
+	}
+	stop()
+	cutOff(CutError())
+	closing, cancel := context.WithTimeout(context.Background(), closeBound)
+	defer cancel()
+	for _, s := range servers {
+		_ = s.Shutdown(closing)
+	}
+}
+
 func (l *Lifecycle) advance() {
 	ticker := time.NewTicker(advanceInterval)
 	defer ticker.Stop()
--- a/pkg/measure/configuration/sizes.go
+++ b/pkg/measure/configuration/sizes.go
@@ -21,6 +21,7 @@
 	"github.com/fescuehub/fescuehub/pkg/configsnapshot"
 	"github.com/fescuehub/fescuehub/pkg/configuration"
 	"github.com/fescuehub/fescuehub/pkg/ident"
+	"github.com/fescuehub/fescuehub/pkg/measure/counted"
 	peer "github.com/fescuehub/fescuehub/pkg/peer/logservice"
 	"github.com/fescuehub/fescuehub/pkg/standin/logservice"
 )
@@ -167,9 +168,9 @@
 	if err != nil {
 		return err
 	}
-	counted := &countedListener{Listener: listener}
+	var bytes atomic.Int64
 	server := &http.Server{Handler: logservice.New(logservice.Options{AppendsPerSecond: 10_000, Retention: time.Hour}).Handler()}
-	go func() { _ = server.Serve(counted) }()
+	go func() { _ = server.Serve(counted.New(listener, &bytes)) }()
 	defer server.Close()
 
 	writer := peer.New("http://" + listener.Addr().String())
@@ -186,7 +187,7 @@
 	for i := range changes + 1 {
 		if i == 1 {
 			// The first change makes the follower read the whole edit again.
-			own, start = 0, counted.bytes.Load()
+			own, start = 0, bytes.Load()
 		}
 		r, err := change(store.View().State, i)
 		if err != nil {
@@ -200,7 +201,7 @@
 			return err
 		}
 	}
-	row.NodeBytes = int((counted.bytes.Load() - start - own) / changes)
+	row.NodeBytes = int((bytes.Load() - start - own) / changes)
 	return nil
 }
 
@@ -217,37 +218,3 @@
 		}
 	}
 }
-
-// countedListener counts the bytes of all its connections.
-type countedListener struct {
-	net.Listener
-	bytes atomic.Int64
-}
-
-// Accept implements net.Listener.
-func (l *countedListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &countedConn{Conn: c, bytes: &l.bytes}, nil
-}
-
-type countedConn struct {
-	net.Conn
-	bytes *atomic.Int64
-}
-
-// Read implements net.Conn.
-func (c *countedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-// Write implements net.Conn.
-func (c *countedConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
--- a/pkg/measure/membership/bytes.go
+++ b/pkg/measure/membership/bytes.go
@@ -14,6 +14,7 @@
 
 	"github.com/fescuehub/fescuehub/pkg/frame"
 	"github.com/fescuehub/fescuehub/pkg/ident"
+	"github.com/fescuehub/fescuehub/pkg/measure/counted"
 	"github.com/fescuehub/fescuehub/pkg/peer/agentlink"
 	"github.com/fescuehub/fescuehub/pkg/peer/instancelist"
 	"github.com/fescuehub/fescuehub/pkg/rpc"
@@ -169,44 +170,17 @@
 
 const receiveBound = 5 * time.Second
 
-// counting is a listener that counts the bytes of its connections.
-type counting struct {
-	net.Listener
-	bytes atomic.Int64
+// countingListener is an open port whose bytes are counted.
+type countingListener struct {
+	*counted.Listener
+	bytes *atomic.Int64
 }
 
-func newCounting() (*counting, error) {
+func newCounting() (*countingListener, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	return &counting{Listener: l}, nil
-}
-
-// Accept implements net.Listener.
-func (l *counting) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &countedConn{c, &l.bytes}, nil
-}
-
-type countedConn struct {
-	net.Conn
-	bytes *atomic.Int64
-}
-
-// Read implements net.Conn.
-func (c *countedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-// Write implements net.Conn.
-func (c *countedConn) Write(p []byte) (int, error) {
-	// Counted before the other side can have them.
-	c.bytes.Add(int64(len(p)))
-	return c.Conn.Write(p)
+	bytes := &atomic.Int64{}
+	return &countingListener{Listener: counted.New(l, bytes), bytes: bytes}, nil
 }
