End an interrupted demo without an error

Cause: Ctrl-C ended the demo with exit code 1 and the advice to use a less busy instance. Change: an interrupt ends everything, says so, and is no error; a test.

--- a/pkg/demo/demo.go
+++ b/pkg/demo/demo.go
@@ -70,8 +70,9 @@
 }
 
 // Run shows the deployment and prints what each caller got to out. Logs of the
-// processes go to logs.
+// processes go to logs. It ends early, and without an error, when ctx ends.
 func Run(ctx context.Context, d Deployment, out, logs io.Writer) error {
+	interrupted := ctx.Done()
 	ctx, cancel := context.WithTimeout(ctx, bound)
 	defer cancel()
 	site, err := newSite(d, logs)
@@ -83,7 +84,14 @@
 	go func() { ended <- site.run(ctx) }()
 	err = script(ctx, d, site, out)
 	stop()
-	return errors.CombineErrors(err, <-ended)
+	endErr := <-ended
+	select {
+	case <-interrupted:
+		fmt.Fprintln(out, "\nInterrupted: everything that the demo started has ended.")
+		return endErr
+	default:
+		return errors.CombineErrors(err, endErr)
+	}
 }
 
 // script is what the demo shows, in order.
--- /dev/null
+++ b/pkg/demo/demo_test.go
@@ -0,0 +1,17 @@
+package demo
+
+import (
+	"context"
+	"io"
+	"strings"
+	"testing"
+)
+
+func TestInterruptEndsTheDemoWithoutAnError(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	var out strings.Builder
+	if err := Run(ctx, Arcos, &out, io.Discard); err != nil || !strings.Contains(out.String(), "Interrupted") {
+		t.Fatalf("%v: %s", err, out.String())
+	}
+}
