Check the history of the configuration with porcupine

An entry's status reads readiness before the offset, so that a ready entry never shows the offset from before it was ready.

--- a/cmd/fescuehub/scenario_site_test.go
+++ b/cmd/fescuehub/scenario_site_test.go
@@ -45,6 +45,7 @@
 	calls       map[string]*pendingCall
 	race        []raceResult
 	storm       *storm
+	watch       *watch
 	maps        mapsSeen
 	// rankURLs are the base URLs of the engines.
 	rankURLs []string
--- a/cmd/fescuehub/scenario_test.go
+++ b/cmd/fescuehub/scenario_test.go
@@ -48,6 +48,8 @@
 			"truthful":    cmdTruthful,
 			"writesready": cmdWritesReady,
 			"storm":       cmdStorm,
+			"watch":       cmdWatch,
+			"watched":     cmdWatched,
 			"calm":        cmdCalm,
 		},
 	})
--- a/pkg/configread/matrix_entry_test.go
+++ b/pkg/configread/matrix_entry_test.go
@@ -13,6 +13,7 @@
 type entryNode struct {
 	w        *world
 	name     string
+	life     int
 	reader   *Reader
 	schedule *configsnapshot.Schedule
 	seq      int
@@ -31,7 +32,8 @@
 }
 
 func newEntryNode(w *world, name string) *entryNode {
-	n := &entryNode{w: w, name: name, schedule: configsnapshot.NewSchedule(retention), highest: -1, sent: -1, heard: -1}
+	w.lives++
+	n := &entryNode{w: w, name: name, life: w.lives, schedule: configsnapshot.NewSchedule(retention), highest: -1, sent: -1, heard: -1}
 	w.entries[name] = n
 	return n
 }
@@ -208,6 +210,7 @@
 	if s.Offset < n.highest {
 		n.w.violate("%s went back from offset %d to %d", n.name, n.highest, s.Offset)
 	}
+	n.w.read(n, ctx.Now, s)
 	n.agree(s)
 	n.highest = max(n.highest, s.Offset)
 	n.ready = n.reader.Ready(ctx.Now) == nil
--- a/pkg/configread/matrix_test.go
+++ b/pkg/configread/matrix_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/fescuehub/fescuehub/pkg/configfold"
+	"github.com/fescuehub/fescuehub/pkg/confighistory"
 	"github.com/fescuehub/fescuehub/pkg/configsnapshot"
 	"github.com/fescuehub/fescuehub/pkg/faultmatrix"
 )
@@ -73,6 +74,9 @@
 // log, edits that no living entry had read are lost with it.
 func checkWorld(fw *faultmatrix.World) []string {
 	w := fw.Facts.(*world)
+	if !confighistory.NeverBack(w.readings) {
+		w.violate("the history of an entry goes back")
+	}
 	if w.reset {
 		return w.violations
 	}
--- a/pkg/configread/matrix_world_test.go
+++ b/pkg/configread/matrix_world_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/fescuehub/fescuehub/pkg/configfold"
+	"github.com/fescuehub/fescuehub/pkg/confighistory"
 	"github.com/fescuehub/fescuehub/pkg/faultmatrix"
 	"github.com/fescuehub/fescuehub/pkg/ident"
 	"github.com/fescuehub/fescuehub/pkg/peer/logservice"
@@ -91,9 +92,22 @@
 	// agreed is true where an entry had something in force before the reset.
 	agreed     bool
 	violations []string
-	edits      int
-	entries    map[string]*entryNode
-	off        disabled
+	// readings are what each life of an entry had in force, for porcupine.
+	readings []confighistory.Reading
+	lives    int
+	edits    int
+	entries  map[string]*entryNode
+	off      disabled
+}
+
+// read notes what an entry has in force, where it has changed.
+func (w *world) read(n *entryNode, now time.Time, s configfold.State) {
+	at := now.UnixNano()
+	r := confighistory.Reading{Entry: fmt.Sprint(n.name, " life ", n.life), Start: at, End: at, Offset: s.Offset, Digest: string(s.Digest)}
+	if last := len(w.readings) - 1; last >= 0 && w.readings[last].Entry == r.Entry && w.readings[last].Offset == r.Offset {
+		return
+	}
+	w.readings = append(w.readings, r)
 }
 
 func (w *world) violate(format string, args ...any) {
--- a/pkg/entry/operator.go
+++ b/pkg/entry/operator.go
@@ -49,9 +49,11 @@
 }
 
 func (e *Entry) status() Status {
-	config := e.follower.Status()
 	notReady := ""
+	// Readiness is read first: a ready entry has at least the configuration
+	// that it was ready with.
 	err := e.ready()
+	config := e.follower.Status()
 	if err != nil {
 		notReady = problem.Of(err).Detail
 	}
