Call heartbeats by their name

Cause: on reading as a newcomer, the code called them beats; the field's term is heartbeat.

Change: names only; the wire keeps the short method name, so that the measured sizes stand (67 B; the hello is 424 B instead of 419).

Conclusion: renamed.

--- a/cmd/fescuehub/target_bench_test.go
+++ b/cmd/fescuehub/target_bench_test.go
@@ -137,7 +137,7 @@
 func agentMethods(ctx context.Context, row instancelist.Instance) rpc.Methods {
 	return rpc.Methods{
 		agentlink.MethodHello: rpc.Typed(func(_ context.Context, conn *rpc.Conn, hello agentlink.Hello) (any, error) {
-			go beat(ctx, conn, time.Duration(hello.BeatMS)*time.Millisecond)
+			go heartbeat(ctx, conn, time.Duration(hello.HeartbeatMS)*time.Millisecond)
 			return agentlink.Status{Name: row.Name, Incarnation: ident.Incarnation(row.Name + "@1"), Pool: row.Pool, BackendUp: true, ConfigOffset: -1}, nil
 		}),
 		agentlink.MethodConfigure: rpc.Typed(func(_ context.Context, _ *rpc.Conn, part agentlink.PoolPart) (any, error) {
@@ -146,7 +146,7 @@
 	}
 }
 
-func beat(ctx context.Context, conn *rpc.Conn, every time.Duration) {
+func heartbeat(ctx context.Context, conn *rpc.Conn, every time.Duration) {
 	for {
 		select {
 		case <-ctx.Done():
@@ -154,7 +154,7 @@
 		case <-conn.Done():
 			return
 		case <-time.After(every):
-			_ = conn.Notify(ctx, agentlink.MethodBeat, agentlink.Beat{Running: 3, StepMS: 14.2})
+			_ = conn.Notify(ctx, agentlink.MethodHeartbeat, agentlink.Heartbeat{Running: 3, StepMS: 14.2})
 		}
 	}
 }
--- a/pkg/agent/links.go
+++ b/pkg/agent/links.go
@@ -12,16 +12,16 @@
 
 // entryLink is the control connection of one entry.
 type entryLink struct {
-	// beat is how often the entry wants a beat; sent is when it last got one.
-	beat time.Duration
-	sent time.Time
+	// heartbeat is how often the entry wants a heartbeat; sent is when it last got one.
+	heartbeat time.Duration
+	sent      time.Time
 }
 
-// hello registers the entry's connection for statuses and beats.
+// hello registers the entry's connection for statuses and heartbeats.
 func (a *Agent) hello(_ context.Context, peer *rpc.Conn, hello agentlink.Hello) (any, error) {
-	beat := max(loadInterval, time.Duration(hello.BeatMS)*time.Millisecond)
+	heartbeat := max(loadInterval, time.Duration(hello.HeartbeatMS)*time.Millisecond)
 	a.mu.Lock()
-	a.links[peer] = &entryLink{beat: beat, sent: time.Now()}
+	a.links[peer] = &entryLink{heartbeat: heartbeat, sent: time.Now()}
 	a.mu.Unlock()
 	go func() {
 		<-peer.Done()
@@ -40,26 +40,26 @@
 	}
 }
 
-// sendBeats gives a beat to every entry that is due for one.
-func (a *Agent) sendBeats(now time.Time) {
+// sendHeartbeats gives a heartbeat to every entry that is due for one.
+func (a *Agent) sendHeartbeats(now time.Time) {
 	due := a.linksDue(now, 1)
 	if len(due) == 0 {
 		return
 	}
-	beat := a.beat()
+	heartbeat := a.heartbeat()
 	for _, l := range due {
-		_ = l.Notify(context.Background(), agentlink.MethodBeat, beat)
+		_ = l.Notify(context.Background(), agentlink.MethodHeartbeat, heartbeat)
 	}
 }
 
 // linksDue returns the links that have carried nothing for the given number of
-// their beats, and notes that they do now.
-func (a *Agent) linksDue(now time.Time, beats time.Duration) []*rpc.Conn {
+// their heartbeats, and notes that they do now.
+func (a *Agent) linksDue(now time.Time, heartbeats time.Duration) []*rpc.Conn {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	var due []*rpc.Conn
 	for conn, l := range a.links {
-		if now.Sub(l.sent) >= beats*l.beat {
+		if now.Sub(l.sent) >= heartbeats*l.heartbeat {
 			l.sent = now
 			due = append(due, conn)
 		}
@@ -67,11 +67,11 @@
 	return due
 }
 
-func (a *Agent) beat() agentlink.Beat {
+func (a *Agent) heartbeat() agentlink.Heartbeat {
 	phase := a.life.Phase()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return agentlink.Beat{
+	return agentlink.Heartbeat{
 		Running: a.load.Running, Waiting: a.load.Waiting, StepMS: a.load.StepMS,
 		Draining: phase != drain.Serving, BackendDown: !a.backendUp,
 	}
--- a/pkg/agent/links_test.go
+++ b/pkg/agent/links_test.go
@@ -7,13 +7,13 @@
 	"github.com/fescuehub/fescuehub/pkg/rpc"
 )
 
-// TestBeatsComeAtTheIntervalThatEachEntryAskedFor passes the time in.
-func TestBeatsComeAtTheIntervalThatEachEntryAskedFor(t *testing.T) {
+// TestHeartbeatsComeAtTheIntervalThatEachEntryAskedFor passes the time in.
+func TestHeartbeatsComeAtTheIntervalThatEachEntryAskedFor(t *testing.T) {
 	start := time.Date(2026, 1, 5, 8, 0, 0, 0, time.UTC)
 	near, far := &rpc.Conn{}, &rpc.Conn{}
 	a := &Agent{links: map[*rpc.Conn]*entryLink{
-		near: {beat: 400 * time.Millisecond, sent: start},
-		far:  {beat: 9 * time.Second, sent: start},
+		near: {heartbeat: 400 * time.Millisecond, sent: start},
+		far:  {heartbeat: 9 * time.Second, sent: start},
 	}}
 	got := map[*rpc.Conn]int{}
 	for now := start; now.Before(start.Add(18*time.Second + 1)); now = now.Add(loadInterval) {
@@ -22,7 +22,7 @@
 		}
 	}
 	if got[near] != 45 || got[far] != 2 {
-		t.Errorf("%d beats every 400 ms and %d every 9 s in 18 s", got[near], got[far])
+		t.Errorf("%d heartbeats every 400 ms and %d every 9 s in 18 s", got[near], got[far])
 	}
 	if due := a.linksDue(start.Add(18*time.Second), 0); len(due) != 2 {
 		t.Errorf("a changed status goes to %d of 2 links", len(due))
--- a/pkg/agent/load.go
+++ b/pkg/agent/load.go
@@ -11,7 +11,7 @@
 )
 
 // loadInterval is how often the backend server is asked for its load, and the
-// shortest interval of beats.
+// shortest interval of heartbeats.
 const loadInterval = 200 * time.Millisecond
 
 // watchBackend reads the load of the backend server and tells entries of it
@@ -39,11 +39,11 @@
 	if a.statusChanged() {
 		a.sendStatus()
 	}
-	a.sendBeats(time.Now())
+	a.sendHeartbeats(time.Now())
 }
 
 // statusChanged reports whether the status has changed, since the last call,
-// in something that beats do not carry. Entries learn the offset of the
+// in something that heartbeats do not carry. Entries learn the offset of the
 // configuration from the answer to it.
 func (a *Agent) statusChanged() bool {
 	now := a.status()
--- a/pkg/entry/links.go
+++ b/pkg/entry/links.go
@@ -127,8 +127,8 @@
 			rs.storeStatus(r, l, status)
 			return nil, nil
 		}),
-		agentlink.MethodBeat: rpc.Typed(func(_ context.Context, _ *rpc.Conn, beat agentlink.Beat) (any, error) {
-			rs.storeBeat(r, l, beat)
+		agentlink.MethodHeartbeat: rpc.Typed(func(_ context.Context, _ *rpc.Conn, heartbeat agentlink.Heartbeat) (any, error) {
+			rs.storeHeartbeat(r, l, heartbeat)
 			return nil, nil
 		}),
 	}
@@ -136,7 +136,7 @@
 	if err != nil {
 		return nil
 	}
-	hello := agentlink.Hello{Entry: rs.entry, Incarnation: rs.incarnation, BeatMS: rs.beatMS()}
+	hello := agentlink.Hello{Entry: rs.entry, Incarnation: rs.incarnation, HeartbeatMS: rs.heartbeatMS()}
 	var status agentlink.Status
 	asked := time.Now()
 	if err := conn.Call(ctx, agentlink.MethodHello, hello, &status); err != nil {
@@ -151,10 +151,10 @@
 	return conn
 }
 
-func (rs *replicas) beatMS() int64 {
+func (rs *replicas) heartbeatMS() int64 {
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
-	return membership.BeatInterval(rs.table.Len()).Milliseconds()
+	return membership.HeartbeatInterval(rs.table.Len()).Milliseconds()
 }
 
 // opened puts an open link in use, unless it has been given up meanwhile.
@@ -203,14 +203,14 @@
 	r.takeStatus(now, status)
 }
 
-// storeBeat takes the short form of a status.
-func (rs *replicas) storeBeat(r *replica, l *link, beat agentlink.Beat) {
+// storeHeartbeat takes the short form of a status.
+func (rs *replicas) storeHeartbeat(r *replica, l *link, heartbeat agentlink.Heartbeat) {
 	rs.mu.Lock()
 	status := r.status
 	rs.mu.Unlock()
-	status.Draining = beat.Draining
-	status.BackendUp = !beat.BackendDown
-	status.Load = routing.Load{Running: beat.Running, Waiting: beat.Waiting, StepMS: beat.StepMS}
+	status.Draining = heartbeat.Draining
+	status.BackendUp = !heartbeat.BackendDown
+	status.Load = routing.Load{Running: heartbeat.Running, Waiting: heartbeat.Waiting, StepMS: heartbeat.StepMS}
 	rs.storeStatus(r, l, status)
 }
 
--- a/pkg/expertplan/planner.go
+++ b/pkg/expertplan/planner.go
@@ -1,6 +1,6 @@
 // Package expertplan decides how the experts of a group are placed on its
 // ranks and how their tokens are split over the replicas. It moves weights
-// only where the predicted gain over a horizon beats the cost of the move. It
+// only where the predicted gain over a horizon exceeds the cost of the move. It
 // holds no I/O and no clock.
 package expertplan
 
--- a/pkg/measure/membership/bytes.go
+++ b/pkg/measure/membership/bytes.go
@@ -80,17 +80,17 @@
 
 // LinkBytes is what the messages of links cost on their connection.
 type LinkBytes struct {
-	Links  int     `json:"links"`
-	Hello  float64 `json:"helloBytesPerLink"`
-	Status float64 `json:"statusBytesPerLink"`
-	Beat   float64 `json:"beatBytesPerLink"`
+	Links     int     `json:"links"`
+	Hello     float64 `json:"helloBytesPerLink"`
+	Status    float64 `json:"statusBytesPerLink"`
+	Heartbeat float64 `json:"heartbeatBytesPerLink"`
 	// FrameLoad is what a load adds to a frame.
 	FrameLoad float64 `json:"frameLoadBytes"`
 	// Memory is the heap and the stacks of both ends of a link.
 	Memory float64 `json:"memoryBytesPerLink"`
 }
 
-// linkBytes opens links as entries do, and sends one status and one beat on
+// linkBytes opens links as entries do, and sends one status and one heartbeat on
 // each.
 func linkBytes(ctx context.Context, links int) (LinkBytes, error) {
 	listener, err := newCounting()
@@ -112,7 +112,7 @@
 	go func() { _ = server.Run(ctx) }()
 	got := make(chan struct{}, links)
 	methods := rpc.Methods{}
-	for _, name := range []string{agentlink.MethodStatus, agentlink.MethodBeat} {
+	for _, name := range []string{agentlink.MethodStatus, agentlink.MethodHeartbeat} {
 		methods[name] = rpc.Typed(func(context.Context, *rpc.Conn, agentlink.Status) (any, error) { got <- struct{}{}; return nil, nil })
 	}
 	empty := memoryInUse()
@@ -123,7 +123,7 @@
 		}
 		defer conn.Close()
 		var reply agentlink.Status
-		hello := agentlink.Hello{Entry: "entry-001", Incarnation: ident.NewIncarnation("entry-001"), BeatMS: 7000}
+		hello := agentlink.Hello{Entry: "entry-001", Incarnation: ident.NewIncarnation("entry-001"), HeartbeatMS: 7000}
 		if err := conn.Call(ctx, agentlink.MethodHello, hello, &reply); err != nil {
 			return LinkBytes{}, err
 		}
@@ -149,7 +149,7 @@
 	}
 	out.FrameLoad = frameLoadBytes()
 	out.Status = send(agentlink.MethodStatus, status)
-	out.Beat = send(agentlink.MethodBeat, agentlink.Beat{Running: 12, Waiting: 3, StepMS: 23.4})
+	out.Heartbeat = send(agentlink.MethodHeartbeat, agentlink.Heartbeat{Running: 12, Waiting: 3, StepMS: 23.4})
 	return out, nil
 }
 
--- a/pkg/measure/membership/measure.go
+++ b/pkg/measure/membership/measure.go
@@ -57,10 +57,10 @@
 	for _, s := range t.Stampede {
 		fmt.Fprintf(out, "| %s | %d | %d | %d | %.1f |\n", s.Rules, s.Dials, s.Worst, s.All, s.Linked)
 	}
-	fmt.Fprintln(out, "\n| entries | replicas | pools | entries a replica | links an entry | mean | replica load max/mean | 99th/mean | links moved when one entry goes | beat, ms |\n|---|---|---|---|---|---|---|---|---|---|")
+	fmt.Fprintln(out, "\n| entries | replicas | pools | entries a replica | links an entry | mean | replica load max/mean | 99th/mean | links moved when one entry goes | heartbeat, ms |\n|---|---|---|---|---|---|---|---|---|---|")
 	for _, l := range t.Links {
 		fmt.Fprintf(out, "| %d | %d | %d | %d to %d | %d to %d | %.1f | %.3f | %.3f | %.4f | %d |\n", l.Entries, l.Replicas, l.Pools,
-			l.EntriesPerReplica[0], l.EntriesPerReplica[1], l.LinksPerEntry[0], l.LinksPerEntry[1], l.MeanLinks, l.Spread, l.Spread99, l.Moved, l.BeatMS)
+			l.EntriesPerReplica[0], l.EntriesPerReplica[1], l.LinksPerEntry[0], l.LinksPerEntry[1], l.MeanLinks, l.Spread, l.Spread99, l.Moved, l.HeartbeatMS)
 	}
 	fmt.Fprintln(out, "\n| entries | organisations | answers changed when one entry goes | names changed | first places max/mean | most names |\n|---|---|---|---|---|---|")
 	for _, a := range t.Answers {
@@ -70,8 +70,8 @@
 	for _, l := range t.List {
 		fmt.Fprintf(out, "| %d | %d | %d | %d | %.0f | %.0f |\n", l.Instances, l.Whole, l.Unchanged, l.OneChange, l.EverySecond, l.Since)
 	}
-	fmt.Fprintln(out, "\n| links | hello and answer, bytes a link | status | beat | load on a frame | memory of both ends, bytes |\n|---|---|---|---|---|---|")
+	fmt.Fprintln(out, "\n| links | hello and answer, bytes a link | status | heartbeat | load on a frame | memory of both ends, bytes |\n|---|---|---|---|---|---|")
 	for _, l := range t.Link {
-		fmt.Fprintf(out, "| %d | %.0f | %.0f | %.0f | %.0f | %.0f |\n", l.Links, l.Hello, l.Status, l.Beat, l.FrameLoad, l.Memory)
+		fmt.Fprintf(out, "| %d | %.0f | %.0f | %.0f | %.0f | %.0f |\n", l.Links, l.Hello, l.Status, l.Heartbeat, l.FrameLoad, l.Memory)
 	}
 }
--- a/pkg/measure/membership/measure_test.go
+++ b/pkg/measure/membership/measure_test.go
@@ -38,9 +38,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	beats := links.Beat * 60 / decision.BeatInterval(60).Seconds()
-	if list.Unchanged <= 0 || links.Beat <= 0 || list.Since+beats > target/2 {
-		t.Errorf("list %.0f and beats %.0f bytes a second", list.Since, beats)
+	heartbeats := links.Heartbeat * 60 / decision.HeartbeatInterval(60).Seconds()
+	if list.Unchanged <= 0 || links.Heartbeat <= 0 || list.Since+heartbeats > target/2 {
+		t.Errorf("list %.0f and heartbeats %.0f bytes a second", list.Since, heartbeats)
 	}
 }
 
--- a/pkg/measure/membership/spread.go
+++ b/pkg/measure/membership/spread.go
@@ -26,8 +26,8 @@
 	Spread99 float64 `json:"replicaLoad99OverMean"`
 	// Moved is the share of links that change when one entry goes.
 	Moved float64 `json:"linksMovedShare"`
-	// BeatMS is the interval of beats.
-	BeatMS int64 `json:"beatMS"`
+	// HeartbeatMS is the interval of heartbeats.
+	HeartbeatMS int64 `json:"heartbeatMS"`
 }
 
 func linksOf(entries, replicas, domains, pools int) Links {
@@ -65,7 +65,7 @@
 	out.Spread = loads[len(loads)-1]
 	out.Spread99 = loads[len(loads)*99/100]
 	out.Moved = float64(moved) / (out.MeanLinks * float64(entries))
-	out.BeatMS = membership.BeatInterval(int(math.Round(out.MeanLinks))).Milliseconds()
+	out.HeartbeatMS = membership.HeartbeatInterval(int(math.Round(out.MeanLinks))).Milliseconds()
 	return out
 }
 
--- a/pkg/measure/membership/world.go
+++ b/pkg/measure/membership/world.go
@@ -157,7 +157,7 @@
 	}
 }
 
-// advance carries out the table's actions and sends the beats.
+// advance carries out the table's actions and sends the heartbeats.
 func (w *world) advance() {
 	for _, a := range w.table.Advance(w.time()) {
 		w.linked[a.Agent] = false
@@ -165,14 +165,14 @@
 			w.dials[a.Agent] = w.now
 		}
 	}
-	beat := decision.BeatInterval(agentCount) / tickInterval * tickInterval
+	heartbeat := decision.HeartbeatInterval(agentCount) / tickInterval * tickInterval
 	for _, a := range w.agents {
 		if began, dialing := w.dials[a.name]; dialing {
 			w.dial(a, began)
 			continue
 		}
 		// A link that was not reset stays with the life that is gone.
-		if w.linked[a.name] && a.up && !w.stale(a) && w.now%beat == 0 {
+		if w.linked[a.name] && a.up && !w.stale(a) && w.now%heartbeat == 0 {
 			w.table.Heard(w.time(), a.name, w.reportOf(a))
 		}
 	}
--- a/pkg/measure/routing/measure.go
+++ b/pkg/measure/routing/measure.go
@@ -51,7 +51,7 @@
 			PrefixTokens: 1000, OwnTokens: 100, OutputTokens: 120,
 		},
 		Length: 5 * time.Minute, OneWay: 200 * time.Microsecond, CrossDomain: time.Millisecond,
-		StatusEvery: membership.BeatInterval(todayLinks), LoadLag: 200 * time.Millisecond,
+		StatusEvery: membership.HeartbeatInterval(todayLinks), LoadLag: 200 * time.Millisecond,
 	}
 	somes := arcos
 	somes.Name = "somes"
@@ -65,7 +65,7 @@
 	large.Workload.Organisations, large.Workload.Large = 480, 12
 	large.Workload.Prefixes = 12_000
 	large.Length = 2 * time.Minute
-	large.StatusEvery = membership.BeatInterval(largeLinks)
+	large.StatusEvery = membership.HeartbeatInterval(largeLinks)
 	return []Site{arcos, somes, large}
 }
 
--- a/pkg/membership/matrix_test.go
+++ b/pkg/membership/matrix_test.go
@@ -12,7 +12,7 @@
 )
 
 // The protocol: an entry follows a lagging list and holds links to two agents
-// that beat; it sends a request every second. At 2 s the operator drains
+// that heartbeat; it sends a request every second. At 2 s the operator drains
 // agent-1, and the list begins to call it leaving, which it serves 2 s later.
 const (
 	drainAt  = 2 * time.Second
@@ -38,10 +38,10 @@
 		agent string
 		link  int
 	}
-	attempt struct{ life ident.Incarnation }
-	done    struct{}
-	refused struct{ life ident.Incarnation }
-	beatDue struct{ link int }
+	attempt      struct{ life ident.Incarnation }
+	done         struct{}
+	refused      struct{ life ident.Incarnation }
+	heartbeatDue struct{ link int }
 )
 
 // off turns one mechanism off.
@@ -113,8 +113,8 @@
 	case hello:
 		a.link, a.seq = m.link, 0
 		a.say(c)
-		c.After(period, beatDue(m))
-	case beatDue:
+		c.After(period, heartbeatDue(m))
+	case heartbeatDue:
 		if m.link == a.link && !c.Now.After(endOfRun(c)) {
 			a.say(c)
 			c.After(period, m)
--- a/pkg/membership/membership_test.go
+++ b/pkg/membership/membership_test.go
@@ -185,11 +185,11 @@
 	}
 }
 
-// TestBeatsFitTheBudget holds the beats of one entry under its bytes at any
+// TestHeartbeatsFitTheBudget holds the heartbeats of one entry under its bytes at any
 // number of links.
-func TestBeatsFitTheBudget(t *testing.T) {
+func TestHeartbeatsFitTheBudget(t *testing.T) {
 	for _, links := range []int{1, 15, 176, 2000} {
-		perSecond := float64(links) * 80 / membership.BeatInterval(links).Seconds()
+		perSecond := float64(links) * 80 / membership.HeartbeatInterval(links).Seconds()
 		if perSecond > 2001 {
 			t.Errorf("%d links: %.0f bytes a second", links, perSecond)
 		}
--- a/pkg/peer/agentlink/messages.go
+++ b/pkg/peer/agentlink/messages.go
@@ -18,8 +18,9 @@
 	MethodHello = "hello"
 	// MethodStatus is the agent's notification of a Status.
 	MethodStatus = "status"
-	// MethodBeat is the agent's notification of a Beat.
-	MethodBeat = "beat"
+	// MethodHeartbeat is the agent's notification of a Heartbeat. Its name is
+	// short on the wire, since it is the most frequent message.
+	MethodHeartbeat = "beat"
 	// MethodConfigure hands an agent its pool's part: PoolPart.
 	MethodConfigure = "configure"
 	// MethodRefuse asks for the outcome of an unrepeatable call: RefuseRequest,
@@ -36,12 +37,12 @@
 type Hello struct {
 	Entry       string            `json:"entry"`
 	Incarnation ident.Incarnation `json:"incarnation"`
-	// BeatMS is how often the entry wants a Beat, in milliseconds.
-	BeatMS int64 `json:"beatMS"`
+	// HeartbeatMS is how often the entry wants a Heartbeat, in milliseconds.
+	HeartbeatMS int64 `json:"heartbeatMS"`
 }
 
-// Beat is the short form of a Status, sent while nothing else has changed.
-type Beat struct {
+// Heartbeat is the short form of a Status, sent while nothing else has changed.
+type Heartbeat struct {
 	Running     int     `json:"r,omitempty"`
 	Waiting     int     `json:"w,omitempty"`
 	StepMS      float64 `json:"s,omitempty"`
