--- a/pkg/flowcontrol/flowcontrol.go
+++ b/pkg/flowcontrol/flowcontrol.go
@@ -95,8 +95,7 @@
 	}
 	took := c.finish(now, t)
 	f := t.flow
-	switch result {
-	case Served:
+	if result == Served {
 		c.heldUntil = time.Time{}
 		c.answers.add(now, c.waitingCount() > 0)
 		c.service.add(f.key.class, took)
