--- a/pkg/demo/site.go
+++ b/pkg/demo/site.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
@@ -232,20 +233,36 @@
 	return a
 }
 
+// Ports of the demo. They lie below those that the kernel gives to outgoing
+// connections, which could take them before their process opens them.
+const (
+	firstPort = 10_240
+	portCount = 32_768 - firstPort
+	portTries = 100
+)
+
 // freePorts finds n free ports on loopback.
 func freePorts(n int) (*portList, error) {
 	p := &portList{}
 	var open []net.Listener
-	for range n {
-		l, err := httpserver.Listen("demo address", "127.0.0.1:0")
+	defer func() {
+		for _, l := range open {
+			_ = l.Close()
+		}
+	}()
+	var lastErr error
+	for range n * portTries {
+		if len(open) == n {
+			return p, nil
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount))
+		l, err := httpserver.Listen("demo address", address)
 		if err != nil {
-			return nil, err
+			lastErr = err
+			continue
 		}
 		open = append(open, l)
-		p.addresses = append(p.addresses, l.Addr().String())
-	}
-	for _, l := range open {
-		_ = l.Close()
+		p.addresses = append(p.addresses, address)
 	}
-	return p, nil
+	return nil, lastErr
 }
