Give the root command an example

Cause: of 26 help pages tried in a fresh clone, the root's alone had no example. Change: the example. Conclusion: every help page has one.

--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -57,6 +57,7 @@
 	root := &cobra.Command{
 		Use:           "fescuehub",
 		Short:         "Load balancer for expert-parallel model groups and the plain services beside them",
+		Example:       "  fescuehub demo",
 		SilenceUsage:  true,
 		SilenceErrors: true,
 		Args:          cobra.NoArgs,
