Hold requests of a broken group until it opens, and plan again after a restart

Cause: after all machines lost power, entries sent requests to engines whose group was still forming, spent the retry budget on 503 answers and then refused; the planner rested for twelve seconds, since it dropped a rank's announcement whenever another one named the same rank while the group formed anew.

Ruled out: time-outs of the agents (orders were answered), fences (none refused).

Change: an answer that names a fault elsewhere marks the group as broken; reports or one probing request each 300 ms open it again; a request that has certainly not run waits for the group or the budget as long as its caller stays. The planner orders the ranks by what they report, not by what is announced.

--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -26,6 +26,13 @@
 	// waitingCost is the cost of a request above an engine's slots, as a
 	// multiple of the cost of one within them: it waits for a whole answer.
 	waitingCost = 4
+	// probePause is the time between two requests that find out whether a group
+	// is still broken.
+	probePause = 300 * time.Millisecond
+	// reportDelay is the age of a report when it arrives, at most.
+	reportDelay = 100 * time.Millisecond
+	// faultLifetime is how long an answer that told of a broken group counts.
+	faultLifetime = 10 * time.Second
 	// jitter spreads the choices of entries that see the same counts, in
 	// requests.
 	jitter = 0.8
@@ -44,6 +51,8 @@
 	Latency time.Duration
 	// Failed means that the server is to blame.
 	Failed bool
+	// TurnedAway means that the server did not run the request.
+	TurnedAway bool
 }
 
 // server is what is known of one backend server.
@@ -74,14 +83,19 @@
 	services map[string][]*server
 	servers  map[string]*server
 	entries  map[string]others
+	faults   map[string]*fault
 }
 
+// fault is what an answer told of a broken group.
+type fault struct{ at, probed time.Time }
+
 // New returns a balancer that knows no server.
 func New() *Balancer {
 	return &Balancer{
 		services: make(map[string][]*server),
 		servers:  make(map[string]*server),
 		entries:  make(map[string]others),
+		faults:   make(map[string]*fault),
 	}
 }
 
@@ -117,6 +131,9 @@
 		return
 	}
 	s.learn(now, r)
+	if r.Latency > 0 && !r.Failed && !r.TurnedAway {
+		delete(b.faults, s.Service)
+	}
 }
 
 func (b *Balancer) add(id string, l Load) {
@@ -200,11 +217,43 @@
 	return len(b.services[service])
 }
 
-// Broken reports whether the newest reports say that the group of a service's
-// engines is broken: every request to it would be turned away.
+// GroupFault notes that a request was turned away because the group of a
+// service's engines is broken.
+func (b *Balancer) GroupFault(now time.Time, service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.faults[service] = &fault{at: now, probed: now}
+}
+
+// Broken reports whether the group of a service's engines is broken: every
+// request to it would be turned away. Where only such an answer tells so, one
+// request each probePause finds out whether it still is.
 func (b *Balancer) Broken(now time.Time, service string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	newest := b.newestReport(now, service)
+	if newest != nil && newest.report.State == fleet.GroupBroken {
+		return true
+	}
+	f := b.faults[service]
+	if f == nil {
+		return false
+	}
+	// A report that came just after the answer may still be from before it.
+	if newest != nil && newest.reportAt.Sub(f.at) > reportDelay || now.Sub(f.at) > faultLifetime {
+		delete(b.faults, service)
+		return false
+	}
+	if now.Sub(f.probed) >= probePause {
+		f.probed = now
+		return false
+	}
+	return true
+}
+
+// newestReport returns the server with the newest report of the newest
+// formation of a service's group; nil where there is no report of late.
+func (b *Balancer) newestReport(now time.Time, service string) *server {
 	var newest *server
 	for _, s := range b.services[service] {
 		if now.Sub(s.reportAt) > reportLifetime || s.report.State == "" {
@@ -214,7 +263,7 @@
 			newest = s
 		}
 	}
-	return newest != nil && newest.report.State == fleet.GroupBroken
+	return newest
 }
 
 // Choose returns the server with the least cost among those that aren't
--- a/pkg/rankagent/planner.go
+++ b/pkg/rankagent/planner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"github.com/fescuehub/fescuehub/pkg/telemetry"
+	"maps"
 	"net"
 	"slices"
 	"strconv"
@@ -11,7 +12,6 @@
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/fescuehub/fescuehub/pkg/evenplan"
 	"github.com/fescuehub/fescuehub/pkg/fleet"
@@ -79,6 +79,8 @@
 	nextID    int64
 	nextSince time.Time
 	changed   time.Time
+	// rests is why the group is not planned now; empty while it is.
+	rests string
 }
 
 func newPlanner(a *Agent, generation int64) *planner {
@@ -140,26 +142,18 @@
 
 // lookAt reads the ranks of one group and takes the next step of its map.
 func (p *planner) lookAt(ctx context.Context, name string, servers []fleet.Server, engine *fleet.Engine) error {
-	if len(servers) != servers[0].Ranks {
-		return nil
-	}
-	slices.SortFunc(servers, func(a, b fleet.Server) int { return a.Rank - b.Rank })
 	g := p.groups[name]
 	if g == nil {
 		g = &group{name: name}
 		p.groups[name] = g
 	}
 	now := time.Now()
-	statuses, err := p.read(ctx, servers, statusRequest{Counts: true})
+	servers, statuses, err := inOrder(p.read(ctx, newestByAddress(servers), statusRequest{Counts: true}))
 	if err != nil {
-		p.log.Info("a group is not planned now", zap.String("group", name), telemetry.Err(err))
+		p.rests(g, err.Error())
 		g.clean = false
 		return nil
 	}
-	if err := consistent(statuses); err != nil {
-		p.log.Info("a group is not planned now", zap.String("group", name), telemetry.Err(err))
-		return nil
-	}
 	if epoch := statuses[0].Report.Epoch; g.epoch != epoch {
 		*g = group{name: name, epoch: epoch, demand: popularity.New(engine.Sets, engine.Experts, demandHalfLife)}
 	}
@@ -170,36 +164,81 @@
 	return p.advance(ctx, g, servers, statuses, engine)
 }
 
-// consistent reports whether the ranks are in one open formation.
-func consistent(statuses []rankStatus) error {
-	for r, s := range statuses {
-		switch {
-		case s.Report.State != fleet.GroupOpen:
-			return errors.Newf("rank %d says that the group is broken", r)
-		case s.Report.Epoch != statuses[0].Report.Epoch || s.Report.Group != statuses[0].Report.Group:
-			return errors.Newf("rank %d is in another formation", r)
-		case s.Report.Rank != r:
-			return errors.Newf("rank %d says that it is rank %d", r, s.Report.Rank)
+// rests logs why a group is not planned now, once for each reason.
+func (p *planner) rests(g *group, reason string) {
+	if g.rests != reason {
+		p.log.Info("planning of a group", zap.String("group", g.name), zap.Int64("epoch", g.epoch), zap.Bool("rests", reason != ""), zap.String("reason", reason))
+	}
+	g.rests = reason
+}
+
+// newestByAddress leaves out the announcements of servers that have started
+// anew under another ID.
+func newestByAddress(servers []fleet.Server) []fleet.Server {
+	newest := make(map[string]fleet.Server, len(servers))
+	for _, s := range servers {
+		if old, ok := newest[s.Address]; !ok || s.Born > old.Born {
+			newest[s.Address] = s
 		}
 	}
-	return nil
+	return slices.Collect(maps.Values(newest))
+}
+
+// member is a server with its status, or with the error of reading it.
+type member struct {
+	server fleet.Server
+	status rankStatus
+	err    error
 }
 
-// read reads the status of every rank at once.
-func (p *planner) read(ctx context.Context, servers []fleet.Server, request statusRequest) ([]rankStatus, error) {
+// inOrder returns the ranks of the newest formation in order. It fails unless
+// all of them have answered and the group is open.
+func inOrder(members []member) ([]fleet.Server, []rankStatus, error) {
+	var errs error
+	epoch, size := int64(-1), 0
+	for _, m := range members {
+		if m.err != nil {
+			errs = errors.CombineErrors(errs, m.err)
+			continue
+		}
+		if r := m.status.Report; r.Epoch > epoch {
+			epoch, size = r.Epoch, r.Ranks
+		}
+	}
+	servers, statuses := make([]fleet.Server, size), make([]rankStatus, size)
+	found := 0
+	for _, m := range members {
+		r := m.status.Report
+		if m.err != nil || r.Epoch != epoch || r.Rank < 0 || r.Rank >= size || statuses[r.Rank].Report.Ranks != 0 {
+			continue
+		}
+		if r.State != fleet.GroupOpen {
+			return nil, nil, errors.Newf("rank %d says that the group is broken", r.Rank)
+		}
+		servers[r.Rank], statuses[r.Rank] = m.server, m.status
+		found++
+	}
+	if found != size || size == 0 {
+		return nil, nil, errors.CombineErrors(errors.Newf("%d of %d ranks of epoch %d answer", found, size, epoch), errs)
+	}
+	return servers, statuses, nil
+}
+
+// read reads the status of every server at once.
+func (p *planner) read(ctx context.Context, servers []fleet.Server, request statusRequest) []member {
 	ctx, cancel := context.WithTimeout(ctx, roundTimeout)
 	defer cancel()
-	statuses := make([]rankStatus, len(servers))
-	var all errgroup.Group
-	for r, s := range servers {
+	members := make([]member, len(servers))
+	var all sync.WaitGroup
+	for i, s := range servers {
 		rank := p.rank(s.Address)
-		all.Go(func() error {
+		all.Go(func() {
 			status, err := rank.status(ctx, request)
-			statuses[r] = status
-			return errors.Wrapf(err, "rank %d", r)
+			members[i] = member{s, status, errors.Wrapf(err, "%s", s.Address)}
 		})
 	}
-	return statuses, all.Wait()
+	all.Wait()
+	return members
 }
 
 func (p *planner) rank(address string) *remoteRank {
@@ -234,13 +273,15 @@
 	version := statuses[0].Report.Map
 	for _, s := range statuses {
 		if s.Report.Map != version || s.Report.Armed != 0 {
-			return nil // the ranks are about to change over
+			p.rests(g, "the ranks are about to change over")
+			return nil
 		}
 	}
 	if err := p.learn(ctx, g, servers, version, engine); err != nil {
-		p.log.Info("the present map cannot be read", zap.String("group", g.name), telemetry.Err(err))
+		p.rests(g, err.Error())
 		return nil
 	}
+	p.rests(g, "")
 	if g.next != nil {
 		return p.complete(ctx, g, f, statuses)
 	}
@@ -280,7 +321,7 @@
 	case version == g.nextID && g.next != nil:
 		g.present = g.next
 	default:
-		statuses, err := p.read(ctx, servers, statusRequest{Map: true})
+		_, statuses, err := inOrder(p.read(ctx, servers, statusRequest{Map: true}))
 		if err != nil {
 			return err
 		}
@@ -387,8 +428,7 @@
 // Regained implements follow.Sink.
 func (s *configurationSink) Regained() {}
 
-// rankSink takes the announcements of the ranks. One that has gone is dropped
-// only when its group has formed without it: a rank that lives answers.
+// rankSink takes the announcements of the ranks.
 type rankSink planner
 
 // Take implements follow.Sink.
@@ -404,11 +444,6 @@
 		s.log.Warn("skipped an announcement", zap.String("server", r.Key), zap.Int64("offset", r.Offset), telemetry.Err(err))
 		return
 	}
-	for id, other := range s.servers {
-		if id != r.Key && other.Group == server.Group && other.Rank == server.Rank && other.Service == server.Service {
-			delete(s.servers, id)
-		}
-	}
 	s.servers[r.Key] = server
 }
 
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -59,8 +59,8 @@
 		}
 	}
 	x.balancer.End(time.Now(), s.ID, tokens, balance.Result{
-		Latency: latency,
-		Failed:  o != answered && ctx.Err() == nil && !(o == notRun && record.Status != 0),
+		Latency: latency, TurnedAway: o == notRun,
+		Failed: o != answered && ctx.Err() == nil && !(o == notRun && record.Status != 0),
 	})
 	record.Outcome, record.Took = o.String(), time.Since(began)
 	x.report.Attempts = append(x.report.Attempts, record)
@@ -106,6 +106,10 @@
 	}
 	if head.NotRun {
 		x.exclude(s.ID)
+		if head.GroupFault && x.q.Service.Engine != nil {
+			x.groupFault = true
+			x.balancer.GroupFault(time.Now(), x.q.Service.Name)
+		}
 		return notRun, nil
 	}
 	x.mayHaveRun++
@@ -231,5 +235,6 @@
 		x.lastEventID = e.ID
 	}
 	x.report.Events++
+	x.progress = time.Now()
 	return nil
 }
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -25,13 +25,23 @@
 	// away; it doubles up to maxPause.
 	turnedAwayPause = 60 * time.Millisecond
 	maxPause        = 500 * time.Millisecond
-	// brokenCheck is the pause between looks at a broken group's state: reports
-	// come four times a second.
+	// brokenCheck is the pause between looks at a broken group's state and at a
+	// spent budget: reports come five times a second.
 	brokenCheck = 50 * time.Millisecond
+	// leaveGap, leaveTargets and leaveGaps tell when a caller leaves a stream that
+	// brings nothing: after the longest of leaveGap, leaveTargets times the
+	// target latency and leaveGaps times the target gap.
+	leaveGap     = 2 * time.Second
+	leaveTargets = 4
+	leaveGaps    = 8
+	// firstEvent is the usual time from an attempt to its first event.
+	firstEvent = 250 * time.Millisecond
 	// suspectTime keeps a server back after a failed connection.
 	suspectTime = 500 * time.Millisecond
-	// comeBack is the time after which a refused caller may come back.
-	comeBack = 400 * time.Millisecond
+	// comeBack is the mean time after which a refused caller may come back;
+	// comeBackGroup is the same where a group of engines has to form anew.
+	comeBack      = 400 * time.Millisecond
+	comeBackGroup = 1800 * time.Millisecond
 )
 
 // CallerHeaders is what a caller says of its request.
@@ -68,6 +78,9 @@
 	NotRun bool
 	// WrongServer means that another server has the address.
 	WrongServer bool
+	// GroupFault means that the request was turned away because the group of
+	// engines depends on a server that is dead or cut off.
+	GroupFault bool
 }
 
 // Dialect translates headers.
@@ -177,7 +190,7 @@
 func (r *Relay) Serve(ctx context.Context, w http.ResponseWriter, q *Request) Report {
 	ctx, cancel := context.WithDeadlineCause(ctx, q.Deadline(), errDeadline)
 	defer cancel()
-	x := &exchange{Relay: r, q: q, w: w, repeatable: q.Route.Repeatable(), lastEventID: q.LastEventID}
+	x := &exchange{Relay: r, q: q, w: w, repeatable: q.Route.Repeatable(), lastEventID: q.LastEventID, progress: q.Arrived}
 	r.budget.First(time.Now(), q.Service.Name)
 	x.run(ctx)
 	return x.report
@@ -200,6 +213,10 @@
 	// begun is true once the head of an answer has gone to the caller.
 	begun       bool
 	lastEventID string
+	// progress is when the caller last got something.
+	progress time.Time
+	// groupFault is true while the last thing known is a broken group.
+	groupFault bool
 	// failure is the last answer that says that the request failed.
 	failure *heldAnswer
 }
@@ -215,11 +232,9 @@
 			x.finish(ctx, "no backend server is left")
 			return
 		}
-		first := len(x.report.Attempts) == 0
-		if first {
+		if len(x.report.Attempts) == 0 {
 			x.report.Waited = time.Since(x.q.Arrived)
-		}
-		if !first && !x.budget.Take(time.Now(), x.q.Service.Name) {
+		} else if !x.waitForBudget(ctx) {
 			x.finish(ctx, "the retry budget is used up")
 			return
 		}
@@ -239,15 +254,49 @@
 	if x.q.Service.Engine == nil {
 		return x.left() > leastUseful
 	}
+	x.groupFault = false
 	for x.balancer.Broken(time.Now(), x.q.Service.Name) {
-		if ctx.Err() != nil || x.left() <= brokenCheck {
+		x.groupFault = true
+		if !x.worthWaiting(ctx) {
 			return false
 		}
 		wait.For(ctx, brokenCheck)
 	}
+	x.groupFault = false
 	return ctx.Err() == nil && x.left() > leastUseful
 }
 
+// waitForBudget waits until the service's retry budget allows another attempt.
+// Only a request that has certainly not run waits: it can still be refused.
+func (x *exchange) waitForBudget(ctx context.Context) bool {
+	for !x.budget.Take(time.Now(), x.q.Service.Name) {
+		if x.mayHaveRun > 0 || !x.worthWaiting(ctx) {
+			return false
+		}
+		wait.For(ctx, brokenCheck)
+	}
+	return true
+}
+
+// worthWaiting reports whether the caller will still be there when an attempt
+// that begins a little later brings its first event.
+func (x *exchange) worthWaiting(ctx context.Context) bool {
+	return ctx.Err() == nil && time.Until(x.leaves())-firstEvent-brokenCheck > 0
+}
+
+// leaves is when the caller leaves if nothing comes.
+func (x *exchange) leaves() time.Time {
+	deadline := x.q.Deadline()
+	r := x.q.Route
+	if r.Kind != fleet.Streaming {
+		return deadline
+	}
+	if at := x.progress.Add(max(leaveGap, leaveTargets*r.TargetLatency, leaveGaps*r.TargetGap)); at.Before(deadline) {
+		return at
+	}
+	return deadline
+}
+
 func (x *exchange) left() time.Duration { return time.Until(x.q.Deadline()) }
 
 func (x *exchange) choose() (fleet.Server, bool) {
@@ -291,6 +340,10 @@
 	if last.Status == 0 || last.Status == http.StatusMisdirectedRequest {
 		return
 	}
+	if x.groupFault {
+		clear(x.excluded)
+		return // the group's state decides how long to wait
+	}
 	x.turnedAway++
 	servers := x.balancer.Servers(x.q.Service.Name)
 	if x.q.Service.Engine == nil && x.turnedAway < servers {
@@ -331,7 +384,11 @@
 	x.report.Status = status
 	retryAfter := time.Duration(0)
 	if status == http.StatusServiceUnavailable {
-		retryAfter = comeBack/2 + rand.N(comeBack)
+		mean := comeBack
+		if x.groupFault {
+			mean = comeBackGroup
+		}
+		retryAfter = mean*3/4 + rand.N(mean/2)
 	}
 	Refuse(x.w, status, reason, retryAfter)
 }
