Tell entries of a group by one digest, and make control grow slower than the fleet

Cause: on the grown deployments 40 entries told each other everything eight times a second (0.44 GB between zones), every agent reported to every entry, 63 answers of 12 KB each took the planner longer than its time-outs, and no map was changed.

Ruled out: longer time-outs alone (the link of 8 Mbit/s is full for 0.75 s).

--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -66,8 +66,10 @@
 	failuresAt time.Time
 	// latency is the mean time to an answer's head.
 	latency  time.Duration
-	report   fleet.EngineReport
-	reportAt time.Time
+	engine   EngineLoad
+	engineAt time.Time
+	// sent counts this entry's requests since engineAt.
+	sent int
 }
 
 // others is what one other entry has in flight.
@@ -84,6 +86,13 @@
 	servers  map[string]*server
 	entries  map[string]others
 	faults   map[string]*fault
+	groups   map[string]groupState
+}
+
+// groupState is what a planner told of a service's group.
+type groupState struct {
+	state fleet.GroupState
+	at    time.Time
 }
 
 // fault is what an answer told of a broken group.
@@ -96,6 +105,7 @@
 		servers:  make(map[string]*server),
 		entries:  make(map[string]others),
 		faults:   make(map[string]*fault),
+		groups:   make(map[string]groupState),
 	}
 }
 
@@ -140,6 +150,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if s := b.servers[id]; s != nil {
+		s.sent += max(l.Requests, 0)
 		s.own.Requests = max(s.own.Requests+l.Requests, 0)
 		s.own.Tokens = max(s.own.Tokens+l.Tokens, 0)
 	}
@@ -198,14 +209,28 @@
 	b.entries[entry] = others{loads, now}
 }
 
-// Report takes the report of the engine at an address.
-func (b *Balancer) Report(now time.Time, address string, r fleet.EngineReport) {
+// EngineLoad is what is known of one engine.
+type EngineLoad struct {
+	Address string
+	Born    int64
+	Running int
+	Waiting int
+	// Pace above 1 means that the engine is slow.
+	Pace float64
+}
+
+// Group takes what a planner tells of the group of a service's engines.
+func (b *Balancer) Group(now time.Time, service string, state fleet.GroupState, engines []EngineLoad) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for _, s := range b.servers {
-		if s.Address == address && s.Born == r.Born {
-			s.report, s.reportAt = r, now
-			return
+	b.groups[service] = groupState{state: state, at: now}
+	loads := make(map[string]EngineLoad, len(engines))
+	for _, e := range engines {
+		loads[e.Address] = e
+	}
+	for _, s := range b.services[service] {
+		if load, ok := loads[s.Address]; ok && load.Born == s.Born {
+			s.engine, s.engineAt, s.sent = load, now, 0
 		}
 	}
 }
@@ -231,16 +256,17 @@
 func (b *Balancer) Broken(now time.Time, service string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	newest := b.newestReport(now, service)
-	if newest != nil && newest.report.State == fleet.GroupBroken {
+	told := b.groups[service]
+	known := now.Sub(told.at) <= reportLifetime
+	if known && told.state == fleet.GroupBroken {
 		return true
 	}
 	f := b.faults[service]
 	if f == nil {
 		return false
 	}
-	// A report that came just after the answer may still be from before it.
-	if newest != nil && newest.reportAt.Sub(f.at) > reportDelay || now.Sub(f.at) > faultLifetime {
+	// What came just after the answer may still be from before it.
+	if known && told.at.Sub(f.at) > reportDelay || now.Sub(f.at) > faultLifetime {
 		delete(b.faults, service)
 		return false
 	}
@@ -251,21 +277,6 @@
 	return true
 }
 
-// newestReport returns the server with the newest report of the newest
-// formation of a service's group; nil where there is no report of late.
-func (b *Balancer) newestReport(now time.Time, service string) *server {
-	var newest *server
-	for _, s := range b.services[service] {
-		if now.Sub(s.reportAt) > reportLifetime || s.report.State == "" {
-			continue
-		}
-		if newest == nil || s.report.Epoch > newest.report.Epoch || s.report.Epoch == newest.report.Epoch && s.reportAt.After(newest.reportAt) {
-			newest = s
-		}
-	}
-	return newest
-}
-
 // Choose returns the server with the least cost among those that aren't
 // excluded. random returns uniform values from 0 to 1.
 func (b *Balancer) Choose(now time.Time, service *fleet.Service, exclude map[string]bool, random func() float64) (fleet.Server, bool) {
@@ -320,17 +331,23 @@
 	return cost
 }
 
+// known reports whether a planner has told of the engine lately.
+func (s *server) known(now time.Time) bool { return now.Sub(s.engineAt) <= reportLifetime }
+
 func (s *server) engineCost(now time.Time, engine *fleet.Engine, load Load) float64 {
 	usual := engine.UsualPrompt + engine.UsualAnswer
+	if told := s.engine.Running + s.engine.Waiting + s.sent; s.known(now) && told > load.Requests {
+		load.Requests = told
+	}
 	cost := float64(load.Requests)
-	if usual > 0 {
+	if usual > 0 && load.Tokens > 0 {
 		cost = (cost + float64(load.Tokens)/usual) / 2
 	}
 	if over := load.Requests + 1 - engine.Slots; over > 0 {
 		cost += waitingCost * float64(over)
 	}
-	if now.Sub(s.reportAt) <= reportLifetime && s.report.Pace > 1 {
-		cost *= s.report.Pace
+	if s.known(now) && s.engine.Pace > 1 {
+		cost *= s.engine.Pace
 	}
 	return cost
 }
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -8,9 +8,11 @@
 )
 
 const (
-	// Silence is how long an entry may be silent before callers are not sent to
-	// it any more: about eight messages.
-	Silence = 1200 * time.Millisecond
+	// silence is how long an entry may be silent before callers are not sent to
+	// it any more: about ten messages of a small fleet. silenceEntry is added for
+	// each entry: in larger fleets messages come less often.
+	silence      = 1200 * time.Millisecond
+	silenceEntry = 30 * time.Millisecond
 	// forgetAfter is how long a silent entry is still told what happens here.
 	forgetAfter = 30 * time.Second
 	// MaxAddresses bounds an answer.
@@ -63,6 +65,10 @@
 	return old == nil
 }
 
+func (d *Directory) silence() time.Duration {
+	return silence + silenceEntry*time.Duration(len(d.entries))
+}
+
 // Names returns the entries that were heard of lately, this one left out.
 func (d *Directory) Names(now time.Time) []string {
 	var names []string
@@ -79,7 +85,7 @@
 // Live reports whether an entry was heard of just now.
 func (d *Directory) Live(now time.Time, name string) bool {
 	e := d.entries[name]
-	return e != nil && now.Sub(e.heard) <= Silence
+	return e != nil && now.Sub(e.heard) <= d.silence()
 }
 
 // Addresses returns the addresses of the entries that take callers. An entry
@@ -89,7 +95,7 @@
 	for _, e := range d.entries {
 		switch {
 		case !e.Ready:
-		case now.Sub(e.heard) <= Silence:
+		case now.Sub(e.heard) <= d.silence():
 			live = append(live, e.Address)
 		default:
 			silent = append(silent, e.Address)
@@ -110,7 +116,7 @@
 func (d *Directory) Leads(now time.Time, n int) bool {
 	before := 0
 	for name, e := range d.entries {
-		if e.Reads && name < d.self.Name && now.Sub(e.heard) <= Silence {
+		if e.Reads && name < d.self.Name && now.Sub(e.heard) <= d.silence() {
 			before++
 		}
 	}
--- a/pkg/evenplan/evenplan.go
+++ b/pkg/evenplan/evenplan.go
@@ -4,6 +4,7 @@
 package evenplan
 
 import (
+	"cmp"
 	"math"
 	"slices"
 )
@@ -84,10 +85,12 @@
 	copies []int
 	// on lists the ranks of an expert.
 	on [][]int
-	// load is the load of each rank by sample; total sums it over the samples.
-	load  [][]float64
-	total []float64
-	fresh []int
+	// load is the load of each rank by sample; total sums it over the samples,
+	// and eighth sums the eighth powers of a sample's loads over the ranks.
+	load   [][]float64
+	total  []float64
+	eighth []float64
+	fresh  []int
 }
 
 func newState(ranks [][]int, demand Demand, l Limits) *state {
@@ -100,6 +103,7 @@
 		if scaled := multiples(sample, len(ranks)); scaled != nil {
 			st.demand = append(st.demand, scaled)
 			st.load = append(st.load, make([]float64, len(ranks)))
+			st.eighth = append(st.eighth, 0)
 		}
 	}
 	for r, held := range ranks {
@@ -140,8 +144,11 @@
 // add puts a part of an expert's demand on a rank.
 func (st *state) add(r, e int, part float64) {
 	for k, sample := range st.demand {
-		st.load[k][r] += sample[e] * part
-		st.total[r] += sample[e] * part
+		old := st.load[k][r]
+		now := old + sample[e]*part
+		st.load[k][r] = now
+		st.eighth[k] += eighthPower(now) - eighthPower(old)
+		st.total[r] += now - old
 	}
 }
 
@@ -166,20 +173,31 @@
 	return out
 }
 
+func eighthPower(v float64) float64 {
+	v *= v
+	v *= v
+	return v * v
+}
+
+// sumUp computes the sums of powers anew: what add changes bit by bit loses
+// precision.
+func (st *state) sumUp() {
+	for k, load := range st.load {
+		st.eighth[k] = 0
+		for _, l := range load {
+			st.eighth[k] += eighthPower(l)
+		}
+	}
+}
+
 // potential is the mean over the samples of the 8-norm of the loads: it stands
 // for the load of the most loaded rank and still tells apart what else improves.
 func (st *state) potential() float64 {
 	total := 0.0
-	for _, load := range st.load {
-		sum := 0.0
-		for _, l := range load {
-			l *= l
-			l *= l
-			sum += l * l
-		}
-		total += math.Sqrt(math.Sqrt(math.Sqrt(sum)))
+	for _, sum := range st.eighth {
+		total += math.Sqrt(math.Sqrt(math.Sqrt(max(sum, 0))))
 	}
-	return total / float64(len(st.load))
+	return total / float64(len(st.eighth))
 }
 
 // move replaces expert out on a rank by expert in; -1 stands for none.
@@ -202,6 +220,7 @@
 			break
 		}
 		st.apply(m)
+		st.sumUp()
 		at = next
 	}
 	copied := 0
@@ -232,9 +251,10 @@
 			best, bestValue, bestAt, found = m, value, next, true
 		}
 	}
+	light := st.light()
 	for _, heavy := range st.heavy() {
 		for _, e := range slices.Clone(st.holds[heavy]) {
-			st.tryExpert(heavy, e, try)
+			st.tryExpert(heavy, e, light, try)
 		}
 	}
 	return best, bestAt, found
@@ -271,13 +291,26 @@
 	return []int{most, often}
 }
 
+// maxTargets bounds the ranks that a load is moved to in the search.
+const maxTargets = 12
+
+// light returns the least loaded ranks.
+func (st *state) light() []int {
+	ranks := make([]int, len(st.total))
+	for r := range ranks {
+		ranks[r] = r
+	}
+	slices.SortFunc(ranks, func(a, b int) int { return cmp.Compare(st.total[a], st.total[b]) })
+	return ranks[:min(len(ranks), maxTargets)]
+}
+
 // tryExpert tries the moves that take load of one expert off a rank.
-func (st *state) tryExpert(heavy, e int, try func(move)) {
+func (st *state) tryExpert(heavy, e int, light []int, try func(move)) {
 	if st.copies[e] > 1 {
 		try(move{rank: heavy, in: -1, out: e})
 	}
-	for r := range st.holds {
-		if r == heavy || st.has[r][e] || st.total[r] >= st.total[heavy] {
+	for _, r := range light {
+		if r == heavy || st.has[r][e] {
 			continue
 		}
 		if len(st.holds[r]) < st.limits.Places {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -40,15 +40,22 @@
 	topicWait = 1800 * time.Millisecond
 	// topicPause is the time between two reads of an entry that does not lead
 	// and hears of no news: it guards against lost messages only.
-	topicPause = 6 * time.Second
+	topicPause = 12 * time.Second
 	// readers is the number of entries that wait at the log for all.
 	readers = 2
 	// entriesPause is the time between two looks for entries that no message has
 	// come from.
 	entriesPause = 20 * time.Second
-	// tellPause is the time between two messages to the other entries: a choice
-	// is made on counts of this age.
+	// tellPause is the time between two messages to the other entries of a small
+	// fleet: a choice is made on counts of this age.
 	tellPause = 120 * time.Millisecond
+	// smallFleet is the number of other entries up to which messages come each
+	// tellPause and hold what is in flight.
+	smallFleet = 12
+	// digestSilence is how long a planner may be silent before agents are asked
+	// for another one; askedAgents is how many are asked at a time.
+	digestSilence = 1500 * time.Millisecond
+	askedAgents   = 2
 	// subscribePause is the time between two subscriptions at the agents.
 	subscribePause = time.Second
 	// sweepPause is the time between two looks at idle connections.
@@ -90,8 +97,8 @@
 	directory *directory.Directory
 	// known holds the addresses of the other entries' peer ports by name.
 	known map[string]netip.AddrPort
-	// agents holds the peer ports of the agents beside engines.
-	agents      []netip.AddrPort
+	// planners holds the planner of each service.
+	planners    map[string]planner
 	incarnation string
 	sequence    int64
 	serversRead bool
@@ -116,6 +123,7 @@
 		}, time.Now()),
 		roster:      roster.New(s.Bounds.LeaveGrace),
 		known:       make(map[string]netip.AddrPort),
+		planners:    make(map[string]planner),
 		incarnation: uuid.NewString(),
 		drain:       newLeaving(s.Bounds.Grace),
 		topics: map[sharedlog.Topic]*topic{
@@ -166,7 +174,11 @@
 		follow.Run(ctx, g.shared, g.topicOptions(sharedlog.Servers), (*serversSink)(g), g.log)
 	})
 	background(g.announce)
-	background(func(ctx context.Context) { every(ctx, tellPause, g.tell) })
+	background(func(ctx context.Context) {
+		for ctx.Err() == nil {
+			wait.For(ctx, g.tell())
+		}
+	})
 	background(func(ctx context.Context) { every(ctx, subscribePause, g.subscribe) })
 	background(func(ctx context.Context) { every(ctx, sweepPause, func() { g.pools.CloseIdle(time.Now()) }) })
 	for _, s := range servers {
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -41,23 +41,44 @@
 	Budget map[string]retrybudget.Counts `json:"budget,omitempty"`
 }
 
-// Subscription asks an agent for reports for a while.
+// Subscription asks a planner for digests for a while.
 type Subscription struct {
 	Entry string `json:"entry"`
 }
 
-// RankState is an agent's report of the backend server beside it.
+// RankState is what a planner knows of one engine. The names are short: a
+// digest holds many.
 type RankState struct {
-	// Address is the backend server's address for requests.
-	Address string             `json:"address"`
-	Report  fleet.EngineReport `json:"report"`
+	// Address is the engine's address for requests.
+	Address string  `json:"a"`
+	Born    int64   `json:"b"`
+	Running int     `json:"r"`
+	Waiting int     `json:"w"`
+	Pace    float64 `json:"p"`
+}
+
+// Digest is what a planner tells the entries of one group of engines.
+type Digest struct {
+	Service string `json:"service"`
+	// Peer is the planner's address for messages.
+	Peer  string           `json:"peer"`
+	State fleet.GroupState `json:"state"`
+	Epoch int64            `json:"epoch"`
+	Ranks []RankState      `json:"ranks"`
+}
+
+// Planner tells which agent plans for a service.
+type Planner struct {
+	Service string `json:"service"`
+	Peer    string `json:"peer"`
 }
 
 // Message is one datagram; one of its fields is set.
 type Message struct {
 	Entry     *EntryState   `json:"entry,omitempty"`
 	Subscribe *Subscription `json:"subscribe,omitempty"`
-	Rank      *RankState    `json:"rank,omitempty"`
+	Planner   *Planner      `json:"planner,omitempty"`
+	Digest    *Digest       `json:"digest,omitempty"`
 }
 
 // Socket sends and receives messages.
--- a/pkg/mapswitch/mapswitch.go
+++ b/pkg/mapswitch/mapswitch.go
@@ -21,12 +21,19 @@
 	// orderTimeout bounds one try of an order: agents answer within a few
 	// milliseconds.
 	orderTimeout = 80 * time.Millisecond
+	// orderTimeoutRank is added for each rank: all orders of a step share the
+	// planner's processor and link.
+	orderTimeoutRank = 3 * time.Millisecond
 	// armTime bounds the arming of all ranks: the group stands still after the
 	// margin's passes.
 	armTime = 600 * time.Millisecond
+	// prepareTime bounds the orders to prepare: they carry the whole map.
+	prepareTime = 2 * time.Second
 	// marginPasses is the number of passes between the last one begun and the
 	// one that is held: a pass takes about 50 ms, arming all ranks about 10.
 	marginPasses = 2
+	// ranksPerPass is the number of ranks that are armed in the time of a pass.
+	ranksPerPass = 32
 	// maxCounter bounds the orders of one generation.
 	maxCounter = 1 << 24
 )
@@ -68,7 +75,7 @@
 
 // Prepare makes every rank copy what it needs of a map.
 func (g *Group) Prepare(ctx context.Context, version int64, m rankcontrol.Map) error {
-	ctx, cancel := context.WithTimeout(ctx, armTime)
+	ctx, cancel := context.WithTimeout(ctx, prepareTime)
 	defer cancel()
 	return g.each(ctx, func(ctx context.Context, r int) error {
 		return g.order(ctx, r, rankcontrol.Order{Operation: rankcontrol.Prepare, Version: version, Map: m})
@@ -83,7 +90,7 @@
 	if err != nil {
 		return err
 	}
-	step := report.Step + marginPasses
+	step := report.Step + marginPasses + int64(len(g.Ranks)/ranksPerPass)
 	arming, cancel := context.WithTimeout(ctx, armTime)
 	defer cancel()
 	err = g.order(arming, g.Anchor, rankcontrol.Order{Operation: rankcontrol.Hold, Step: step})
@@ -182,7 +189,7 @@
 }
 
 func (g *Group) report(ctx context.Context, r int) (fleet.EngineReport, error) {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	ctx, cancel := context.WithTimeout(ctx, g.orderTimeout(""))
 	defer cancel()
 	report, err := g.Ranks[r].Report(ctx)
 	if err == nil && report.Epoch != g.Epoch {
@@ -191,13 +198,20 @@
 	return report, errors.Wrapf(err, "rank %d", r)
 }
 
+func (g *Group) orderTimeout(o rankcontrol.Operation) time.Duration {
+	if o == rankcontrol.Prepare {
+		return prepareTime / 2
+	}
+	return orderTimeout + time.Duration(len(g.Ranks))*orderTimeoutRank
+}
+
 // order gives an order until it is answered or ctx ends. What a lost try does
 // later is refused, since the next one carries a higher fence.
 func (g *Group) order(ctx context.Context, r int, o rankcontrol.Order) error {
 	o.Epoch = g.Epoch
 	for {
 		o.Fence = g.Fences.take()
-		try, cancel := context.WithTimeout(ctx, orderTimeout)
+		try, cancel := context.WithTimeout(ctx, g.orderTimeout(o.Operation))
 		verdict, err := g.Ranks[r].Order(try, o)
 		cancel()
 		if err == nil {
--- a/pkg/popularity/popularity.go
+++ b/pkg/popularity/popularity.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/fescuehub/fescuehub/pkg/evenplan"
-	"github.com/fescuehub/fescuehub/pkg/rankcontrol"
 )
 
 // Estimator holds the decaying demand of one group's experts. It is not safe
@@ -19,12 +18,11 @@
 	// demand is the demand of each rank's requests, set after set.
 	demand [][]float64
 	at     time.Time
-	last   []rankcontrol.Counts
 }
 
 // New returns an estimator of the experts that a number of ranks choose.
 func New(ranks, sets, experts int, halfLife time.Duration) *Estimator {
-	e := &Estimator{halfLife: halfLife, sets: sets, last: make([]rankcontrol.Counts, ranks)}
+	e := &Estimator{halfLife: halfLife, sets: sets}
 	for range ranks {
 		e.demand = append(e.demand, make([]float64, sets*experts))
 	}
@@ -44,19 +42,14 @@
 	e.at = now
 }
 
-// Observe takes a rank's counts. The first ones of a start have no window yet.
-func (e *Estimator) Observe(rank int, c rankcontrol.Counts) {
+// Observe takes what a rank's requests chose since it was last asked.
+func (e *Estimator) Observe(rank int, w Window) {
 	demand := e.demand[rank]
-	if len(c.Chosen) != len(demand) {
+	if len(w.Roots) != len(demand) {
 		return
 	}
-	old := e.last[rank]
-	e.last[rank] = c
-	if len(old.Chosen) != len(c.Chosen) || old.Born != c.Born || c.Step < old.Step {
-		return
-	}
-	for i, n := range c.Chosen {
-		demand[i] += float64(max(n-old.Chosen[i], 0))
+	for i, root := range w.Roots {
+		demand[i] += w.value(root)
 	}
 }
 
--- a/pkg/rankagent/agent.go
+++ b/pkg/rankagent/agent.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -20,17 +21,18 @@
 	"github.com/fescuehub/fescuehub/pkg/fleet"
 	"github.com/fescuehub/fescuehub/pkg/gossip"
 	"github.com/fescuehub/fescuehub/pkg/netconn"
+	"github.com/fescuehub/fescuehub/pkg/popularity"
 	"github.com/fescuehub/fescuehub/pkg/rankcontrol"
 	"github.com/fescuehub/fescuehub/pkg/rpc"
 	"github.com/fescuehub/fescuehub/pkg/settings"
 	"github.com/fescuehub/fescuehub/pkg/sharedlog"
 	"github.com/fescuehub/fescuehub/pkg/telemetry"
-	"github.com/fescuehub/fescuehub/pkg/wait"
 )
 
 const (
-	// reportPause is the time between two reports to the entries.
-	reportPause = 200 * time.Millisecond
+	// plannerSilence is how long a planner may be silent before the other agents
+	// take part in the election.
+	plannerSilence = 2500 * time.Millisecond
 	// subscriptionLifetime is how long an entry gets reports after it asked.
 	subscriptionLifetime = 3500 * time.Millisecond
 	// localTimeout bounds a call to the engine beside the agent.
@@ -68,6 +70,14 @@
 	mu          sync.Mutex
 	subscribers map[netip.AddrPort]time.Time
 	engineLost  bool
+	// planner is the peer address of the planner that asked last, at heard.
+	planner string
+	heard   time.Time
+	counter popularity.Counter
+
+	// plans is true while this agent plans.
+	plans  atomic.Bool
+	socket *gossip.Socket
 
 	drainOnce sync.Once
 	draining  chan struct{}
@@ -107,8 +117,8 @@
 	}
 	metricsServer := &http.Server{Handler: a.metrics.Handler, ReadHeaderTimeout: localTimeout}
 	var group sync.WaitGroup
+	a.socket = socket
 	group.Go(func() { socket.Run(ctx, a.takeMessage) })
-	group.Go(func() { a.reportToEntries(ctx, socket) })
 	group.Go(func() { a.electAndPlan(ctx) })
 	group.Go(func() {
 		if err := rpc.NewServer(listener, a.scope, a.methods()).Run(ctx); err != nil {
@@ -133,21 +143,26 @@
 	return nil
 }
 
+// takeMessage takes an entry's subscription: the planner notes it, any other
+// agent tells where the planner is.
 func (a *Agent) takeMessage(from netip.AddrPort, m gossip.Message) {
 	if m.Subscribe == nil {
 		return
 	}
+	now := time.Now()
 	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.subscribers[from] = time.Now()
+	a.subscribers[from] = now
+	planner, heard := a.planner, a.heard
+	a.mu.Unlock()
+	if !a.plans.Load() && planner != "" && now.Sub(heard) < plannerSilence {
+		a.socket.Send(gossip.Message{Planner: &gossip.Planner{Service: a.settings.Service, Peer: planner}}, from)
+	}
 }
 
-func (a *Agent) reportToEntries(ctx context.Context, socket *gossip.Socket) {
-	for ctx.Err() == nil {
-		if to := a.current(time.Now()); len(to) > 0 {
-			a.reportOnce(ctx, socket, to)
-		}
-		wait.For(ctx, reportPause)
+// tellEntries sends the digest of a group to the entries that asked lately.
+func (a *Agent) tellEntries(d *gossip.Digest) {
+	if to := a.current(time.Now()); len(to) > 0 {
+		a.socket.Send(gossip.Message{Digest: d}, to...)
 	}
 }
 
@@ -166,17 +181,6 @@
 	return to
 }
 
-func (a *Agent) reportOnce(ctx context.Context, socket *gossip.Socket, to []netip.AddrPort) {
-	call, cancel := context.WithTimeout(ctx, localTimeout)
-	defer cancel()
-	report, err := a.local.Report(call)
-	a.noteEngine(ctx, err)
-	if err != nil {
-		return
-	}
-	socket.Send(gossip.Message{Rank: &gossip.RankState{Address: a.settings.BackendAddress, Report: report}}, to...)
-}
-
 // noteEngine logs when the engine is lost or regained.
 func (a *Agent) noteEngine(ctx context.Context, err error) {
 	if ctx.Err() != nil {
@@ -194,16 +198,30 @@
 	}
 }
 
+// notePlanner notes which planner asks.
+func (a *Agent) notePlanner(peer string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if peer != a.planner {
+		a.log.Info("heard of the planner", zap.String("planner", peer))
+	}
+	a.planner, a.heard = peer, time.Now()
+}
+
 // statusRequest asks for a rank's state.
 type statusRequest struct {
-	Counts bool `json:"counts"`
-	Map    bool `json:"map"`
+	// Planner is the peer address of the planner that asks.
+	Planner string `json:"planner"`
+	// Window asks for what was chosen since the planner last asked for it.
+	Window bool `json:"window,omitempty"`
+	// Map asks for the experts of the map in use.
+	Map bool `json:"map,omitempty"`
 }
 
 // rankStatus is a rank's state.
 type rankStatus struct {
 	Report fleet.EngineReport `json:"report"`
-	Counts rankcontrol.Counts `json:"counts"`
+	Window popularity.Window  `json:"window"`
 	// Experts lists the experts of the map in use by set.
 	Experts [][]int `json:"experts,omitempty"`
 }
@@ -216,7 +234,10 @@
 func (a *Agent) methods() rpc.Methods {
 	return rpc.Methods{
 		methodStatus: rpc.Typed(func(ctx context.Context, _ *rpc.Conn, r statusRequest) (any, error) {
-			return readStatus(ctx, a.local, r)
+			a.notePlanner(r.Planner)
+			status, err := a.status(ctx, r)
+			a.noteEngine(ctx, err)
+			return status, err
 		}),
 		methodOrder: rpc.Typed(func(ctx context.Context, _ *rpc.Conn, o rankcontrol.Order) (any, error) {
 			call, cancel := context.WithTimeout(ctx, orderTimeout)
@@ -229,21 +250,31 @@
 	}
 }
 
-// readStatus reads what a planner asks for.
+// status reads what a planner asks for from the engine beside this agent.
+func (a *Agent) status(ctx context.Context, r statusRequest) (rankStatus, error) {
+	s, err := readStatus(ctx, a.local, r)
+	if err != nil || !r.Window {
+		return s, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, localTimeout)
+	defer cancel()
+	counts, err := a.local.Counts(ctx)
+	if err != nil {
+		return s, err
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	s.Window = a.counter.Next(counts)
+	return s, nil
+}
+
+// readStatus reads a rank's report and, where it is asked for, its experts.
 func readStatus(ctx context.Context, rank rankcontrol.Rank, r statusRequest) (rankStatus, error) {
 	ctx, cancel := context.WithTimeout(ctx, localTimeout)
 	defer cancel()
 	var s rankStatus
 	var err error
-	if s.Report, err = rank.Report(ctx); err != nil {
-		return s, err
-	}
-	if r.Counts {
-		if s.Counts, err = rank.Counts(ctx); err != nil {
-			return s, err
-		}
-	}
-	if r.Map {
+	if s.Report, err = rank.Report(ctx); err == nil && r.Map {
 		s.Experts, err = rank.Experts(ctx)
 	}
 	return s, err
--- a/pkg/rankagent/elect.go
+++ b/pkg/rankagent/elect.go
@@ -18,6 +18,8 @@
 	electionPause = 600 * time.Millisecond
 	// electionTimeout bounds one call.
 	electionTimeout = 900 * time.Millisecond
+	// candidates is the number of ranks whose agents always take part.
+	candidates = 3
 	// electionPrefix stands before the service's name.
 	electionPrefix = "expert-maps-"
 )
@@ -29,8 +31,17 @@
 	election := electionPrefix + a.settings.Service
 	var generation int64
 	var term *term
-	lost := false
+	lost, member := false, false
 	for ctx.Err() == nil {
+		if !a.candidate(ctx) {
+			if member && term == nil {
+				a.resign(ctx, election)
+				member = false
+			}
+			wait.For(ctx, electionPause)
+			continue
+		}
+		member = true
 		call, cancel := context.WithTimeout(ctx, electionTimeout)
 		ownership, err := a.shared.Elect(call, election, a.member, electionTTL, generation)
 		cancel()
@@ -47,10 +58,34 @@
 	if term != nil {
 		term.end()
 	}
-	resign, cancel := context.WithTimeout(context.WithoutCancel(ctx), electionTimeout)
+	if member {
+		a.resign(context.WithoutCancel(ctx), election)
+	}
+}
+
+// candidate reports whether this agent takes part in the election: those beside
+// the first ranks do, and all while no planner asks.
+func (a *Agent) candidate(ctx context.Context) bool {
+	if a.plans.Load() {
+		return true
+	}
+	a.mu.Lock()
+	silent := time.Since(a.heard) > plannerSilence
+	a.mu.Unlock()
+	if silent {
+		return true
+	}
+	call, cancel := context.WithTimeout(ctx, localTimeout)
+	defer cancel()
+	report, err := a.local.Report(call)
+	return err == nil && report.Ranks > 0 && report.Rank < candidates
+}
+
+func (a *Agent) resign(ctx context.Context, election string) {
+	ctx, cancel := context.WithTimeout(ctx, electionTimeout)
 	defer cancel()
-	if err := a.shared.Resign(resign, election, a.member); err != nil {
-		a.log.Warn("the election was not left; another agent takes over when its time has run out", telemetry.Err(err))
+	if err := a.shared.Resign(ctx, election, a.member); err != nil {
+		a.log.Warn("the election was not left; this member's time runs out", telemetry.Err(err))
 	}
 }
 
@@ -88,8 +123,10 @@
 	ctx, cancel := context.WithCancel(ctx)
 	t := &term{cancel: cancel, done: make(chan struct{})}
 	p := newPlanner(a, generation)
+	a.plans.Store(true)
 	go func() {
 		defer close(t.done)
+		defer a.plans.Store(false)
 		p.run(ctx)
 	}()
 	return t
--- a/pkg/rankagent/planner.go
+++ b/pkg/rankagent/planner.go
@@ -7,6 +7,7 @@
 	"net"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -16,6 +17,7 @@
 	"github.com/fescuehub/fescuehub/pkg/evenplan"
 	"github.com/fescuehub/fescuehub/pkg/fleet"
 	"github.com/fescuehub/fescuehub/pkg/follow"
+	"github.com/fescuehub/fescuehub/pkg/gossip"
 	"github.com/fescuehub/fescuehub/pkg/mapswitch"
 	"github.com/fescuehub/fescuehub/pkg/popularity"
 	"github.com/fescuehub/fescuehub/pkg/rankcontrol"
@@ -26,8 +28,12 @@
 const (
 	// roundPause is the time between two looks at the group.
 	roundPause = 250 * time.Millisecond
-	// roundTimeout bounds one look.
-	roundTimeout = 400 * time.Millisecond
+	// roundTimeout and roundTimeoutRank bound one look.
+	roundTimeout     = 400 * time.Millisecond
+	roundTimeoutRank = 15 * time.Millisecond
+	// windowRanks is the number of ranks that are asked for their counts in one
+	// look, by turns: their answers share the planner's link.
+	windowRanks = 24
 	// clearTimeout bounds the clearing of a switch that failed.
 	clearTimeout = 3 * time.Second
 	// topicWait is how long the planner's reads wait for a record.
@@ -39,8 +45,10 @@
 	// planGain is the part of the mean load by which a plan has to lower the
 	// load of the most loaded ranks.
 	planGain = 0.15
-	// moveGain is the same for one copied expert of one set.
-	moveGain = 0.05
+	// moveGain is the same for one copied expert of one set, times the number of
+	// ranks: a copy costs the same in any group, a shorter pass is worth more in a
+	// larger one.
+	moveGain = 0.6
 	// planPause is the least time from one map to the next.
 	planPause = 400 * time.Millisecond
 	// preparedTime bounds the copying of a plan's experts.
@@ -59,6 +67,8 @@
 	servers map[string]fleet.Server
 	engine  *fleet.Engine
 
+	// turn counts the looks.
+	turn int
 	// ranks holds the controls by the engine's address.
 	ranks  map[string]*remoteRank
 	groups map[string]*group
@@ -147,7 +157,9 @@
 		p.groups[name] = g
 	}
 	now := time.Now()
-	servers, statuses, err := inOrder(p.read(ctx, newestByAddress(servers), statusRequest{Counts: true}))
+	members := p.read(ctx, newestByAddress(servers), p.windowTurn(len(servers)))
+	p.agent.tellEntries(p.digest(members))
+	servers, statuses, err := inOrder(members)
 	if err != nil {
 		p.rests(g, err.Error())
 		g.clean = false
@@ -158,7 +170,7 @@
 	}
 	g.demand.Advance(now)
 	for r, s := range statuses {
-		g.demand.Observe(r, s.Counts)
+		g.demand.Observe(r, s.Window)
 	}
 	return p.advance(ctx, g, servers, statuses, engine)
 }
@@ -180,7 +192,7 @@
 			newest[s.Address] = s
 		}
 	}
-	return slices.Collect(maps.Values(newest))
+	return slices.SortedFunc(maps.Values(newest), func(a, b fleet.Server) int { return strings.Compare(a.Address, b.Address) })
 }
 
 // member is a server with its status, or with the error of reading it.
@@ -223,16 +235,47 @@
 	return servers, statuses, nil
 }
 
+// windowTurn asks some ranks after the others for their counts.
+func (p *planner) windowTurn(ranks int) func(i int) statusRequest {
+	turns := (ranks + windowRanks - 1) / windowRanks
+	turn := p.turn % max(turns, 1)
+	p.turn++
+	return func(i int) statusRequest { return statusRequest{Window: i%max(turns, 1) == turn} }
+}
+
+// digest returns what the entries are told of a group.
+func (p *planner) digest(members []member) *gossip.Digest {
+	d := &gossip.Digest{Service: p.agent.settings.Service, Peer: p.peer(), State: fleet.GroupOpen}
+	for _, m := range members {
+		r := m.status.Report
+		if m.err != nil {
+			continue
+		}
+		if r.Epoch > d.Epoch {
+			d.Epoch = r.Epoch
+		}
+		if r.State == fleet.GroupBroken {
+			d.State = fleet.GroupBroken
+		}
+		d.Ranks = append(d.Ranks, gossip.RankState{Address: m.server.Address, Born: r.Born, Running: r.Running, Waiting: r.Waiting, Pace: r.Pace})
+	}
+	return d
+}
+
+func (p *planner) peer() string {
+	return net.JoinHostPort(p.agent.settings.IP, strconv.Itoa(p.agent.settings.PeerPort))
+}
+
 // read reads the status of every server at once.
-func (p *planner) read(ctx context.Context, servers []fleet.Server, request statusRequest) []member {
-	ctx, cancel := context.WithTimeout(ctx, roundTimeout)
+func (p *planner) read(ctx context.Context, servers []fleet.Server, request func(i int) statusRequest) []member {
+	ctx, cancel := context.WithTimeout(ctx, roundTimeout+time.Duration(len(servers))*roundTimeoutRank)
 	defer cancel()
 	members := make([]member, len(servers))
 	var all sync.WaitGroup
 	for i, s := range servers {
 		rank := p.rank(s.Address)
 		all.Go(func() {
-			status, err := rank.status(ctx, request)
+			status, err := rank.status(ctx, request(i))
 			members[i] = member{s, status, errors.Wrapf(err, "%s", s.Address)}
 		})
 	}
@@ -244,12 +287,19 @@
 	r := p.ranks[address]
 	if r == nil {
 		host, _, _ := net.SplitHostPort(address) // announcements with another address are not taken
-		r = &remoteRank{life: p.life, agent: net.JoinHostPort(host, strconv.Itoa(p.agent.settings.PeerPort)), direct: p.agent.control(address)}
+		r = &remoteRank{life: p.life, planner: p.peer(), timeout: p.timeout(), agent: net.JoinHostPort(host, strconv.Itoa(p.agent.settings.PeerPort)), direct: p.agent.control(address)}
 		p.ranks[address] = r
 	}
 	return r
 }
 
+// timeout bounds a call to an agent.
+func (p *planner) timeout() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return agentTimeout + time.Duration(len(p.servers))*agentTimeoutRank
+}
+
 // formation returns the control of a group's ranks. The anchor is the rank
 // beside this agent, whose orders take the shortest way.
 func (p *planner) formation(g *group, servers []fleet.Server) *mapswitch.Group {
@@ -320,7 +370,7 @@
 	case version == g.nextID && g.next != nil:
 		g.present = g.next
 	default:
-		_, statuses, err := inOrder(p.read(ctx, servers, statusRequest{Map: true}))
+		_, statuses, err := inOrder(p.read(ctx, servers, func(int) statusRequest { return statusRequest{Map: true} }))
 		if err != nil {
 			return err
 		}
@@ -347,7 +397,7 @@
 	if time.Since(g.changed) < planPause || g.demand.Total() < leastChoices {
 		return nil
 	}
-	limits := evenplan.Limits{Places: engine.Places, Spare: engine.Spare, MoveGain: moveGain}
+	limits := evenplan.Limits{Places: engine.Places, Spare: engine.Spare, MoveGain: moveGain / float64(len(f.Ranks))}
 	plan := evenplan.Make(limits, g.present, g.demand.Samples())
 	if plan.Before-plan.After < planGain {
 		p.log.Debug("the map stays", zap.Float64("skew", plan.Before), zap.Float64("best", plan.After))
--- a/pkg/rankagent/remote.go
+++ b/pkg/rankagent/remote.go
@@ -12,8 +12,10 @@
 )
 
 const (
-	// agentTimeout bounds a call to another agent.
-	agentTimeout = 300 * time.Millisecond
+	// agentTimeout and agentTimeoutRank bound a call to another agent: the
+	// answers of all ranks share the planner's link.
+	agentTimeout     = 300 * time.Millisecond
+	agentTimeoutRank = 10 * time.Millisecond
 	// directTime is how long an agent that did not answer is passed over: its
 	// engine is asked from here, which costs more.
 	directTime = time.Second
@@ -23,9 +25,13 @@
 // agent does not answer. It implements rankcontrol.Rank.
 type remoteRank struct {
 	// life ends the connection.
-	life   context.Context
-	agent  string
-	direct rankcontrol.Rank
+	life context.Context
+	// timeout bounds a call to the agent.
+	timeout time.Duration
+	// planner is this planner's peer address.
+	planner string
+	agent   string
+	direct  rankcontrol.Rank
 
 	mu     sync.Mutex
 	conn   *rpc.Conn
@@ -46,7 +52,7 @@
 			return r.conn
 		}
 	}
-	conn, err := rpc.DialWithin(r.life, agentTimeout, r.agent, nil)
+	conn, err := rpc.DialWithin(r.life, r.timeout, r.agent, nil)
 	if err != nil {
 		r.failed = time.Now()
 		return nil
@@ -81,7 +87,7 @@
 	if conn == nil {
 		return false, nil
 	}
-	call, cancel := context.WithTimeout(ctx, agentTimeout)
+	call, cancel := context.WithTimeout(ctx, r.timeout)
 	defer cancel()
 	err := conn.Call(call, method, params, result)
 	if err == nil || !problem.Is(err, problem.Unavailable) {
@@ -98,6 +104,7 @@
 // stop the group.
 func (r *remoteRank) status(ctx context.Context, request statusRequest) (rankStatus, error) {
 	var s rankStatus
+	request.Planner = r.planner
 	if answered, err := r.call(ctx, methodStatus, request, &s); answered {
 		return s, err
 	}
@@ -110,10 +117,9 @@
 	return s.Report, err
 }
 
-// Counts implements rankcontrol.Rank.
+// Counts implements rankcontrol.Rank. A planner asks for windows instead.
 func (r *remoteRank) Counts(ctx context.Context) (rankcontrol.Counts, error) {
-	s, err := r.status(ctx, statusRequest{Counts: true})
-	return s.Counts, err
+	return r.direct.Counts(ctx)
 }
 
 // Experts implements rankcontrol.Rank.
