Prove that one map is in use in each pass

Cause: the switch on the operators' platform had no test of its own.

Change: a model of a group of ranks and a matrix: orders lost, carried out without an answer or late; a planner that is killed or frozen at each order, a group that forms anew or is idle, a second planner that takes over.

--- /dev/null
+++ b/pkg/mapswitch/group_test.go
@@ -0,0 +1,208 @@
+package mapswitch_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fescuehub/fescuehub/pkg/fleet"
+	"github.com/fescuehub/fescuehub/pkg/rankcontrol"
+)
+
+// errNoAnswer is a lost answer.
+var errNoAnswer = errors.New("no answer")
+
+// checks turns the mechanisms of the ranks off, one by one.
+type checks struct{ fence, hold bool }
+
+// faults are the shares of orders that are lost, carried out without an answer,
+// and carried out later without an answer.
+type faults struct{ lost, unanswered, late float64 }
+
+// group is a group of ranks that steps whenever an order arrives. It follows the
+// operators' protocol pages for orders about expert maps.
+type group struct {
+	mu     sync.Mutex
+	random *rand.Rand
+	checks checks
+	faults faults
+	epoch  int64
+	step   int64
+	ranks  []*rank
+	// late holds orders that are carried out later.
+	late      []func()
+	violation string
+	// idle groups make no passes.
+	idle bool
+}
+
+type rank struct {
+	group            *group
+	version          int64
+	prepared         int64
+	highest          int64
+	armed, armedStep int64
+	held             int64
+	fence            int64
+}
+
+func newGroup(seed uint64, ranks int, c checks, f faults) *group {
+	g := &group{random: rand.New(rand.NewPCG(seed, 7)), checks: c, faults: f, epoch: 1, step: 10}
+	for range ranks {
+		g.ranks = append(g.ranks, &rank{group: g})
+	}
+	return g
+}
+
+// controls returns the control of every rank, as one planner sees it.
+func (g *group) controls(through func(rankcontrol.Rank) rankcontrol.Rank) []rankcontrol.Rank {
+	var out []rankcontrol.Rank
+	for _, r := range g.ranks {
+		out = append(out, through(r))
+	}
+	return out
+}
+
+// pass begins passes until one is held; mu is held.
+func (g *group) pass(n int) {
+	for range n {
+		if g.idle {
+			return
+		}
+		next := g.step + 1
+		for _, r := range g.ranks {
+			if g.checks.hold && r.held == next {
+				return
+			}
+		}
+		g.step = next
+		for _, r := range g.ranks {
+			if r.armed != 0 && r.armedStep == next {
+				r.version, r.armed, r.armedStep = r.armed, 0, 0
+			}
+		}
+		for i, r := range g.ranks {
+			if r.version != g.ranks[0].version && g.violation == "" {
+				g.violation = fmt.Sprintf("pass %d: rank 0 has version %d, rank %d version %d", next, g.ranks[0].version, i, r.version)
+			}
+		}
+	}
+}
+
+// settle carries out what is late and lets the group step on.
+func (g *group) settle() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, run := range g.late {
+		run()
+		g.pass(1)
+	}
+	g.late = nil
+	g.pass(6)
+}
+
+// reform forms the group anew.
+func (g *group) reform() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.epoch++
+	for _, r := range g.ranks {
+		*r = rank{group: g, fence: r.fence}
+	}
+}
+
+func (r *rank) Report(context.Context) (fleet.EngineReport, error) {
+	g := r.group
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return fleet.EngineReport{
+		Epoch: g.epoch, Step: g.step, Map: r.version, Prepared: r.prepared,
+		Armed: r.armed, ArmedStep: r.armedStep, Held: r.held, State: fleet.GroupOpen,
+	}, nil
+}
+
+func (r *rank) Counts(context.Context) (rankcontrol.Counts, error) {
+	return rankcontrol.Counts{}, nil
+}
+
+func (r *rank) Experts(context.Context) ([][]int, error) { return nil, nil }
+
+func (r *rank) Order(ctx context.Context, o rankcontrol.Order) (rankcontrol.Verdict, error) {
+	g := r.group
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if ctx.Err() != nil {
+		return "", ctx.Err()
+	}
+	g.pass(g.random.IntN(2))
+	if len(g.late) > 0 && g.random.Float64() < 0.1 {
+		run := g.late[0]
+		g.late = g.late[1:]
+		run()
+		g.pass(g.random.IntN(2))
+	}
+	draw := g.random.Float64()
+	switch f := g.faults; {
+	case draw < f.lost:
+		return "", errNoAnswer
+	case draw < f.lost+f.unanswered:
+		r.carryOut(o)
+		return "", errNoAnswer
+	case draw < f.lost+f.unanswered+f.late:
+		g.late = append(g.late, func() { r.carryOut(o) })
+		return "", errNoAnswer
+	}
+	return r.carryOut(o), nil
+}
+
+// carryOut carries out an order; mu is held.
+func (r *rank) carryOut(o rankcontrol.Order) rankcontrol.Verdict {
+	g := r.group
+	if g.checks.fence && o.Fence < r.fence {
+		return rankcontrol.Fenced
+	}
+	if o.Epoch != g.epoch {
+		return rankcontrol.Unfit
+	}
+	verdict := r.apply(o)
+	if verdict != rankcontrol.Unfit { // an unfit order does not leave its fence
+		r.fence = max(r.fence, o.Fence)
+	}
+	return verdict
+}
+
+func (r *rank) apply(o rankcontrol.Order) rankcontrol.Verdict {
+	switch o.Operation {
+	case rankcontrol.Prepare:
+		if o.Version <= r.highest && o.Version != r.prepared || r.armed != 0 {
+			return rankcontrol.Unfit
+		}
+		r.prepared, r.highest = o.Version, max(r.highest, o.Version)
+		return rankcontrol.Begun
+	case rankcontrol.Arm:
+		if o.Version != r.prepared || o.Step <= r.group.step {
+			return rankcontrol.Unfit
+		}
+		r.armed, r.armedStep = o.Version, o.Step
+	case rankcontrol.Disarm:
+		if o.Version == r.version && o.Version != 0 {
+			return rankcontrol.Unfit
+		}
+		if r.armed == o.Version {
+			r.armed, r.armedStep = 0, 0
+		}
+	case rankcontrol.Hold:
+		if o.Step <= r.group.step || r.held != 0 && r.held != o.Step {
+			return rankcontrol.Unfit
+		}
+		r.held = o.Step
+	case rankcontrol.Go:
+		if r.held == o.Step {
+			r.held = 0
+		}
+	}
+	return rankcontrol.Holds
+}
