Look at groups more often and change maps sooner

Cause: a map was planned on counts 0.5 s old and in use 0.6 s after that, while the demand moves within seconds: the most loaded rank had 1.7 to 2.6 times the mean.

Change: a look each 100 ms, 150 ms from one map to the next, counts of up to 64 ranks in each look.

--- a/pkg/rankagent/planner.go
+++ b/pkg/rankagent/planner.go
@@ -27,13 +27,13 @@
 
 const (
 	// roundPause is the time between two looks at the group.
-	roundPause = 250 * time.Millisecond
+	roundPause = 100 * time.Millisecond
 	// roundTimeout and roundTimeoutRank bound one look.
 	roundTimeout     = 400 * time.Millisecond
 	roundTimeoutRank = 15 * time.Millisecond
 	// windowRanks is the number of ranks that are asked for their counts in one
 	// look, by turns: their answers share the planner's link.
-	windowRanks = 24
+	windowRanks = 64
 	// clearTimeout bounds the clearing of a switch that failed.
 	clearTimeout = 3 * time.Second
 	// topicWait is how long the planner's reads wait for a record.
@@ -50,7 +50,7 @@
 	// larger one.
 	moveGain = 0.6
 	// planPause is the least time from one map to the next.
-	planPause = 400 * time.Millisecond
+	planPause = 150 * time.Millisecond
 	// preparedTime bounds the copying of a plan's experts.
 	preparedTime = 4 * time.Second
 )
