See at once when other experts are in demand, and change maps in one step

Cause: windows of counts show that the demand is steady but for shifts, at which most of what is liked changes at one moment; a decaying mean mixed both sides for a second, and a map took two more looks at all ranks before it was in use.

Change: windows that differ by a quarter of the choices drop what was counted before; agents answer an order to prepare when the copy is complete, and the switch follows; agents that know the present map get changes alone.

--- /dev/null
+++ b/pkg/eventstream/eventstream_test.go
@@ -0,0 +1,69 @@
+package eventstream_test
+
+import (
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/fescuehub/fescuehub/pkg/eventstream"
+)
+
+func TestEvents(t *testing.T) {
+	text := "id: 1\ndata: a\n\nweights: 4\nid:2\r\ndata: b\r\n\r\n: comment\n\n"
+	for name, r := range map[string]io.Reader{"whole": strings.NewReader(text), "bytes": iotest.OneByteReader(strings.NewReader(text))} {
+		events := eventstream.NewReader(r)
+		var ids, raw []string
+		for {
+			e, err := events.Next()
+			if err != nil {
+				if err != io.EOF {
+					t.Error(name, err)
+				}
+				break
+			}
+			ids, raw = append(ids, e.ID), append(raw, string(e.Raw))
+		}
+		if strings.Join(ids, ",") != "1,2," || strings.Join(raw, "") != text {
+			t.Errorf("%s: %q %q", name, ids, raw)
+		}
+	}
+}
+
+func TestTornEvents(t *testing.T) {
+	broken := errors.New("reset")
+	for text, want := range map[string]error{"": io.EOF, "id: 1\ndata: a\n\n": io.EOF, "id: 1\nda": eventstream.ErrTorn, "id: 1\n": eventstream.ErrTorn} {
+		events := eventstream.NewReader(strings.NewReader(text))
+		var err error
+		for err == nil {
+			_, err = events.Next()
+		}
+		if !errors.Is(err, want) {
+			t.Errorf("%q ends with %v, want %v", text, err, want)
+		}
+	}
+	events := eventstream.NewReader(io.MultiReader(strings.NewReader("id: 1\nda"), iotest.ErrReader(broken)))
+	if _, err := events.Next(); !errors.Is(err, broken) {
+		t.Error(err)
+	}
+}
+
+// FuzzEvents: the events of any text, one after the other, are a prefix of it.
+func FuzzEvents(f *testing.F) {
+	f.Add("id: 1\ndata: a\n\nid")
+	f.Fuzz(func(t *testing.T, text string) {
+		events := eventstream.NewReader(strings.NewReader(text))
+		var all strings.Builder
+		for {
+			e, err := events.Next()
+			if err != nil {
+				break
+			}
+			all.Write(e.Raw)
+		}
+		if !strings.HasPrefix(text, all.String()) {
+			t.Fatalf("%q", all.String())
+		}
+	})
+}
--- a/pkg/mapswitch/mapswitch.go
+++ b/pkg/mapswitch/mapswitch.go
@@ -73,12 +73,17 @@
 	Fences *Fences
 }
 
-// Prepare makes every rank copy what it needs of a map.
-func (g *Group) Prepare(ctx context.Context, version int64, m rankcontrol.Map) error {
+// Prepare makes every rank copy what it needs of a map. present is the map in use,
+// of version base.
+func (g *Group) Prepare(ctx context.Context, version int64, m rankcontrol.Map, base int64, present rankcontrol.Map) error {
 	ctx, cancel := context.WithTimeout(ctx, prepareTime)
 	defer cancel()
+	var changes []rankcontrol.Row
+	if base != 0 {
+		changes = present.ChangesTo(m)
+	}
 	return g.each(ctx, func(ctx context.Context, r int) error {
-		return g.order(ctx, r, rankcontrol.Order{Operation: rankcontrol.Prepare, Version: version, Map: m})
+		return g.order(ctx, r, rankcontrol.Order{Operation: rankcontrol.Prepare, Version: version, Map: m, Base: base, Changes: changes})
 	})
 }
 
--- a/pkg/mapswitch/matrix_test.go
+++ b/pkg/mapswitch/matrix_test.go
@@ -57,7 +57,7 @@
 		return err
 	}
 	version := fences.Version()
-	if err := f.Prepare(ctx, version, nil); err != nil {
+	if err := f.Prepare(ctx, version, nil, 0, nil); err != nil {
 		return err
 	}
 	return f.Switch(ctx, version)
--- a/pkg/popularity/popularity.go
+++ b/pkg/popularity/popularity.go
@@ -18,11 +18,15 @@
 	// demand is the demand of each rank's requests, set after set.
 	demand [][]float64
 	at     time.Time
+	// fresh is what was observed since the last Settle, by rank.
+	fresh map[int]Window
+	// shifts counts the changes of what is liked.
+	shifts int
 }
 
 // New returns an estimator of the experts that a number of ranks choose.
 func New(ranks, sets, experts int, halfLife time.Duration) *Estimator {
-	e := &Estimator{halfLife: halfLife, sets: sets}
+	e := &Estimator{halfLife: halfLife, sets: sets, fresh: make(map[int]Window)}
 	for range ranks {
 		e.demand = append(e.demand, make([]float64, sets*experts))
 	}
@@ -44,13 +48,61 @@
 
 // Observe takes what a rank's requests chose since it was last asked.
 func (e *Estimator) Observe(rank int, w Window) {
-	demand := e.demand[rank]
-	if len(w.Roots) != len(demand) {
-		return
+	if len(w.Roots) == len(e.demand[rank]) {
+		e.fresh[rank] = w
 	}
-	for i, root := range w.Roots {
-		demand[i] += w.value(root)
+}
+
+// Settle adds what was observed to the demand. It reports whether other experts
+// are liked than before: then what was counted before is forgotten.
+func (e *Estimator) Settle() bool {
+	shifted := e.shifted()
+	if shifted {
+		e.shifts++
+		for _, demand := range e.demand {
+			clear(demand)
+		}
+	}
+	for rank, w := range e.fresh {
+		for i, root := range w.Roots {
+			e.demand[rank][i] += w.value(root)
+		}
+	}
+	clear(e.fresh)
+	return shifted
+}
+
+const (
+	// shiftDistance is the part of the choices that have to go to other experts
+	// for a shift: windows of a tenth of a second differ by 0.05 to 0.15 from the
+	// mean of what came before.
+	shiftDistance = 0.25
+	// shiftChoices is the least number of choices in windows that tell of one.
+	shiftChoices = 20_000
+)
+
+// shifted compares the fresh windows with the demand.
+func (e *Estimator) shifted() bool {
+	fresh, known := make([]float64, len(e.demand[0])), make([]float64, len(e.demand[0]))
+	for _, w := range e.fresh {
+		for i, root := range w.Roots {
+			fresh[i] += w.value(root)
+		}
+	}
+	for _, demand := range e.demand {
+		for i, d := range demand {
+			known[i] += d
+		}
+	}
+	a, b := sum(fresh), sum(known)
+	if a < shiftChoices || b < shiftChoices {
+		return false
+	}
+	distance := 0.0
+	for i := range fresh {
+		distance += math.Abs(fresh[i]/a-known[i]/b) / 2
 	}
+	return distance > shiftDistance
 }
 
 // Total returns the decayed number of choices.
--- a/pkg/rankagent/agent.go
+++ b/pkg/rankagent/agent.go
@@ -27,9 +27,14 @@
 	"github.com/fescuehub/fescuehub/pkg/settings"
 	"github.com/fescuehub/fescuehub/pkg/sharedlog"
 	"github.com/fescuehub/fescuehub/pkg/telemetry"
+	"github.com/fescuehub/fescuehub/pkg/wait"
 )
 
 const (
+	// preparedTime bounds the wait for the copies of a map, preparedCheck is the
+	// time between two looks: one expert takes 35 ms.
+	preparedTime  = 800 * time.Millisecond
+	preparedCheck = 20 * time.Millisecond
 	// plannerSilence is how long a planner may be silent before the other agents
 	// take part in the election.
 	plannerSilence = 2500 * time.Millisecond
@@ -74,6 +79,8 @@
 	planner string
 	heard   time.Time
 	counter popularity.Counter
+	// maps holds the maps that were prepared last, by version.
+	maps map[int64]rankcontrol.Map
 
 	// plans is true while this agent plans.
 	plans  atomic.Bool
@@ -90,6 +97,7 @@
 		log: log, metrics: metrics, scope: metrics.Scope,
 		member:      s.Name + "/" + uuid.NewString(),
 		subscribers: make(map[netip.AddrPort]time.Time),
+		maps:        make(map[int64]rankcontrol.Map),
 		draining:    make(chan struct{}),
 	}
 }
@@ -240,9 +248,7 @@
 			return status, err
 		}),
 		methodOrder: rpc.Typed(func(ctx context.Context, _ *rpc.Conn, o rankcontrol.Order) (any, error) {
-			call, cancel := context.WithTimeout(ctx, orderTimeout)
-			defer cancel()
-			verdict, err := a.local.Order(call, o)
+			verdict, err := a.carryOut(ctx, o)
 			a.log.Info("order", zap.String("operation", string(o.Operation)), zap.Int64("version", o.Version), zap.Int64("step", o.Step),
 				zap.Int64("epoch", o.Epoch), zap.Int64("fence", o.Fence), zap.String("verdict", string(verdict)), telemetry.Err(err))
 			return orderReply{verdict}, err
@@ -250,6 +256,64 @@
 	}
 }
 
+// carryOut gives an order to the engine beside this agent. An order to prepare is
+// answered when the copy is complete, or after preparedTime.
+func (a *Agent) carryOut(ctx context.Context, o rankcontrol.Order) (rankcontrol.Verdict, error) {
+	if o.Operation == rankcontrol.Prepare {
+		whole, ok := a.wholeMap(o)
+		if !ok {
+			return rankcontrol.NoBase, nil
+		}
+		o.Map = whole
+	}
+	call, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	verdict, err := a.local.Order(call, o)
+	if err == nil && o.Operation == rankcontrol.Prepare && verdict == rankcontrol.Begun {
+		a.awaitPrepared(ctx, o.Version)
+	}
+	return verdict, err
+}
+
+// wholeMap returns the map of an order to prepare and remembers it as a base for
+// later changes.
+func (a *Agent) wholeMap(o rankcontrol.Order) (rankcontrol.Map, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	whole := o.Map
+	if whole == nil {
+		base, known := a.maps[o.Base]
+		if !known {
+			return nil, false
+		}
+		var err error
+		if whole, err = base.With(o.Changes); err != nil {
+			a.log.Error("the changes of a map do not fit their base", zap.Int64("base", o.Base), telemetry.Err(err))
+			return nil, false
+		}
+	}
+	for version := range a.maps {
+		if version != o.Base {
+			delete(a.maps, version)
+		}
+	}
+	a.maps[o.Version] = whole
+	return whole, true
+}
+
+// awaitPrepared waits until the engine has copied a map.
+func (a *Agent) awaitPrepared(ctx context.Context, version int64) {
+	ctx, cancel := context.WithTimeout(ctx, preparedTime)
+	defer cancel()
+	for ctx.Err() == nil {
+		report, err := a.local.Report(ctx)
+		if err != nil || report.Prepared == version {
+			return // the planner's next look tells what is wrong
+		}
+		wait.For(ctx, preparedCheck)
+	}
+}
+
 // status reads what a planner asks for from the engine beside this agent.
 func (a *Agent) status(ctx context.Context, r statusRequest) (rankStatus, error) {
 	s, err := readStatus(ctx, a.local, r)
--- a/pkg/rankagent/planner.go
+++ b/pkg/rankagent/planner.go
@@ -33,13 +33,13 @@
 	roundTimeoutRank = 15 * time.Millisecond
 	// windowRanks is the number of ranks that are asked for their counts in one
 	// look, by turns: their answers share the planner's link.
-	windowRanks = 64
+	windowRanks = 16
 	// clearTimeout bounds the clearing of a switch that failed.
 	clearTimeout = 3 * time.Second
 	// topicWait is how long the planner's reads wait for a record.
 	topicWait = 2 * time.Second
 	// demandHalfLife is the time in which a choice loses half its weight.
-	demandHalfLife = 700 * time.Millisecond
+	demandHalfLife = 1500 * time.Millisecond
 	// leastChoices is the number of choices below which nothing is planned.
 	leastChoices = 20_000
 	// planGain is the part of the mean load by which a plan has to lower the
@@ -51,8 +51,8 @@
 	moveGain = 0.6
 	// planPause is the least time from one map to the next.
 	planPause = 150 * time.Millisecond
-	// preparedTime bounds the copying of a plan's experts.
-	preparedTime = 4 * time.Second
+	// nextTime is how long a map that could not be switched to is tried again.
+	nextTime = 4 * time.Second
 )
 
 // planner plans the maps of one service's groups.
@@ -172,6 +172,9 @@
 	for r, s := range statuses {
 		g.demand.Observe(r, s.Window)
 	}
+	if g.demand.Settle() {
+		p.log.Info("other experts are in demand", zap.String("group", g.name))
+	}
 	return p.advance(ctx, g, servers, statuses, engine)
 }
 
@@ -404,7 +407,7 @@
 		return nil
 	}
 	version := p.fences.Version()
-	err := f.Prepare(ctx, version, plan.Sets)
+	err := f.Prepare(ctx, version, plan.Sets, g.version, g.present)
 	p.log.Info("prepare a map", zap.String("group", g.name), zap.Int64("epoch", g.epoch), zap.Int64("version", version),
 		zap.Float64("skewBefore", plan.Before), zap.Float64("skewAfter", plan.After), zap.Int("copies", plan.Copies),
 		zap.Float64("choices", g.demand.Total()), telemetry.Err(err))
@@ -414,7 +417,7 @@
 		return onlyFenced(err)
 	}
 	g.next, g.nextID, g.nextSince = plan.Sets, version, time.Now()
-	return nil
+	return p.switchOver(ctx, g, f)
 }
 
 // complete switches to a map that every rank has prepared.
@@ -423,12 +426,18 @@
 		if s.Report.Prepared == g.nextID {
 			continue
 		}
-		if time.Since(g.nextSince) > preparedTime {
+		if time.Since(g.nextSince) > nextTime {
 			p.log.Warn("a map was not prepared in time", zap.String("group", g.name), zap.Int64("version", g.nextID))
 			g.next = nil
 		}
 		return nil
 	}
+	return p.switchOver(ctx, g, f)
+}
+
+// switchOver switches to the next map. A rank that has not copied it yet takes
+// the switch back, which costs a few orders.
+func (p *planner) switchOver(ctx context.Context, g *group, f *mapswitch.Group) error {
 	ctx, cancel := context.WithTimeout(ctx, clearTimeout)
 	defer cancel()
 	began := time.Now()
--- a/pkg/rankagent/remote.go
+++ b/pkg/rankagent/remote.go
@@ -128,11 +128,22 @@
 	return s.Experts, err
 }
 
-// Order implements rankcontrol.Rank.
+// Order implements rankcontrol.Rank. An agent that has prepared the base of a map
+// gets the changes alone.
 func (r *remoteRank) Order(ctx context.Context, o rankcontrol.Order) (rankcontrol.Verdict, error) {
 	var reply orderReply
-	if answered, err := r.call(ctx, methodOrder, o, &reply); answered {
+	if len(o.Changes) > 0 {
+		short := o
+		short.Map = nil
+		answered, err := r.call(ctx, methodOrder, short, &reply)
+		if answered && (err != nil || reply.Verdict != rankcontrol.NoBase) {
+			return reply.Verdict, err
+		}
+	}
+	whole := o
+	whole.Base, whole.Changes = 0, nil
+	if answered, err := r.call(ctx, methodOrder, whole, &reply); answered {
 		return reply.Verdict, err
 	}
-	return r.direct.Order(ctx, o)
+	return r.direct.Order(ctx, whole)
 }
--- a/pkg/rankcontrol/rankcontrol.go
+++ b/pkg/rankcontrol/rankcontrol.go
@@ -4,6 +4,9 @@
 
 import (
 	"context"
+	"slices"
+
+	"github.com/cockroachdb/errors"
 
 	"github.com/fescuehub/fescuehub/pkg/fleet"
 )
@@ -28,6 +31,42 @@
 // Map lists the experts of each rank: by set, then by rank.
 type Map [][][]int
 
+// Row is what one rank holds of one set.
+type Row struct {
+	Set     int   `json:"s"`
+	Rank    int   `json:"r"`
+	Experts []int `json:"e"`
+}
+
+// ChangesTo returns the rows in which another map differs.
+func (m Map) ChangesTo(other Map) []Row {
+	var rows []Row
+	for s := range other {
+		for r := range other[s] {
+			if !slices.Equal(m[s][r], other[s][r]) {
+				rows = append(rows, Row{s, r, other[s][r]})
+			}
+		}
+	}
+	return rows
+}
+
+// With returns the map with some rows replaced. It fails for a row that the map
+// does not have.
+func (m Map) With(rows []Row) (Map, error) {
+	out := make(Map, len(m))
+	for s := range m {
+		out[s] = slices.Clone(m[s])
+	}
+	for _, row := range rows {
+		if row.Set < 0 || row.Set >= len(out) || row.Rank < 0 || row.Rank >= len(out[row.Set]) {
+			return nil, errors.Newf("the map has no row for set %d, rank %d", row.Set, row.Rank)
+		}
+		out[row.Set][row.Rank] = row.Experts
+	}
+	return out, nil
+}
+
 // Order is one order.
 type Order struct {
 	Operation Operation `json:"operation"`
@@ -35,8 +74,11 @@
 	Version int64 `json:"version,omitempty"`
 	// Step is the pass of Arm, Hold and Go.
 	Step int64 `json:"step,omitempty"`
-	// Map is the map of Prepare.
-	Map Map `json:"map,omitempty"`
+	// Map is the map of Prepare. Between the project's processes it may be told
+	// as Changes to the map of version Base instead.
+	Map     Map   `json:"map,omitempty"`
+	Base    int64 `json:"base,omitempty"`
+	Changes []Row `json:"changes,omitempty"`
 	// Epoch is the formation of the group that the order is for.
 	Epoch int64 `json:"epoch"`
 	// Fence is the order giver's generation: lower ones than the rank has seen
@@ -59,6 +101,8 @@
 	Fenced Verdict = "fenced"
 	// Refused means that nothing was done for another reason.
 	Refused Verdict = "refused"
+	// NoBase means that an agent does not know the map that changes refer to.
+	NoBase Verdict = "no-base"
 )
 
 // Counts tells how often the rank's requests chose each expert since its start.
--- a/pkg/retrybudget/retrybudget.go
+++ b/pkg/retrybudget/retrybudget.go
@@ -8,8 +8,10 @@
 )
 
 const (
-	// buckets cut the window into parts that expire one by one.
-	buckets = 10
+	// windowParts cut the window into parts that expire one by one. One more is
+	// kept: the newest part has only begun.
+	windowParts = 10
+	buckets     = windowParts + 1
 	// margin is the part of the budget that is used: counts of the other
 	// entries are some hundred milliseconds old.
 	margin = 0.7
@@ -118,7 +120,7 @@
 }
 
 func (b *Budget) window(now time.Time, service string) *window {
-	tick := int64(now.Sub(b.start) / (b.limits.Window / buckets))
+	tick := int64(now.Sub(b.start) / (b.limits.Window / windowParts))
 	w := b.services[service]
 	if w == nil {
 		w = &window{tick: tick}
