Tell a shift of demand from the usual spread of each group

Cause: in groups of 63 ranks a shift moves 0.15 of the choices within 0.4 s, below the fixed bound of 0.25; windows differ by 0.02 there and by 0.12 in groups of 12.

Change: the bound follows the usual spread, which falls fast and rises slowly.

--- a/pkg/popularity/popularity.go
+++ b/pkg/popularity/popularity.go
@@ -20,13 +20,14 @@
 	at     time.Time
 	// fresh is what was observed since the last Settle, by rank.
 	fresh map[int]Window
-	// shifts counts the changes of what is liked.
-	shifts int
+	// spread is the usual distance of a window from the demand, as a part of the
+	// choices.
+	spread float64
 }
 
 // New returns an estimator of the experts that a number of ranks choose.
 func New(ranks, sets, experts int, halfLife time.Duration) *Estimator {
-	e := &Estimator{halfLife: halfLife, sets: sets, fresh: make(map[int]Window)}
+	e := &Estimator{halfLife: halfLife, sets: sets, fresh: make(map[int]Window), spread: firstSpread}
 	for range ranks {
 		e.demand = append(e.demand, make([]float64, sets*experts))
 	}
@@ -58,7 +59,6 @@
 func (e *Estimator) Settle() bool {
 	shifted := e.shifted()
 	if shifted {
-		e.shifts++
 		for _, demand := range e.demand {
 			clear(demand)
 		}
@@ -73,10 +73,17 @@
 }
 
 const (
-	// shiftDistance is the part of the choices that have to go to other experts
-	// for a shift: windows of a tenth of a second differ by 0.05 to 0.15 from the
-	// mean of what came before.
-	shiftDistance = 0.25
+	// spreadFactor and leastDistance tell a shift from the usual spread: windows
+	// of a tenth of a second differ from the mean of what came before by 0.03 of
+	// the choices in large groups and 0.15 in small ones.
+	spreadFactor  = 2.2
+	leastDistance = 0.01
+	// firstSpread is the spread that is expected of the first windows.
+	firstSpread = 0.12
+	// fallWeight and riseWeight are the weights of a newest window in the usual
+	// spread, below and above it: what a shift leaves behind must not raise it.
+	fallWeight = 0.2
+	riseWeight = 0.03
 	// shiftChoices is the least number of choices in windows that tell of one.
 	shiftChoices = 20_000
 )
@@ -102,7 +109,15 @@
 	for i := range fresh {
 		distance += math.Abs(fresh[i]/a-known[i]/b) / 2
 	}
-	return distance > shiftDistance
+	if distance > spreadFactor*e.spread+leastDistance {
+		return true
+	}
+	weight := riseWeight
+	if distance < e.spread {
+		weight = fallWeight
+	}
+	e.spread += weight * (distance - e.spread)
+	return false
 }
 
 // Total returns the decayed number of choices.
