Send what may run once on a new connection

Ruled out: the check before use (it sees a close, not a silent drop).

Change: requests that may not be repeated go on a new connection; groups up to 63 ranks are held two passes ahead.

--- a/pkg/mapswitch/mapswitch.go
+++ b/pkg/mapswitch/mapswitch.go
@@ -33,7 +33,7 @@
 	// one that is held: a pass takes about 50 ms, arming all ranks about 10.
 	marginPasses = 2
 	// ranksPerPass is the number of ranks that are armed in the time of a pass.
-	ranksPerPass = 32
+	ranksPerPass = 64
 	// maxCounter bounds the orders of one generation.
 	maxCounter = 1 << 24
 )
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -95,7 +95,9 @@
 	x.dialect.Attempt(header, attempt)
 	return &backendconn.Request{
 		Method: x.q.Method, Target: x.q.Target, Host: x.q.Host, Header: header, Body: x.q.Body,
-		Own: func(h http.Header) bool { return x.dialect.Answer(0, h).RequestID == x.q.ID },
+		// An idle connection may be gone unseen: what is sent on it may have run.
+		Fresh: !x.repeatable,
+		Own:   func(h http.Header) bool { return x.dialect.Answer(0, h).RequestID == x.q.ID },
 	}
 }
 
