Keep a silent agent from holding up the planner, and arm further ahead when orders are lost

Ruled out: arming before the hold (a lost hold would leave ranks half armed).

Change: only the first dial to an agent is waited for; nine passes of margin for 5 s after an order went unanswered; an order is given again after 30 ms.

--- a/pkg/mapswitch/mapswitch.go
+++ b/pkg/mapswitch/mapswitch.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -32,6 +33,9 @@
 	// marginPasses is the number of passes between the last one begun and the
 	// one that is held: a pass takes about 50 ms, arming all ranks about 10.
 	marginPasses = 2
+	// slowMarginPasses is the margin where orders went unanswered of late: they
+	// are given again until they are answered, before the held pass is due.
+	slowMarginPasses = 9
 	// ranksPerPass is the number of ranks that are armed in the time of a pass.
 	ranksPerPass = 64
 	// maxCounter bounds the orders of one generation.
@@ -71,6 +75,20 @@
 	Anchor int
 	Epoch  int64
 	Fences *Fences
+	// Slow asks for a wider margin.
+	Slow bool
+
+	unanswered atomic.Int64
+}
+
+// Unanswered returns the number of orders without an answer.
+func (g *Group) Unanswered() int64 { return g.unanswered.Load() }
+
+func (g *Group) margin() int64 {
+	if g.Slow || g.Unanswered() > 0 {
+		return slowMarginPasses
+	}
+	return marginPasses + int64(len(g.Ranks)/ranksPerPass)
 }
 
 // Prepare makes every rank copy what it needs of a map. present is the map in use,
@@ -95,7 +113,7 @@
 	if err != nil {
 		return err
 	}
-	step := report.Step + marginPasses + int64(len(g.Ranks)/ranksPerPass)
+	step := report.Step + g.margin()
 	arming, cancel := context.WithTimeout(ctx, armTime)
 	defer cancel()
 	err = g.order(arming, g.Anchor, rankcontrol.Order{Operation: rankcontrol.Hold, Step: step})
@@ -222,6 +240,7 @@
 		if err == nil {
 			return errors.Wrapf(verdictError(verdict), "%s at rank %d", o.Operation, r)
 		}
+		g.unanswered.Add(1)
 		if ctx.Err() != nil {
 			return errors.Wrapf(err, "%s at rank %d was not answered", o.Operation, r)
 		}
--- a/pkg/rankagent/agent.go
+++ b/pkg/rankagent/agent.go
@@ -44,7 +44,7 @@
 	localTimeout = 150 * time.Millisecond
 	// orderTimeout bounds an order to the engine beside the agent. The planner's
 	// bound is higher, so that it learns of a lost answer from the agent.
-	orderTimeout = 50 * time.Millisecond
+	orderTimeout = 30 * time.Millisecond
 )
 
 // The methods that a planner calls.
--- a/pkg/rankagent/planner.go
+++ b/pkg/rankagent/planner.go
@@ -51,6 +51,8 @@
 	moveGain = 0.6
 	// planPause is the least time from one map to the next.
 	planPause = 150 * time.Millisecond
+	// slowTime is how long orders without an answer are reckoned with.
+	slowTime = 5 * time.Second
 	// nextTime is how long a map that could not be switched to is tried again.
 	nextTime = 4 * time.Second
 )
@@ -88,6 +90,8 @@
 	nextID    int64
 	nextSince time.Time
 	changed   time.Time
+	// lost is when an order last went unanswered.
+	lost time.Time
 	// rests is why the group is not planned now; empty while it is.
 	rests string
 }
@@ -306,7 +310,7 @@
 // formation returns the control of a group's ranks. The anchor is the rank
 // beside this agent, whose orders take the shortest way.
 func (p *planner) formation(g *group, servers []fleet.Server) *mapswitch.Group {
-	f := &mapswitch.Group{Epoch: g.epoch, Fences: p.fences}
+	f := &mapswitch.Group{Epoch: g.epoch, Fences: p.fences, Slow: time.Since(g.lost) < slowTime}
 	for r, s := range servers {
 		f.Ranks = append(f.Ranks, p.rank(s.Address))
 		if s.Address == p.agent.settings.BackendAddress {
@@ -319,6 +323,11 @@
 // advance takes the next step of a group's map.
 func (p *planner) advance(ctx context.Context, g *group, servers []fleet.Server, statuses []rankStatus, engine *fleet.Engine) error {
 	f := p.formation(g, servers)
+	defer func() {
+		if f.Unanswered() > 0 {
+			g.lost = time.Now()
+		}
+	}()
 	if !g.clean || stray(statuses) {
 		return p.clear(ctx, g, f)
 	}
--- a/pkg/rankagent/remote.go
+++ b/pkg/rankagent/remote.go
@@ -33,32 +33,55 @@
 	agent   string
 	direct  rankcontrol.Rank
 
-	mu     sync.Mutex
-	conn   *rpc.Conn
+	mu   sync.Mutex
+	conn *rpc.Conn
+	// dialing is closed when the present dial has ended; nil where there is none.
+	dialing chan struct{}
+	// failed is when the agent last did not answer.
 	failed time.Time
 }
 
-// connect returns a connection to the agent; nil while it is passed over.
+// connect returns a connection to the agent; nil while the agent is passed over.
+// Only the first dial is waited for: an agent that stands still must not hold up
+// the planner.
 func (r *remoteRank) connect() *rpc.Conn {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	if time.Since(r.failed) < directTime {
-		return nil
-	}
 	if r.conn != nil {
 		select {
 		case <-r.conn.Done():
+			r.conn = nil
 		default:
+			defer r.mu.Unlock()
 			return r.conn
 		}
 	}
+	first := r.failed.IsZero()
+	if r.dialing == nil && (first || time.Since(r.failed) >= directTime) {
+		r.dialing = make(chan struct{})
+		go r.dial(r.dialing)
+	}
+	dialing := r.dialing
+	r.mu.Unlock()
+	if !first || dialing == nil {
+		return nil
+	}
+	<-dialing
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.conn
+}
+
+func (r *remoteRank) dial(done chan struct{}) {
 	conn, err := rpc.DialWithin(r.life, r.timeout, r.agent, nil)
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	if err != nil {
 		r.failed = time.Now()
-		return nil
+	} else {
+		r.conn = conn
 	}
-	r.conn = conn
-	return conn
+	r.dialing = nil
+	close(done)
 }
 
 func (r *remoteRank) drop(conn *rpc.Conn) {
