--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -19,8 +19,6 @@
 // passed on as it comes.
 const maxHeldBytes = 1 << 20
 
-// eventStreamType is the media type of a stream of events.
-const eventStreamType = "text/event-stream"
 
 // heldAnswer is a whole answer.
 type heldAnswer struct {
