Reset connections of requests that were given up

Ruled out: a send after the cancel (the attempt began 1.1 s before it).

Change: such connections are reset, which drops what has not arrived.

--- a/pkg/backendconn/exchange.go
+++ b/pkg/backendconn/exchange.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/fescuehub/fescuehub/pkg/netconn"
 )
 
 const (
@@ -86,11 +88,11 @@
 	if err != nil {
 		return nil, &Error{NotSent: true, Cause: err}
 	}
-	stop := context.AfterFunc(ctx, func() { _ = c.nc.Close() })
+	stop := context.AfterFunc(ctx, func() { netconn.Abort(c.nc) })
 	answer, err := c.exchange(r)
 	if err != nil {
 		stop()
-		_ = c.nc.Close()
+		netconn.Abort(c.nc)
 		if ctx.Err() != nil {
 			err = context.Cause(ctx)
 		}
@@ -180,7 +182,7 @@
 // was read to its end and nothing follows it.
 func (a *Answer) Close() {
 	if !a.stop() || !a.whole() {
-		_ = a.conn.nc.Close()
+		netconn.Abort(a.conn.nc)
 		return
 	}
 	a.conn.idleUntil = time.Now().Add(idleTime(a.Header))
--- a/pkg/netconn/netconn.go
+++ b/pkg/netconn/netconn.go
@@ -61,3 +61,12 @@
 	})
 	return err == nil && usable
 }
+
+// Abort resets a connection: what was sent and has not arrived is dropped, so
+// that a request that was given up does not reach its server later.
+func Abort(nc net.Conn) {
+	if tc, ok := nc.(*net.TCPConn); ok {
+		_ = tc.SetLinger(0) // a connection that is closed already needs none
+	}
+	_ = nc.Close()
+}
