Refuse at once what finds no place, and show the platform in the demo

Cause: the demo of the platform showed a booking that was held for the caller's whole two seconds while every server of the till turned it away: requests waited for the retry budget, and servers were asked again without a bound.

Ruled out: holding for a broken group, which is bounded by when the caller leaves.

--- a/pkg/cli/demo.go
+++ b/pkg/cli/demo.go
@@ -6,8 +6,12 @@
 	"github.com/spf13/cobra"
 
 	"github.com/fescuehub/fescuehub/pkg/demo"
+	platformstandin "github.com/fescuehub/fescuehub/platform/standin"
 )
 
+// platformDeployment shows the processes of the operators' platform.
+const platformDeployment = "platform"
+
 func (a *app) demoCommand() *cobra.Command {
 	var deployment string
 	var verbose bool
@@ -19,8 +23,8 @@
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			d, ok := demo.Find(deployment)
-			if !ok {
-				return usage("--deployment is %q; write arcos or somes", deployment)
+			if !ok && deployment != platformDeployment {
+				return usage("--deployment is %q; write arcos, somes or platform", deployment)
 			}
 			ctx, stop := signalContext(cmd.Context())
 			defer stop()
@@ -28,10 +32,13 @@
 			if verbose {
 				logs = a.errOut
 			}
+			if deployment == platformDeployment {
+				return platformstandin.Demo(ctx, a.out, logs)
+			}
 			return demo.Run(ctx, d, a.out, logs)
 		},
 	}
-	cmd.Flags().StringVar(&deployment, "deployment", "arcos", "the deployment to show: arcos or somes")
+	cmd.Flags().StringVar(&deployment, "deployment", "arcos", "the deployment to show: arcos, somes, or platform for the processes of the operators' platform")
 	cmd.Flags().BoolVar(&verbose, "verbose", false, "print the logs of the processes")
 	return cmd
 }
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -19,7 +19,6 @@
 // passed on as it comes.
 const maxHeldBytes = 1 << 20
 
-
 // heldAnswer is a whole answer.
 type heldAnswer struct {
 	status int
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -25,6 +25,10 @@
 	// away; it doubles up to maxPause.
 	turnedAwayPause = 60 * time.Millisecond
 	maxPause        = 500 * time.Millisecond
+	// fullRounds and fullAttempts bound how often servers may turn a request away
+	// for want of a place: plain ones each so often, engines together.
+	fullRounds   = 2
+	fullAttempts = 8
 	// brokenCheck is the pause between looks at a broken group's state and at a
 	// spent budget: reports come five times a second.
 	brokenCheck = 50 * time.Millisecond
@@ -270,10 +274,11 @@
 }
 
 // waitForBudget waits until the service's retry budget allows another attempt.
-// Only a request that has certainly not run waits: it can still be refused.
+// Only a request that has certainly not run, and not for want of a place, waits: it
+// can still be refused.
 func (x *exchange) waitForBudget(ctx context.Context) bool {
 	for !x.budget.Take(time.Now(), x.q.Service.Name) {
-		if x.mayHaveRun > 0 || !x.worthWaiting(ctx) {
+		if x.mayHaveRun > 0 || x.q.Service.Engine == nil || !x.worthWaiting(ctx) {
 			return false
 		}
 		wait.For(ctx, brokenCheck)
@@ -331,11 +336,23 @@
 			return false
 		}
 	case notRun:
+		if x.full() {
+			x.finish(ctx, "every backend server is full")
+			return false
+		}
 		x.pause(ctx)
 	}
 	return true
 }
 
+// full reports whether the servers have turned the request away so often that a
+// place in time is not to be expected: it is refused while its caller has time to
+// come back.
+func (x *exchange) full() bool {
+	return !x.groupFault && x.turnedAway >= fullRounds*max(x.balancer.Servers(x.q.Service.Name), 1) ||
+		!x.groupFault && x.q.Service.Engine != nil && x.turnedAway >= fullAttempts
+}
+
 // pause waits after servers have turned the request away, longer each time: a
 // place has to become free, or the group has to form anew.
 func (x *exchange) pause(ctx context.Context) {
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -247,10 +247,16 @@
 // to come back, and is sent to no more servers than there are.
 func TestNotRunIsTrue(t *testing.T) {
 	a, b := newBackend(t, notRun), newBackend(t, notRun)
-	s := newSite(t, route(fleet.Unsafe), fleet.Service{}, 2, a.server("a"), b.server("b"))
-	status, _, header, err := s.send(context.Background(), "1")
-	if err != nil || status != 503 || header.Get("Retry-After") == "" {
-		t.Fatal(status, header, err)
+	for _, floor := range []float64{2, 94} { // without and with a budget left
+		s := newSite(t, route(fleet.Unsafe), fleet.Service{}, floor, a.server("a"), b.server("b"))
+		began := time.Now()
+		status, _, header, err := s.send(context.Background(), "1")
+		if err != nil || status != 503 || header.Get("Retry-After") == "" {
+			t.Fatal(status, header, err)
+		}
+		if took := time.Since(began); took > time.Second {
+			t.Errorf("refused after %v, near the end of the caller's two seconds", took)
+		}
 	}
 }
 
