Pass over engines that their planner does not reach

Ruled out: a group that stands still (other engines answered all the time); our connections (they were reset).

A test without the bench fails before.

--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -29,6 +29,11 @@
 	// hangTime is how long a server may answer nothing while others answer: a
 	// first event usually takes 0.2 to 0.4 s.
 	hangTime = time.Second
+	// missingTime is how long an engine that its planner does not reach is passed
+	// over: two looks of the planner at a large group.
+	missingTime = 600 * time.Millisecond
+	// mostMissing bounds the engines that are passed over so: one in so many.
+	mostMissing = 3
 	// hangSuspect keeps a server that hung back.
 	hangSuspect = 2 * time.Second
 	// probePause is the time between two requests that find out whether a group
@@ -82,6 +87,9 @@
 	// oldest is since when this entry has waited for the server to answer
 	// anything; zero while it does not wait.
 	oldest time.Time
+	// missing is until when the server passes for one that answers nobody, since
+	// its planner did not reach it.
+	missing time.Time
 }
 
 // others is what one other entry has in flight.
@@ -167,8 +175,8 @@
 	}
 }
 
-// Hangs reports whether a server has answered nothing for hangTime while others
-// of its service answered.
+// Hangs reports whether a server does not answer its planner, or has answered
+// nothing for hangTime while others of its service answered.
 func (b *Balancer) Hangs(now time.Time, id string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -177,7 +185,7 @@
 }
 
 func (b *Balancer) hangs(now time.Time, s *server) bool {
-	return !s.oldest.IsZero() && now.Sub(s.oldest) > hangTime && b.answered[s.Service].Sub(s.oldest) > hangTime/2
+	return now.Before(s.missing) || !s.oldest.IsZero() && now.Sub(s.oldest) > hangTime && b.answered[s.Service].Sub(s.oldest) > hangTime/2
 }
 
 // End takes a request off again and learns from its result.
@@ -283,10 +291,21 @@
 	for _, e := range engines {
 		loads[e.Address] = e
 	}
+	var missing []*server
 	for _, s := range b.services[service] {
-		if load, ok := loads[s.Address]; ok && load.Born == s.Born {
+		load, ok := loads[s.Address]
+		if ok && load.Born == s.Born {
 			s.engine, s.engineAt, s.sent = load, now, 0
 		}
+		if !ok {
+			missing = append(missing, s)
+		}
+	}
+	// A planner that reaches few engines is cut off itself.
+	if len(missing)*mostMissing <= len(b.services[service]) {
+		for _, s := range missing {
+			s.missing = now.Add(missingTime)
+		}
 	}
 }
 
--- a/pkg/balance/balance_test.go
+++ b/pkg/balance/balance_test.go
@@ -139,6 +139,41 @@
 	}
 }
 
+// TestEnginesThatThePlannerMissesAreAvoided answers instances that stand still for
+// seconds: their engines take requests and answer nobody.
+func TestEnginesThatThePlannerMissesAreAvoided(t *testing.T) {
+	for _, c := range []struct {
+		reached int
+		want    bool
+	}{{8, true}, {5, false}} {
+		random := rand.New(rand.NewPCG(1, 1))
+		b := balance.New()
+		b.SetServers(servers(12))
+		var known []balance.EngineLoad
+		for i := range c.reached {
+			known = append(known, balance.EngineLoad{Address: fmt.Sprintf("h%d:1", i), Born: 1, Running: 10})
+		}
+		b.Group(start, "s", fleet.GroupOpen, known)
+		hits := 0
+		for range 300 {
+			s, _ := b.Choose(start.Add(100*time.Millisecond), engines, nil, random.Float64)
+			if b.Hangs(start.Add(100*time.Millisecond), s.ID) {
+				hits++
+			}
+		}
+		// Four drawn at random are all missing in 1 of 495 choices.
+		if c.want && hits > 5 {
+			t.Errorf("%d of 300 choices fell on engines that the planner does not reach", hits)
+		}
+		if got := b.Hangs(start.Add(100*time.Millisecond), "11"); got != c.want {
+			t.Errorf("a planner that reaches %d of 12: engine 11 passed over: %v", c.reached, got)
+		}
+		if b.Hangs(start.Add(time.Second), "11") {
+			t.Error("an old digest counts")
+		}
+	}
+}
+
 // TestFailingServerIsAvoided answers a server that fails part of its requests
 // with good health: it gets a small part of the load, and its share again later.
 func TestFailingServerIsAvoided(t *testing.T) {
