Split the planner and the balancer by matter

Change: members and topics of the planner, cost and group of the balancer in files of their own, unused functions gone. No change of behaviour.

--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -316,41 +316,6 @@
 	return len(b.services[service])
 }
 
-// GroupFault notes that a request was turned away because the group of a
-// service's engines is broken.
-func (b *Balancer) GroupFault(now time.Time, service string) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.faults[service] = &fault{at: now, probed: now}
-}
-
-// Broken reports whether the group of a service's engines is broken: every
-// request to it would be turned away. Where only such an answer tells so, one
-// request each probePause finds out whether it still is.
-func (b *Balancer) Broken(now time.Time, service string) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	told := b.groups[service]
-	known := now.Sub(told.at) <= reportLifetime
-	if known && told.state == fleet.GroupBroken {
-		return true
-	}
-	f := b.faults[service]
-	if f == nil {
-		return false
-	}
-	// What came just after the answer may still be from before it.
-	if known && told.at.Sub(f.at) > reportDelay || now.Sub(f.at) > faultLifetime {
-		delete(b.faults, service)
-		return false
-	}
-	if now.Sub(f.probed) >= probePause {
-		f.probed = now
-		return false
-	}
-	return true
-}
-
 // Choose returns the server with the least cost among those that aren't
 // excluded. Where what is known of the servers is older than the time in which
 // they get new work, only a few drawn at random are compared: else all entries
@@ -407,41 +372,3 @@
 	}
 	return sum
 }
-
-// cost is the expected cost of one more request, in usual requests.
-func (s *server) cost(now time.Time, engine *fleet.Engine, elsewhere Load, random float64) float64 {
-	load := Load{s.own.Requests + elsewhere.Requests, s.own.Tokens + elsewhere.Tokens}
-	cost := float64(load.Requests) + jitter*random
-	if engine != nil {
-		cost = s.engineCost(now, engine, load) + jitter*random
-	} else {
-		// The time that the server takes weighs each request.
-		cost = (cost + 1) * (float64(s.latency)/float64(100*time.Millisecond) + 0.3)
-	}
-	cost += failureCost * s.failuresNow(now)
-	if now.Before(s.suspect) {
-		cost += 2 * failureCost
-	}
-	return cost
-}
-
-// known reports whether a planner has told of the engine lately.
-func (s *server) known(now time.Time) bool { return now.Sub(s.engineAt) <= reportLifetime }
-
-func (s *server) engineCost(now time.Time, engine *fleet.Engine, load Load) float64 {
-	usual := engine.UsualPrompt + engine.UsualAnswer
-	if told := s.engine.Running + s.engine.Waiting + s.sent; s.known(now) && told > load.Requests {
-		load.Requests = told
-	}
-	cost := float64(load.Requests)
-	if usual > 0 && load.Tokens > 0 {
-		cost = (cost + float64(load.Tokens)/usual) / 2
-	}
-	if over := load.Requests + 1 - engine.Slots; over > 0 {
-		cost += waitingCost * float64(over)
-	}
-	if s.known(now) && s.engine.Pace > 1 {
-		cost *= s.engine.Pace
-	}
-	return cost
-}
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -13,8 +13,6 @@
 	// each entry: in larger fleets messages come less often.
 	silence      = 1200 * time.Millisecond
 	silenceEntry = 30 * time.Millisecond
-	// forgetAfter is how long a silent entry is still told what happens here.
-	forgetAfter = 30 * time.Second
 	// MaxAddresses bounds an answer.
 	MaxAddresses = 64
 )
@@ -69,19 +67,6 @@
 	return silence + silenceEntry*time.Duration(len(d.entries))
 }
 
-// Names returns the entries that were heard of lately, this one left out.
-func (d *Directory) Names(now time.Time) []string {
-	var names []string
-	for name, e := range d.entries {
-		if now.Sub(e.heard) > forgetAfter {
-			delete(d.entries, name)
-			continue
-		}
-		names = append(names, name)
-	}
-	return names
-}
-
 // Live reports whether an entry was heard of just now.
 func (d *Directory) Live(now time.Time, name string) bool {
 	e := d.entries[name]
--- a/pkg/eventstream/eventstream.go
+++ b/pkg/eventstream/eventstream.go
@@ -69,6 +69,3 @@
 		}
 	}
 }
-
-// Buffered reports whether more bytes have arrived already.
-func (r *Reader) Buffered() bool { return r.br.Buffered() > 0 }
--- a/pkg/rankagent/planner.go
+++ b/pkg/rankagent/planner.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"github.com/fescuehub/fescuehub/pkg/telemetry"
-	"maps"
 	"net"
 	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -22,6 +19,7 @@
 	"github.com/fescuehub/fescuehub/pkg/popularity"
 	"github.com/fescuehub/fescuehub/pkg/rankcontrol"
 	"github.com/fescuehub/fescuehub/pkg/sharedlog"
+	"github.com/fescuehub/fescuehub/pkg/telemetry"
 	"github.com/fescuehub/fescuehub/pkg/wait"
 )
 
@@ -190,58 +188,6 @@
 	g.rests = reason
 }
 
-// newestByAddress leaves out the announcements of servers that have started
-// anew under another ID.
-func newestByAddress(servers []fleet.Server) []fleet.Server {
-	newest := make(map[string]fleet.Server, len(servers))
-	for _, s := range servers {
-		if old, ok := newest[s.Address]; !ok || s.Born > old.Born {
-			newest[s.Address] = s
-		}
-	}
-	return slices.SortedFunc(maps.Values(newest), func(a, b fleet.Server) int { return strings.Compare(a.Address, b.Address) })
-}
-
-// member is a server with its status, or with the error of reading it.
-type member struct {
-	server fleet.Server
-	status rankStatus
-	err    error
-}
-
-// inOrder returns the ranks of the newest formation in order. It fails unless
-// all of them have answered and the group is open.
-func inOrder(members []member) ([]fleet.Server, []rankStatus, error) {
-	var errs error
-	epoch, size := int64(-1), 0
-	for _, m := range members {
-		if m.err != nil {
-			errs = errors.CombineErrors(errs, m.err)
-			continue
-		}
-		if r := m.status.Report; r.Epoch > epoch {
-			epoch, size = r.Epoch, r.Ranks
-		}
-	}
-	servers, statuses := make([]fleet.Server, size), make([]rankStatus, size)
-	found := 0
-	for _, m := range members {
-		r := m.status.Report
-		if m.err != nil || r.Epoch != epoch || r.Rank < 0 || r.Rank >= size || statuses[r.Rank].Report.Ranks != 0 {
-			continue
-		}
-		if r.State != fleet.GroupOpen {
-			return nil, nil, errors.Newf("rank %d says that the group is broken", r.Rank)
-		}
-		servers[r.Rank], statuses[r.Rank] = m.server, m.status
-		found++
-	}
-	if found != size || size == 0 {
-		return nil, nil, errors.CombineErrors(errors.Newf("%d of %d ranks of epoch %d answer", found, size, epoch), errs)
-	}
-	return servers, statuses, nil
-}
-
 // windowTurn asks some ranks after the others for their counts.
 func (p *planner) windowTurn(ranks int) func(i int) statusRequest {
 	turns := (ranks + windowRanks - 1) / windowRanks
@@ -273,23 +219,6 @@
 	return net.JoinHostPort(p.agent.settings.IP, strconv.Itoa(p.agent.settings.PeerPort))
 }
 
-// read reads the status of every server at once.
-func (p *planner) read(ctx context.Context, servers []fleet.Server, request func(i int) statusRequest) []member {
-	ctx, cancel := context.WithTimeout(ctx, roundTimeout+time.Duration(len(servers))*roundTimeoutRank)
-	defer cancel()
-	members := make([]member, len(servers))
-	var all sync.WaitGroup
-	for i, s := range servers {
-		rank := p.rank(s.Address)
-		all.Go(func() {
-			status, err := rank.status(ctx, request(i))
-			members[i] = member{s, status, errors.Wrapf(err, "%s", s.Address)}
-		})
-	}
-	all.Wait()
-	return members
-}
-
 func (p *planner) rank(address string) *remoteRank {
 	r := p.ranks[address]
 	if r == nil {
@@ -461,71 +390,3 @@
 	p.agent.scope.Counter("maps_switched").Inc(1)
 	return nil
 }
-
-// configurationSink takes the engine's figures.
-type configurationSink planner
-
-// Take implements follow.Sink.
-func (s *configurationSink) Take(r sharedlog.Record) {
-	c, ok, err := s.agent.decoder.DecodeConfiguration(r.Key, r.Value)
-	if err != nil {
-		s.log.Error("skipped a configuration that cannot be read", zap.Int64("offset", r.Offset), telemetry.Err(err))
-	}
-	if !ok || err != nil {
-		return
-	}
-	for _, service := range c.Services {
-		if service.Name == s.agent.settings.Service {
-			s.mu.Lock()
-			s.engine = service.Engine
-			s.mu.Unlock()
-		}
-	}
-}
-
-// Begin implements follow.Sink.
-func (s *configurationSink) Begin() {}
-
-// Complete implements follow.Sink.
-func (s *configurationSink) Complete() {}
-
-// Lost implements follow.Sink.
-func (s *configurationSink) Lost(error) {}
-
-// Regained implements follow.Sink.
-func (s *configurationSink) Regained() {}
-
-// rankSink takes the announcements of the ranks.
-type rankSink planner
-
-// Take implements follow.Sink.
-func (s *rankSink) Take(r sharedlog.Record) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if len(r.Value) == 0 {
-		delete(s.servers, r.Key)
-		return
-	}
-	server, err := s.agent.decoder.DecodeServer(r.Key, r.Value)
-	if err != nil {
-		s.log.Warn("skipped an announcement", zap.String("server", r.Key), zap.Int64("offset", r.Offset), telemetry.Err(err))
-		return
-	}
-	s.servers[r.Key] = server
-}
-
-// Begin implements follow.Sink.
-func (s *rankSink) Begin() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	clear(s.servers)
-}
-
-// Complete implements follow.Sink.
-func (s *rankSink) Complete() {}
-
-// Lost implements follow.Sink.
-func (s *rankSink) Lost(error) {}
-
-// Regained implements follow.Sink.
-func (s *rankSink) Regained() {}
