Hold the pass by which all ranks can be armed

Cause: after any order without an answer in 5 s, a switch of maps held the ninth pass after the last one. Ruled out: the arming itself (0.03 to 0.10 s with one order in ten lost). Change: the margin is the time that arming is expected to take, in passes of the group's present length; both are measured, by the planner's looks and by the switches. Conclusion: a margin has to be a time; the group stands still only where arming takes longer than expected.

--- a/pkg/mapswitch/mapswitch.go
+++ b/pkg/mapswitch/mapswitch.go
@@ -30,14 +30,13 @@
 	armTime = 600 * time.Millisecond
 	// prepareTime bounds the orders to prepare: they carry the whole map.
 	prepareTime = 2 * time.Second
-	// marginPasses is the number of passes between the last one begun and the
-	// one that is held: a pass takes about 50 ms, arming all ranks about 10.
-	marginPasses = 2
-	// slowMarginPasses is the margin where orders went unanswered of late: they
-	// are given again until they are answered, before the held pass is due.
-	slowMarginPasses = 9
-	// ranksPerPass is the number of ranks that are armed in the time of a pass.
-	ranksPerPass = 64
+	// leastMargin and mostMargin bound the passes between the last one begun and the
+	// one that is held. Arming goes on while the group steps towards that pass; what
+	// is left of it then holds the group.
+	leastMargin = 2
+	mostMargin  = 9
+	// usualPass is the time of a pass where it is not known.
+	usualPass = 60 * time.Millisecond
 	// maxCounter bounds the orders of one generation.
 	maxCounter = 1 << 24
 )
@@ -75,8 +74,12 @@
 	Anchor int
 	Epoch  int64
 	Fences *Fences
-	// Slow asks for a wider margin.
-	Slow bool
+	// Pass is the time of a pass; 0 where it is not known. Arming is the time that
+	// arming all ranks is expected to take.
+	Pass, Arming time.Duration
+	// Armed is how long the last switch took until all ranks were armed, or until
+	// it was given up.
+	Armed time.Duration
 
 	unanswered atomic.Int64
 }
@@ -84,11 +87,13 @@
 // Unanswered returns the number of orders without an answer.
 func (g *Group) Unanswered() int64 { return g.unanswered.Load() }
 
-func (g *Group) margin() int64 {
-	if g.Slow || g.Unanswered() > 0 {
-		return slowMarginPasses
+// Margin returns the number of passes from the last one begun to the one that is
+// held, so that all ranks are armed when it is due.
+func Margin(arming, pass time.Duration) int64 {
+	if pass <= 0 {
+		pass = usualPass
 	}
-	return marginPasses + int64(len(g.Ranks)/ranksPerPass)
+	return min(max(1+int64((arming+pass-1)/pass), leastMargin), mostMargin)
 }
 
 // Prepare makes every rank copy what it needs of a map. present is the map in use,
@@ -109,11 +114,12 @@
 // no rank is armed and the group is let go, unless the error is ErrFenced or the
 // clearing failed: then Resolve has to be called again.
 func (g *Group) Switch(ctx context.Context, version int64) error {
+	began := time.Now()
 	report, err := g.report(ctx, g.Anchor)
 	if err != nil {
 		return err
 	}
-	step := report.Step + g.margin()
+	step := report.Step + Margin(g.Arming, g.Pass)
 	arming, cancel := context.WithTimeout(ctx, armTime)
 	defer cancel()
 	err = g.order(arming, g.Anchor, rankcontrol.Order{Operation: rankcontrol.Hold, Step: step})
@@ -122,6 +128,7 @@
 			return g.order(ctx, r, rankcontrol.Order{Operation: rankcontrol.Arm, Version: version, Step: step})
 		})
 	}
+	g.Armed = time.Since(began)
 	if err == nil {
 		return g.insist(ctx, g.Anchor, rankcontrol.Order{Operation: rankcontrol.Go, Step: step})
 	}
--- a/pkg/mapswitch/matrix_test.go
+++ b/pkg/mapswitch/matrix_test.go
@@ -193,3 +193,21 @@
 		}
 	}
 }
+
+// TestMarginFitsTheArming answers orders that go unanswered while passes are
+// long: the new map has to come as soon as all ranks can be armed, not after a
+// fixed number of passes.
+func TestMarginFitsTheArming(t *testing.T) {
+	const ms = time.Millisecond
+	for _, c := range []struct {
+		arming, pass time.Duration
+		want         int64
+	}{
+		{50 * ms, 60 * ms, 2}, {50 * ms, 0, 2}, {100 * ms, 120 * ms, 2}, {100 * ms, 50 * ms, 3},
+		{280 * ms, 120 * ms, 4}, {600 * ms, 40 * ms, 9}, {0, 60 * ms, 2},
+	} {
+		if got := mapswitch.Margin(c.arming, c.pass); got != c.want {
+			t.Errorf("arming %v, pass %v: %d passes, want %d", c.arming, c.pass, got, c.want)
+		}
+	}
+}
--- a/pkg/rankagent/planner.go
+++ b/pkg/rankagent/planner.go
@@ -49,8 +49,6 @@
 	moveGain = 0.6
 	// planPause is the least time from one map to the next.
 	planPause = 150 * time.Millisecond
-	// slowTime is how long orders without an answer are reckoned with.
-	slowTime = 5 * time.Second
 	// nextTime is how long a map that could not be switched to is tried again.
 	nextTime = 4 * time.Second
 )
@@ -88,8 +86,8 @@
 	nextID    int64
 	nextSince time.Time
 	changed   time.Time
-	// lost is when an order last went unanswered.
-	lost time.Time
+	pace      pace
+	arming    arming
 	// rests is why the group is not planned now; empty while it is.
 	rests string
 }
@@ -170,6 +168,7 @@
 	if epoch := statuses[0].Report.Epoch; g.epoch != epoch {
 		*g = group{name: name, epoch: epoch, demand: popularity.New(len(servers), engine.Sets, engine.Experts, demandHalfLife)}
 	}
+	g.pace.look(now, statuses[0].Report.Step)
 	g.demand.Advance(now)
 	for r, s := range statuses {
 		g.demand.Observe(r, s.Window)
@@ -239,7 +238,7 @@
 // formation returns the control of a group's ranks. The anchor is the rank
 // beside this agent, whose orders take the shortest way.
 func (p *planner) formation(g *group, servers []fleet.Server) *mapswitch.Group {
-	f := &mapswitch.Group{Epoch: g.epoch, Fences: p.fences, Slow: time.Since(g.lost) < slowTime}
+	f := &mapswitch.Group{Epoch: g.epoch, Fences: p.fences, Pass: g.pace.pass, Arming: g.arming.time()}
 	for r, s := range servers {
 		f.Ranks = append(f.Ranks, p.rank(s.Address))
 		if s.Address == p.agent.settings.BackendAddress {
@@ -252,11 +251,6 @@
 // advance takes the next step of a group's map.
 func (p *planner) advance(ctx context.Context, g *group, servers []fleet.Server, statuses []rankStatus, engine *fleet.Engine) error {
 	f := p.formation(g, servers)
-	defer func() {
-		if f.Unanswered() > 0 {
-			g.lost = time.Now()
-		}
-	}()
 	if !g.clean || stray(statuses) {
 		return p.clear(ctx, g, f)
 	}
@@ -380,8 +374,10 @@
 	defer cancel()
 	began := time.Now()
 	err := f.Switch(ctx, g.nextID)
+	g.arming.took(f.Armed)
 	p.log.Info("switch to a map", zap.String("group", g.name), zap.Int64("epoch", g.epoch), zap.Int64("version", g.nextID),
-		zap.Duration("took", time.Since(began)), telemetry.Err(err))
+		zap.Duration("took", time.Since(began)), zap.Duration("armed", f.Armed), zap.Duration("pass", f.Pass),
+		zap.Int64("unanswered", f.Unanswered()), telemetry.Err(err))
 	g.changed = time.Now()
 	if err != nil {
 		g.clean, g.next = false, nil
