Ask the same ranks for their counts in each look

Cause: of 63 ranks 16 were asked by turns, so a window held 0.6 s and a shift showed in a quarter of each look; the planner's twelve samples took 0.15 s and more of its share of a core (logs: time from 'other experts are in demand' to 'prepare'). Change: the same 16 ranks tell their counts in each look; four samples, shared evenly by the ranks that tell.

--- a/pkg/popularity/popularity.go
+++ b/pkg/popularity/popularity.go
@@ -135,8 +135,9 @@
 	// leastShare is the demand that every expert has at least, as a part of the
 	// mean: those nobody asked for lately are spread as well.
 	leastShare = 0.05
-	// maxSamples bounds the samples of a set: ranks beyond it share one.
-	maxSamples = 12
+	// maxSamples bounds the samples of a set, which share the ranks that tell their
+	// counts: the search takes time for each.
+	maxSamples = 4
 	// ownShare is the part of a sample that is a few ranks' own demand; the rest
 	// is the mean of all, since a pass carries requests of several ranks.
 	ownShare = 0.5
@@ -154,9 +155,9 @@
 		for k := range own {
 			own[k] = make([]float64, experts)
 		}
-		for r, demand := range e.demand {
-			for i, d := range demand[s*experts : (s+1)*experts] {
-				own[r%count][i] += d
+		for n, r := range e.seen() {
+			for i, d := range e.demand[r][s*experts : (s+1)*experts] {
+				own[n%count][i] += d
 				mean[i] += d
 			}
 		}
@@ -165,6 +166,17 @@
 	return out
 }
 
+// seen returns the ranks whose choices are known.
+func (e *Estimator) seen() []int {
+	var ranks []int
+	for r, demand := range e.demand {
+		if sum(demand) > 0 {
+			ranks = append(ranks, r)
+		}
+	}
+	return ranks
+}
+
 func blend(own [][]float64, mean []float64) evenplan.Demand {
 	whole := sum(mean)
 	demand := make(evenplan.Demand, 0, len(own))
--- a/pkg/popularity/popularity_test.go
+++ b/pkg/popularity/popularity_test.go
@@ -81,3 +81,24 @@
 		t.Errorf("what was liked before still counts: %v", d)
 	}
 }
+
+// TestSilentRanksLeaveNoGap answers a large group of which some ranks are asked
+// for their counts: each sample holds an equal part of those that told, and the
+// plan is made for what they like.
+func TestSilentRanksLeaveNoGap(t *testing.T) {
+	e := popularity.New(63, 1, 3, time.Second)
+	e.Advance(time.Unix(0, 0))
+	for r := 0; r < 63; r += 4 {
+		e.Observe(r, popularity.Window{Max: 10_000, Roots: []byte{255, 128, 0}})
+	}
+	e.Settle()
+	samples := e.Samples()[0]
+	if len(samples) != 4 {
+		t.Fatalf("%d samples", len(samples))
+	}
+	for k, sample := range samples {
+		if !(sample[0] > 3*sample[1] && sample[1] > 3*sample[2]) {
+			t.Errorf("sample %d: %v", k, sample)
+		}
+	}
+}
--- a/pkg/rankagent/planner.go
+++ b/pkg/rankagent/planner.go
@@ -29,8 +29,9 @@
 	// roundTimeout and roundTimeoutRank bound one look.
 	roundTimeout     = 400 * time.Millisecond
 	roundTimeoutRank = 15 * time.Millisecond
-	// windowRanks is the number of ranks that are asked for their counts in one
-	// look, by turns: their answers share the planner's link.
+	// windowRanks bounds the ranks that are asked for their counts, since their answers
+	// share the planner's link: always the same ones, so that what they tell is no
+	// older than one look.
 	windowRanks = 16
 	// clearTimeout bounds the clearing of a switch that failed.
 	clearTimeout = 3 * time.Second
@@ -65,8 +66,6 @@
 	servers map[string]fleet.Server
 	engine  *fleet.Engine
 
-	// turn counts the looks.
-	turn int
 	// ranks holds the controls by the engine's address.
 	ranks  map[string]*remoteRank
 	groups map[string]*group
@@ -157,7 +156,7 @@
 		p.groups[name] = g
 	}
 	now := time.Now()
-	members := p.read(ctx, newestByAddress(servers), p.windowTurn(len(servers)))
+	members := p.read(ctx, newestByAddress(servers), withWindow(len(servers)))
 	p.agent.tellEntries(p.digest(members))
 	servers, statuses, err := inOrder(members)
 	if err != nil {
@@ -187,12 +186,10 @@
 	g.rests = reason
 }
 
-// windowTurn asks some ranks after the others for their counts.
-func (p *planner) windowTurn(ranks int) func(i int) statusRequest {
-	turns := (ranks + windowRanks - 1) / windowRanks
-	turn := p.turn % max(turns, 1)
-	p.turn++
-	return func(i int) statusRequest { return statusRequest{Window: i%max(turns, 1) == turn} }
+// withWindow tells which of a number of ranks are asked for their counts.
+func withWindow(ranks int) func(i int) statusRequest {
+	every := max((ranks+windowRanks-1)/windowRanks, 1)
+	return func(i int) statusRequest { return statusRequest{Window: i%every == 0} }
 }
 
 // digest returns what the entries are told of a group.
