Refuse what would join a standing queue

Ruled out: giving up a begun attempt sooner: a request that reached an engine before it froze counts there, wherever it goes on. Change: a request that has certainly not run is refused with Retry-After where the least loaded engine's wait for a slot has been above the route's target for 1 s, or where nothing would come before its caller leaves; four drawn engines that are full are not taken while another one has a free slot. Conclusion: a short queue is worth keeping, a standing one makes all late.

--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -63,6 +63,8 @@
 type Result struct {
 	// Latency is the time to the head of the answer; 0 where there was none.
 	Latency time.Duration
+	// Took is the time to the end of a whole answer; 0 where it was not whole.
+	Took time.Duration
 	// Failed means that the server is to blame.
 	Failed bool
 	// TurnedAway means that the server did not run the request.
@@ -109,6 +111,10 @@
 	groups   map[string]groupState
 	// answered is when a server of a service last began to answer.
 	answered map[string]time.Time
+	// streams is the mean time of a whole answer by service.
+	streams map[string]time.Duration
+	// drained is when a service last had no queue.
+	drained map[string]time.Time
 }
 
 // groupState is what a planner told of a service's group.
@@ -129,6 +135,8 @@
 		faults:   make(map[string]*fault),
 		groups:   make(map[string]groupState),
 		answered: make(map[string]time.Time),
+		streams:  make(map[string]time.Duration),
+		drained:  make(map[string]time.Time),
 	}
 }
 
@@ -204,6 +212,9 @@
 		s.oldest = time.Time{}
 	}
 	s.learn(now, r)
+	if r.Took > 0 {
+		b.learnStream(s.Service, r.Took)
+	}
 	if r.Latency > 0 && !r.Failed && !r.TurnedAway {
 		delete(b.faults, s.Service)
 	}
@@ -330,9 +341,18 @@
 			candidates = append(candidates, s)
 		}
 	}
-	if len(candidates) > largeService {
-		candidates = drawn(candidates, random)
+	if len(candidates) <= largeService {
+		return b.cheapest(now, service, candidates, loads, random)
+	}
+	best, ok := b.cheapest(now, service, drawn(candidates, random), loads, random)
+	if ok && service.Engine != nil && b.servers[best.ID].requests(now, loads[best.ID]) >= service.Engine.Slots {
+		return b.cheapest(now, service, candidates, loads, random) // another one may have a free slot
 	}
+	return best, ok
+}
+
+// cheapest returns the candidate with the least cost; b.mu is held.
+func (b *Balancer) cheapest(now time.Time, service *fleet.Service, candidates []*server, loads map[string]Load, random func() float64) (fleet.Server, bool) {
 	var best *server
 	lowest := 0.0
 	for _, s := range candidates {
--- a/pkg/balance/cost.go
+++ b/pkg/balance/cost.go
@@ -11,6 +11,7 @@
 	load := Load{s.own.Requests + elsewhere.Requests, s.own.Tokens + elsewhere.Tokens}
 	cost := float64(load.Requests) + jitter*random
 	if engine != nil {
+		load.Requests = s.requests(now, elsewhere)
 		cost = s.engineCost(now, engine, load) + jitter*random
 	} else {
 		// The time that the server takes weighs each request.
@@ -28,9 +29,6 @@
 
 func (s *server) engineCost(now time.Time, engine *fleet.Engine, load Load) float64 {
 	usual := engine.UsualPrompt + engine.UsualAnswer
-	if told := s.engine.Running + s.engine.Waiting + s.sent; s.known(now) && told > load.Requests {
-		load.Requests = told
-	}
 	cost := float64(load.Requests)
 	if usual > 0 && load.Tokens > 0 {
 		cost = (cost + float64(load.Tokens)/usual) / 2
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -59,8 +59,12 @@
 			record.Error = err.Error()
 		}
 	}
+	took := time.Duration(0)
+	if o == answered {
+		took = time.Since(began)
+	}
 	x.balancer.End(time.Now(), s.ID, tokens, balance.Result{
-		Latency: latency, TurnedAway: o == notRun,
+		Latency: latency, Took: took, TurnedAway: o == notRun,
 		Failed: o != answered && ctx.Err() == nil && !(o == notRun && record.Status != 0),
 	})
 	record.Outcome, record.Took = o.String(), time.Since(began)
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -239,6 +239,10 @@
 			x.finish(ctx, "no backend server is left")
 			return
 		}
+		if x.comesLate(server) {
+			x.finish(ctx, "every engine has requests that wait for a slot")
+			return
+		}
 		if len(x.report.Attempts) == 0 {
 			x.report.Waited = time.Since(x.q.Arrived)
 		} else if !x.waitForBudget(ctx) {
@@ -305,6 +309,19 @@
 	return deadline
 }
 
+// comesLate reports whether a request that has certainly not run is better refused:
+// nothing would come before its caller leaves, or it would join a queue that stands,
+// in which all are late.
+func (x *exchange) comesLate(s fleet.Server) bool {
+	if x.begun || x.mayHaveRun > 0 || x.q.Route.TargetLatency <= 0 || x.q.Service.Engine == nil {
+		return false
+	}
+	now := time.Now()
+	wait := x.balancer.Wait(now, x.q.Service, s.ID)
+	stands := x.balancer.Stands(now, x.q.Service.Name, wait, x.q.Route.TargetLatency)
+	return stands || now.Add(wait+firstEvent).After(x.leaves())
+}
+
 func (x *exchange) left() time.Duration { return time.Until(x.q.Deadline()) }
 
 func (x *exchange) choose() (fleet.Server, bool) {
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -382,6 +382,27 @@
 	}
 }
 
+// TestHopelessRequestIsRefusedAtOnce: a request whose first event would come after
+// its caller has left is refused at once, told when to come back, and not sent.
+func TestHopelessRequestIsRefusedAtOnce(t *testing.T) {
+	a := newBackend(t, whole)
+	r := route(fleet.Streaming)
+	r.TargetLatency, r.Timeout = 400*time.Millisecond, 8*time.Second
+	s := newSite(t, r, fleet.Service{Engine: &fleet.Engine{Slots: 12}}, 94, a.server("a"))
+	s.balancer.Group(time.Now(), "s", fleet.GroupOpen, []balance.EngineLoad{{Address: a.server("a").Address, Running: 12, Waiting: 24}})
+	began := time.Now()
+	status, _, header, err := s.send(context.Background(), "1")
+	if err != nil || status != http.StatusServiceUnavailable || header.Get("Retry-After") == "" {
+		t.Errorf("status %d, Retry-After %q, %v", status, header.Get("Retry-After"), err)
+	}
+	if took := time.Since(began); took > 200*time.Millisecond {
+		t.Errorf("refused after %v", took)
+	}
+	if sent, _ := a.count(); sent != 0 {
+		t.Error("the request was sent")
+	}
+}
+
 // TestBrokenGroupIsWaitedFor answers a group that breaks for 700 ms under load:
 // requests wait for it, and few of them go to servers that turn them away.
 func TestBrokenGroupIsWaitedFor(t *testing.T) {
