--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -70,7 +70,7 @@
 	})
 	root.AddCommand(
 		a.entryCommand(), a.agentCommand(), a.configCommand(), a.statusCommand(), a.reportCommand(),
-		a.standinCommand(), a.demoCommand(), a.measureCommand(), a.loadCommand(), a.versionCommand(), a.siteCommand(),
+		a.standinCommand(), a.demoCommand(), a.measureCommand(), a.loadCommand(), a.versionCommand(), a.siteCommand(), a.soakCommand(),
 	)
 	a.noteStart(root)
 	return root
