Keep a standing queue short, and spread what finds no slot

Change: an engine with a free slot is drawn among all that have one; where none has, eight are compared, not all. Once a queue stands, requests are taken only while their wait leaves them in aim, until nobody was refused for a second. Conclusion: a limit to enter and a lower one to stay serve both short and long queues.

--- a/pkg/balance/admission.go
+++ b/pkg/balance/admission.go
@@ -17,21 +17,58 @@
 	streamWeight = 0.05
 )
 
-// Stands reports whether requests have waited for more than a limit for standTime
-// without a break: whoever joins such a queue is late, and so are all behind. wait
-// is what Wait tells of the best engine now.
-func (b *Balancer) Stands(now time.Time, service string, wait, limit time.Duration) bool {
+// QueueLimits say how long a request may wait for a slot.
+type QueueLimits struct {
+	// Stands is the wait above which a queue stands once it lasts for standTime.
+	Stands time.Duration
+	// Served is the wait up to which requests are taken while a queue stands: they
+	// are still served as they should be.
+	Served time.Duration
+}
+
+// queue is what is known of the queue at a service's engines.
+type queue struct {
+	// stands is true while the queue stands; full is when a request was last refused.
+	stands bool
+	full   time.Time
+	// drained is when the wait was last within limits.
+	drained time.Time
+}
+
+// Refuses reports whether a request would join a queue that stands: whoever does is
+// late, and so are all behind. wait is what Wait tells of the best engine now.
+func (b *Balancer) Refuses(now time.Time, service string, wait time.Duration, l QueueLimits) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if wait <= limit {
-		b.drained[service] = now
+	q := b.queues[service]
+	if q == nil {
+		q = &queue{drained: now}
+		b.queues[service] = q
+	}
+	if q.stands {
+		return q.refuses(now, wait, l)
+	}
+	if wait <= l.Stands {
+		q.drained = now
 		return false
 	}
-	since, known := b.drained[service]
-	if !known {
-		b.drained[service] = now
+	if q.stands = now.Sub(q.drained) > standTime; q.stands {
+		q.full = now
+	}
+	return q.stands
+}
+
+// refuses decides while the queue stands. It has drained once nobody was refused for
+// standTime.
+func (q *queue) refuses(now time.Time, wait time.Duration, l QueueLimits) bool {
+	if wait > l.Served {
+		q.full = now
+		return true
+	}
+	if now.Sub(q.full) > standTime {
+		q.stands, q.drained = false, now
 	}
-	return known && now.Sub(since) > standTime
+	return false
 }
 
 // Wait returns how long one more request is expected to wait for a free slot of
--- a/pkg/balance/admission_test.go
+++ b/pkg/balance/admission_test.go
@@ -20,6 +20,7 @@
 		stream   = 1700 * time.Millisecond
 		patience = 2 * time.Second
 		limit    = 150 * time.Millisecond
+		target   = 400 * time.Millisecond
 	)
 	type request struct {
 		arrived time.Time
@@ -73,7 +74,7 @@
 		for due += perTick; due >= 1; due-- {
 			s, _ := b.Choose(now, engines, nil, random.Float64)
 			wait := b.Wait(now, engines, s.ID)
-			if b.Stands(now, engines.Name, wait, limit) && refuses {
+			if b.Refuses(now, engines.Name, wait, balance.QueueLimits{Stands: target, Served: limit}) && refuses {
 				refused++
 				continue
 			}
@@ -105,21 +106,45 @@
 // refused.
 func TestShortQueueIsAccepted(t *testing.T) {
 	b := balance.New()
-	const limit = 150 * time.Millisecond
-	b.Stands(start, "s", 0, limit)
+	limits := balance.QueueLimits{Stands: 400 * time.Millisecond, Served: 150 * time.Millisecond}
+	refuses := func(ms int, wait time.Duration) bool {
+		return b.Refuses(start.Add(time.Duration(ms)*time.Millisecond), "s", wait, limits)
+	}
+	refuses(0, 0)
 	for ms := 100; ms <= 600; ms += 100 {
-		if b.Stands(start.Add(time.Duration(ms)*time.Millisecond), "s", time.Second, limit) {
+		if refuses(ms, time.Second) {
 			t.Fatalf("refused after %d ms", ms)
 		}
 	}
-	if b.Stands(start.Add(700*time.Millisecond), "s", 0, limit) || b.Stands(start.Add(1500*time.Millisecond), "s", time.Second, limit) {
+	if refuses(700, 0) || refuses(1500, time.Second) {
 		t.Error("a queue that drained counts as standing")
 	}
-	if !b.Stands(start.Add(1800*time.Millisecond), "s", time.Second, limit) {
+	if !refuses(1800, time.Second) {
 		t.Error("a queue of 1.1 s does not stand")
 	}
 }
 
+// TestStandingQueueIsKeptShort answers a load above what the engines can do: once a
+// queue stands, those who are taken are still served as they should be, until nobody
+// was refused for a second.
+func TestStandingQueueIsKeptShort(t *testing.T) {
+	b := balance.New()
+	limits := balance.QueueLimits{Stands: 400 * time.Millisecond, Served: 150 * time.Millisecond}
+	for _, c := range []struct {
+		ms   int
+		wait time.Duration
+		want bool
+	}{
+		{0, 0, false}, {500, 300 * time.Millisecond, false}, {600, 500 * time.Millisecond, false},
+		{1700, 500 * time.Millisecond, true}, {1800, 300 * time.Millisecond, true}, {1900, 100 * time.Millisecond, false},
+		{2000, 300 * time.Millisecond, true}, {3100, 100 * time.Millisecond, false}, {3200, 300 * time.Millisecond, false},
+	} {
+		if got := b.Refuses(start.Add(time.Duration(c.ms)*time.Millisecond), "s", c.wait, limits); got != c.want {
+			t.Errorf("at %d ms, wait %v: refused %v", c.ms, c.wait, got)
+		}
+	}
+}
+
 // TestFreeSlotIsFound: with many engines only a few are compared, but a request
 // does not wait at one while another has a free slot.
 func TestFreeSlotIsFound(t *testing.T) {
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -44,9 +44,11 @@
 	// faultLifetime is how long an answer that told of a broken group counts.
 	faultLifetime = 10 * time.Second
 	// largeService is the number of servers above which entries compare a few
-	// servers only, and compared is that few.
+	// servers only, and compared is that few; comparedFull where no engine has a free
+	// slot.
 	largeService = 8
 	compared     = 4
+	comparedFull = 8
 	// jitter spreads the choices of entries that see the same counts, in
 	// requests.
 	jitter = 0.8
@@ -113,8 +115,8 @@
 	answered map[string]time.Time
 	// streams is the mean time of a whole answer by service.
 	streams map[string]time.Duration
-	// drained is when a service last had no queue.
-	drained map[string]time.Time
+	// queues are the queues at the engines by service.
+	queues map[string]*queue
 }
 
 // groupState is what a planner told of a service's group.
@@ -136,7 +138,7 @@
 		groups:   make(map[string]groupState),
 		answered: make(map[string]time.Time),
 		streams:  make(map[string]time.Duration),
-		drained:  make(map[string]time.Time),
+		queues:   make(map[string]*queue),
 	}
 }
 
@@ -344,11 +346,26 @@
 	if len(candidates) <= largeService {
 		return b.cheapest(now, service, candidates, loads, random)
 	}
-	best, ok := b.cheapest(now, service, drawn(candidates, random), loads, random)
-	if ok && service.Engine != nil && b.servers[best.ID].requests(now, loads[best.ID]) >= service.Engine.Slots {
-		return b.cheapest(now, service, candidates, loads, random) // another one may have a free slot
+	if service.Engine != nil {
+		// A request must not wait at one engine while another one has a free slot.
+		free := b.free(now, service, candidates, loads)
+		if len(free) == 0 {
+			return b.cheapest(now, service, drawn(candidates, comparedFull, random), loads, random)
+		}
+		candidates = free
+	}
+	return b.cheapest(now, service, drawn(candidates, compared, random), loads, random)
+}
+
+// free returns the engines that have a free slot; b.mu is held.
+func (b *Balancer) free(now time.Time, service *fleet.Service, candidates []*server, loads map[string]Load) []*server {
+	var free []*server
+	for _, s := range candidates {
+		if s.requests(now, loads[s.ID]) < service.Engine.Slots {
+			free = append(free, s)
+		}
 	}
-	return best, ok
+	return free
 }
 
 // cheapest returns the candidate with the least cost; b.mu is held.
@@ -370,13 +387,14 @@
 	return best.Server, true
 }
 
-// drawn returns compared candidates in a random order.
-func drawn(candidates []*server, random func() float64) []*server {
-	for i := range compared {
+// drawn returns a number of candidates in a random order.
+func drawn(candidates []*server, count int, random func() float64) []*server {
+	count = min(count, len(candidates))
+	for i := range count {
 		j := i + int(random()*float64(len(candidates)-i))
 		candidates[i], candidates[j] = candidates[j], candidates[i]
 	}
-	return candidates[:compared]
+	return candidates[:count]
 }
 
 func (b *Balancer) sumOthers(now time.Time) map[string]Load {
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -318,8 +318,9 @@
 	}
 	now := time.Now()
 	wait := x.balancer.Wait(now, x.q.Service, s.ID)
-	stands := x.balancer.Stands(now, x.q.Service.Name, wait, x.q.Route.TargetLatency)
-	return stands || now.Add(wait+firstEvent).After(x.leaves())
+	target := x.q.Route.TargetLatency
+	limits := balance.QueueLimits{Stands: target, Served: max(target-firstEvent, 0)}
+	return x.balancer.Refuses(now, x.q.Service.Name, wait, limits) || now.Add(wait+firstEvent).After(x.leaves())
 }
 
 func (x *exchange) left() time.Duration { return time.Until(x.q.Deadline()) }
