--- a/pkg/cli/measure.go
+++ b/pkg/cli/measure.go
@@ -13,7 +13,7 @@
 		RunE:    func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
 	}
 	cmd.AddCommand(a.measureRouting(), a.measureMembership())
-	cmd.AddCommand(a.measureExpertMaps())
+	cmd.AddCommand(a.measureExpertMaps(), a.measureGroup())
 	cmd.AddCommand(a.measureConfiguration())
 	cmd.AddCommand(a.measureLimits(), a.measureRetries())
 	return cmd
--- /dev/null
+++ b/pkg/measure/group/world.go
@@ -0,0 +1,178 @@
+package group
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/fescuehub/fescuehub/pkg/balance"
+	"github.com/fescuehub/fescuehub/pkg/evenplan"
+	"github.com/fescuehub/fescuehub/pkg/fleet"
+	"github.com/fescuehub/fescuehub/pkg/measure/virtualtime"
+)
+
+const (
+	service = "model"
+	// idlePause is the time between two looks for work of a group without any.
+	idlePause = 10 * time.Millisecond
+	// gossipPause is the time between two messages of an entry to the others.
+	gossipPause = 250 * time.Millisecond
+	// firstEvent is the usual time to a first event.
+	firstEvent = 250 * time.Millisecond
+)
+
+// stream is one caller's stream.
+type stream struct {
+	arrived time.Time
+	topic   int
+	entry   int
+	engine  int
+	began   time.Time
+	// unread is what is left of the prompt.
+	unread  float64
+	events  int
+	last    time.Time
+	late    bool
+	again   bool
+	counted *second
+}
+
+type engine struct{ waiting, running []*stream }
+
+// world is a run under way.
+type world struct {
+	site    Site
+	load    Load
+	variant Variant
+	random  *rand.Rand
+	clock   *virtualtime.Queue
+	service *fleet.Service
+	servers []fleet.Server
+	entries []*balance.Balancer
+	engines []*engine
+	// reported are the loads that the engines' reports show.
+	reported []balance.EngineLoad
+	demand   blend
+	present  [][][]int
+	step     int64
+	pass     time.Duration
+	planner  *planner
+	result   *Result
+}
+
+func newWorld(s Site, l Load, v Variant, seed uint64) *world {
+	random := rand.New(rand.NewPCG(seed, 9))
+	if l.Times > 0 {
+		s.Arrivals *= l.Times
+	}
+	w := &world{
+		site: s, load: l, variant: v, random: random, clock: virtualtime.NewQueue(), result: newResult(s, l, v),
+		service: &fleet.Service{Name: service, Engine: &fleet.Engine{Slots: s.Slots, UsualPrompt: s.Prompt, UsualAnswer: float64(s.Events * s.Stride)}},
+		present: evenplan.Uniform(s.Sets, s.Experts, s.Ranks),
+	}
+	first := newDemand(random, s)
+	w.demand = blend{first, first, 1}
+	for r := range s.Ranks {
+		w.servers = append(w.servers, fleet.Server{ID: fmt.Sprint(r), Service: service, Address: fmt.Sprintf("r%d:1", r), Born: 1})
+		w.engines = append(w.engines, &engine{})
+	}
+	for range s.Entries {
+		b := balance.New()
+		b.SetServers(w.servers)
+		w.entries = append(w.entries, b)
+	}
+	w.planner = newPlanner(w)
+	return w
+}
+
+// run plays the load and returns its figures.
+func (w *world) run() Result {
+	w.arrive()
+	w.begin()
+	w.clock.Every(reportLag, w.report)
+	w.clock.Every(w.look(), w.planner.look)
+	w.clock.Every(gossipPause, w.gossip)
+	if w.load.Shift > 0 {
+		w.clock.Every(w.load.Shift, w.shift)
+	}
+	w.clock.RunUntil(w.load.Length + 2*leaveTime)
+	return w.result.finish()
+}
+
+func (w *world) look() time.Duration {
+	if w.variant.Look == 0 {
+		return reportLag
+	}
+	return w.variant.Look
+}
+
+// arrive lets callers come for as long as the load lasts.
+func (w *world) arrive() {
+	pause := time.Duration(w.random.ExpFloat64() / w.site.Arrivals * float64(time.Second))
+	w.clock.After(pause, func() {
+		if w.clock.Since() > w.load.Length {
+			return
+		}
+		w.arrive()
+		s := &stream{arrived: w.clock.Now(), topic: w.random.IntN(topics), entry: w.random.IntN(w.site.Entries)}
+		s.counted = w.result.asked(w.clock.Since())
+		w.send(s)
+	})
+}
+
+// send sends a stream to an engine, or refuses it as an entry does.
+func (w *world) send(s *stream) {
+	now := w.clock.Now()
+	b := w.entries[s.entry]
+	server, _ := b.Choose(now, w.service, nil, w.random.Float64)
+	wait := b.Wait(now, w.service, server.ID)
+	refuses := b.Refuses(now, service, wait, balance.QueueLimits{Stands: w.site.Target, Served: w.site.Target - firstEvent})
+	if w.variant.Refuses && (refuses || wait+firstEvent > leaveTime) {
+		w.refuse(s)
+		return
+	}
+	fmt.Sscan(server.ID, &s.engine)
+	b.Begin(now, server.ID, int(w.site.Prompt))
+	s.began, s.last, s.unread = now, now, w.site.Prompt
+	w.engines[s.engine].waiting = append(w.engines[s.engine].waiting, s)
+}
+
+func (w *world) refuse(s *stream) {
+	if s.again {
+		s.counted.refused++
+		return
+	}
+	s.again = true
+	w.clock.After(comeBack, func() { w.send(s) })
+}
+
+// report takes what the engines have, for the planner to pass on.
+func (w *world) report() {
+	w.reported = w.reported[:0]
+	for r, e := range w.engines {
+		w.reported = append(w.reported, balance.EngineLoad{Address: w.servers[r].Address, Born: 1, Running: len(e.running), Waiting: len(e.waiting)})
+	}
+}
+
+// gossip lets the entries tell each other what they have in flight.
+func (w *world) gossip() {
+	now := w.clock.Now()
+	for i, from := range w.entries {
+		loads := from.Own()
+		for j, to := range w.entries {
+			if i != j {
+				to.Heard(now, fmt.Sprint(i), loads)
+			}
+		}
+	}
+}
+
+// shift lets other experts be in demand.
+func (w *world) shift() {
+	next := w.demand.to.shifted()
+	w.demand = blend{w.demand.to, next, 0}
+	const steps = 8
+	for n := range steps {
+		w.clock.After(shiftTime*time.Duration(n+1)/steps, func() { w.demand.part = float64(n+1) / steps })
+	}
+}
--- a/pkg/rankagent/planner.go
+++ b/pkg/rankagent/planner.go
@@ -29,27 +29,27 @@
 	// roundTimeout and roundTimeoutRank bound one look.
 	roundTimeout     = 400 * time.Millisecond
 	roundTimeoutRank = 15 * time.Millisecond
-	// windowRanks bounds the ranks that are asked for their counts, since their answers
+	// WindowRanks bounds the ranks that are asked for their counts, since their answers
 	// share the planner's link: always the same ones, so that what they tell is no
 	// older than one look.
-	windowRanks = 16
+	WindowRanks = 16
 	// clearTimeout bounds the clearing of a switch that failed.
 	clearTimeout = 3 * time.Second
 	// topicWait is how long the planner's reads wait for a record.
 	topicWait = 2 * time.Second
-	// demandHalfLife is the time in which a choice loses half its weight.
-	demandHalfLife = 1500 * time.Millisecond
+	// DemandHalfLife is the time in which a choice loses half its weight.
+	DemandHalfLife = 1500 * time.Millisecond
 	// leastChoices is the number of choices below which nothing is planned.
 	leastChoices = 20_000
-	// planGain is the part of the mean load by which a plan has to lower the
+	// PlanGain is the part of the mean load by which a plan has to lower the
 	// load of the most loaded ranks.
-	planGain = 0.15
-	// moveGain is the same for one copied expert of one set, times the number of
+	PlanGain = 0.15
+	// MoveGain is the same for one copied expert of one set, times the number of
 	// ranks: a copy costs the same in any group, a shorter pass is worth more in a
 	// larger one.
-	moveGain = 0.6
-	// planPause is the least time from one map to the next.
-	planPause = 150 * time.Millisecond
+	MoveGain = 0.6
+	// PlanPause is the least time from one map to the next.
+	PlanPause = 150 * time.Millisecond
 	// nextTime is how long a map that could not be switched to is tried again.
 	nextTime = 4 * time.Second
 )
@@ -165,7 +165,7 @@
 		return nil
 	}
 	if epoch := statuses[0].Report.Epoch; g.epoch != epoch {
-		*g = group{name: name, epoch: epoch, demand: popularity.New(len(servers), engine.Sets, engine.Experts, demandHalfLife)}
+		*g = group{name: name, epoch: epoch, demand: popularity.New(len(servers), engine.Sets, engine.Experts, DemandHalfLife)}
 	}
 	g.pace.look(now, statuses[0].Report.Step)
 	g.demand.Advance(now)
@@ -188,7 +188,7 @@
 
 // withWindow tells which of a number of ranks are asked for their counts.
 func withWindow(ranks int) func(i int) statusRequest {
-	every := max((ranks+windowRanks-1)/windowRanks, 1)
+	every := max((ranks+WindowRanks-1)/WindowRanks, 1)
 	return func(i int) statusRequest { return statusRequest{Window: i%every == 0} }
 }
 
@@ -326,13 +326,13 @@
 
 // plan makes the ranks prepare a better map where there is one.
 func (p *planner) plan(ctx context.Context, g *group, f *mapswitch.Group, engine *fleet.Engine) error {
-	if time.Since(g.changed) < planPause || g.demand.Total() < leastChoices {
+	if time.Since(g.changed) < PlanPause || g.demand.Total() < leastChoices {
 		return nil
 	}
-	limits := evenplan.Limits{Places: engine.Places, Spare: engine.Spare, MoveGain: moveGain / float64(len(f.Ranks))}
+	limits := evenplan.Limits{Places: engine.Places, Spare: engine.Spare, MoveGain: MoveGain / float64(len(f.Ranks))}
 	began := time.Now()
 	plan := evenplan.Make(limits, g.present, g.demand.Samples())
-	if plan.Before-plan.After < planGain {
+	if plan.Before-plan.After < PlanGain {
 		p.log.Debug("the map stays", zap.Float64("skew", plan.Before), zap.Float64("best", plan.After))
 		return nil
 	}
