--- a/pkg/balance/admission.go
+++ b/pkg/balance/admission.go
@@ -10,9 +10,9 @@
 	// usualStream is how long a stream takes where none has ended yet: 28 events
 	// every 60 ms.
 	usualStream = 1700 * time.Millisecond
-	// standTime is how long a queue may stand: a shorter one drains by itself once
-	// what made it has passed.
-	standTime = time.Second
+	// standTime is how long a queue may stand: one that follows the loss of all
+	// engines drains by itself in that time, and callers leave after two seconds.
+	standTime = 1500 * time.Millisecond
 	// streamWeight is the weight of the newest stream in the mean time.
 	streamWeight = 0.05
 )
