Read lagging reports again before clearing up after a planner

A replay with logs shows the place: the planner's instance stands still for 4 s in the middle of a switch, with the group held at its own rank; when it goes on it disarms the others, and its rank is armed at that moment. The successor does not reach the agent beside that rank, asks the engine from afar, and a report from afar is some hundred ms old: it does not show the arming, so the rank was not disarmed before the group was let go. Ruled out: the shorter margin of switches (the hold at the anchor was carried out before any arming), late orders (their fences are lower), two planners clearing up at once (each disarms what it sees under its own fence). Change: reports read from another instance are marked as lagging; after its fence is at every rank a planner reads all again once they cannot be older than that (600 ms).

--- a/pkg/fleet/server.go
+++ b/pkg/fleet/server.go
@@ -36,6 +36,9 @@
 
 // EngineReport is what an engine says of itself.
 type EngineReport struct {
+	// Lagging reports were read from another instance: they show what was some
+	// hundred milliseconds ago.
+	Lagging bool `json:"-"`
 	Running int `json:"running"`
 	Waiting int `json:"waiting"`
 	// MemoryUsed is the memory that can't yield, in tokens.
--- a/pkg/mapswitch/mapswitch.go
+++ b/pkg/mapswitch/mapswitch.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,6 +17,7 @@
 
 	"github.com/fescuehub/fescuehub/pkg/fleet"
 	"github.com/fescuehub/fescuehub/pkg/rankcontrol"
+	"github.com/fescuehub/fescuehub/pkg/wait"
 )
 
 const (
@@ -37,6 +39,9 @@
 	mostMargin  = 9
 	// usualPass is the time of a pass where it is not known.
 	usualPass = 60 * time.Millisecond
+	// usualLag is the age of a report that was read from another instance, at most:
+	// three times the age that the engines' sheet gives.
+	usualLag = 600 * time.Millisecond
 	// maxCounter bounds the orders of one generation.
 	maxCounter = 1 << 24
 )
@@ -77,6 +82,8 @@
 	// Pass is the time of a pass; 0 where it is not known. Arming is the time that
 	// arming all ranks is expected to take.
 	Pass, Arming time.Duration
+	// ReportLag bounds the age of lagging reports; 0 for the usual one.
+	ReportLag time.Duration
 	// Armed is how long the last switch took until all ranks were armed, or until
 	// it was given up.
 	Armed time.Duration
@@ -184,19 +191,32 @@
 }
 
 // fence gives every rank an order that changes nothing and carries this
-// planner's fence; then it reads their reports.
+// planner's fence; then it reads their reports. What a lagging report shows may be from
+// before the fence, when an earlier planner still gave orders: all are read again once
+// they cannot be older than it.
 func (g *Group) fence(ctx context.Context) ([]fleet.EngineReport, error) {
 	reports := make([]fleet.EngineReport, len(g.Ranks))
 	unused := g.Fences.Version()
+	read := func(ctx context.Context, r int) error {
+		report, err := g.report(ctx, r)
+		reports[r] = report
+		return err
+	}
 	err := g.each(ctx, func(ctx context.Context, r int) error {
 		if err := g.insist(ctx, r, rankcontrol.Order{Operation: rankcontrol.Disarm, Version: unused}); err != nil {
 			return err
 		}
-		report, err := g.report(ctx, r)
-		reports[r] = report
-		return err
+		return read(ctx, r)
 	})
-	return reports, err
+	if err != nil || !slices.ContainsFunc(reports, func(r fleet.EngineReport) bool { return r.Lagging }) {
+		return reports, err
+	}
+	lag := g.ReportLag
+	if lag == 0 {
+		lag = usualLag
+	}
+	wait.For(ctx, lag)
+	return reports, g.each(ctx, read)
 }
 
 // armedState tells which ranks are armed.
--- a/pkg/rankagent/remote.go
+++ b/pkg/rankagent/remote.go
@@ -131,7 +131,9 @@
 	if answered, err := r.call(ctx, methodStatus, request, &s); answered {
 		return s, err
 	}
-	return readStatus(ctx, r.direct, statusRequest{Map: request.Map})
+	s, err := readStatus(ctx, r.direct, statusRequest{Map: request.Map})
+	s.Report.Lagging = true
+	return s, err
 }
 
 // Report implements rankcontrol.Rank.
