--- a/pkg/fleet/server.go
+++ b/pkg/fleet/server.go
@@ -39,8 +39,8 @@
 	// Lagging reports were read from another instance: they show what was some
 	// hundred milliseconds ago.
 	Lagging bool `json:"-"`
-	Running int `json:"running"`
-	Waiting int `json:"waiting"`
+	Running int  `json:"running"`
+	Waiting int  `json:"waiting"`
 	// MemoryUsed is the memory that can't yield, in tokens.
 	MemoryUsed int `json:"memoryUsed"`
 	// Pace above 1 means that the engine is slow.
