Give every wrong argument and setting its place and remedy

Ruled out: what held already: entries of both kinds started before the log is up answer 503 with Retry-After and say what is lost; tables that name a missing pool; the older settings; help with an example for every command. Conclusion: these were defects of new code, none of decisions."

--- /dev/null
+++ b/pkg/cli/arguments_test.go
@@ -0,0 +1,27 @@
+package cli
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+)
+
+// TestWrongArgumentsNameTheRemedy: nothing runs, the exit code is 2, and the error
+// says what to write.
+func TestWrongArgumentsNameTheRemedy(t *testing.T) {
+	for line, want := range map[string]string{
+		"site entri":                         `run "fescuehub site --help"`,
+		"demo now":                           `run "fescuehub demo --help"`,
+		"soak --seeds 0":                     "write 1 or more",
+		"soak --length 0s":                   "1s or more",
+		"measure group --size huge":          "write small or large",
+		"measure group --plots /does/not/be": "name a directory that exists",
+		"demo --deployment neither":          "write arcos, somes or platform",
+		"soak --seeds x":                     `run "fescuehub soak --help"`,
+	} {
+		var out, errOut bytes.Buffer
+		if code := Main(strings.Fields(line), &out, &errOut); code != 2 || !strings.Contains(errOut.String(), want) {
+			t.Errorf("%s: exit code %d, %q", line, code, errOut.String())
+		}
+	}
+}
--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -60,7 +60,7 @@
 		Example:       "  fescuehub demo",
 		SilenceUsage:  true,
 		SilenceErrors: true,
-		Args:          cobra.NoArgs,
+		Args:          noArgs,
 		RunE:          func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
 	}
 	root.PersistentFlags().StringVar(&a.output, "output", "text", `form of the result: "text" or "json"`)
@@ -113,6 +113,14 @@
 // Error implements the error interface.
 func (e *usageError) Error() string { return e.text }
 
+// noArgs refuses arguments with the command that shows what is allowed.
+func noArgs(cmd *cobra.Command, args []string) error {
+	if len(args) == 0 {
+		return nil
+	}
+	return usage("%q is no command or argument of %q; run %q", args[0], cmd.CommandPath(), cmd.CommandPath()+" --help")
+}
+
 func usage(format string, args ...any) error {
 	return &usageError{fmt.Sprintf(format, args...)}
 }
--- a/pkg/cli/config.go
+++ b/pkg/cli/config.go
@@ -28,7 +28,7 @@
 		Use:     "config",
 		Short:   "Edit and publish the tables of routes and pools",
 		Example: "  fescuehub config check tables.json",
-		Args:    cobra.NoArgs,
+		Args:    noArgs,
 		RunE:    func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
 	}
 	cmd.AddCommand(a.configCheckCommand(), a.configApplyCommand(), a.configShowCommand(), a.configHistoryCommand())
@@ -123,7 +123,7 @@
 		Long: `Show the tables that the log has in force, or, with --operator, those of one
 entry, which works while the log is down. The file can be edited and applied.`,
 		Example: "  fescuehub config show --log http://127.0.0.1:7001 > tables.json",
-		Args:    cobra.NoArgs,
+		Args:    noArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			var state configfold.State
 			var err error
@@ -156,7 +156,7 @@
 		Long: `Show what became of each edit that the log holds, or of one edit with --edit.
 An edit that is not found ends with exit code 4.`,
 		Example: "  fescuehub config history --log http://127.0.0.1:7001 --edit 019ae5c8-5c5b-7d0e-8f39-0c2f3a1c9a11",
-		Args:    cobra.NoArgs,
+		Args:    noArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			h, err := configclient.New(logURL).History(cmd.Context())
 			if err != nil {
--- a/pkg/cli/daemons.go
+++ b/pkg/cli/daemons.go
@@ -29,7 +29,7 @@
 		Short:   "Run an entry instance",
 		Long:    "Run an entry instance: it answers callers, routes requests to agents, and follows the configuration. SIGTERM drains it; a second SIGTERM ends it at once.",
 		Example: "  fescuehub entry --settings examples/arcos/entry-1.json",
-		Args:    cobra.NoArgs,
+		Args:    noArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			s, err := settings.LoadEntry(path)
 			if err != nil {
@@ -50,7 +50,7 @@
 		Short:   "Run the agent of a backend server instance",
 		Long:    "Run the agent of a backend server instance: the only process that gives the backend server work and orders. SIGTERM drains it; a second SIGTERM ends it at once.",
 		Example: "  fescuehub agent --settings examples/arcos/agent-asistente-mostrador-1.json",
-		Args:    cobra.NoArgs,
+		Args:    noArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			s, err := settings.LoadAgent(path)
 			if err != nil {
--- a/pkg/cli/demo.go
+++ b/pkg/cli/demo.go
@@ -20,7 +20,7 @@
 		Short:   "Run the whole path on loopback in one process",
 		Long:    "Run the whole path on loopback in one process: stand-ins, entries and agents on free ports. It ends by itself within 30 seconds.",
 		Example: "  fescuehub demo --deployment somes",
-		Args:    cobra.NoArgs,
+		Args:    noArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			d, ok := demo.Find(deployment)
 			if !ok && deployment != platformDeployment {
--- a/pkg/cli/load.go
+++ b/pkg/cli/load.go
@@ -23,7 +23,7 @@
 		Long: "Send open-loop traffic to entries on loopback and measure what callers get. Arrivals follow a seeded plan and do not wait for answers; " +
 			"times count from the planned arrival. It refuses every address that is not on loopback, and ends by itself. Each answer is checked to be whole and its own.",
 		Example: "  fescuehub load --entry 127.0.0.1:7100 --model asistente-mostrador --service caja-inventario --rate 50 --for 30s --output json > a.json",
-		Args:    cobra.NoArgs,
+		Args:    noArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			o.Shape = load.Shape(shape)
 			var err error
--- a/pkg/cli/measure.go
+++ b/pkg/cli/measure.go
@@ -9,7 +9,7 @@
 		Use:     "measure",
 		Short:   "Give a table of docs/MEASUREMENTS.md again",
 		Example: "  fescuehub measure routing --seed 1",
-		Args:    cobra.NoArgs,
+		Args:    noArgs,
 		RunE:    func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
 	}
 	cmd.AddCommand(a.measureRouting(), a.measureMembership())
--- a/pkg/cli/measure_configuration.go
+++ b/pkg/cli/measure_configuration.go
@@ -21,7 +21,7 @@
 With --log and --operator, apply edits to a running deployment instead, whose
 tables are replaced, and measure the time until each is in force everywhere.`,
 		Example: "  fescuehub measure configuration",
-		Args:    cobra.NoArgs,
+		Args:    noArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			if logURL != "" {
 				row, err := configuration.MeasureInForce(cmd.Context(), logURL, operators, applies)
--- a/pkg/cli/measure_expert_maps.go
+++ b/pkg/cli/measure_expert_maps.go
@@ -17,7 +17,7 @@
 		Short:   "Measure planners of expert maps on seeded traces",
 		Long:    "Run the planner with both users' settings, no planner, and a full re-plan each period on traces of expert popularity and rank speed, at today's size and at the target's.",
 		Example: "  fescuehub measure expert-maps --seed 1",
-		Args:    cobra.NoArgs,
+		Args:    noArgs,
 		RunE: func(*cobra.Command, []string) error {
 			result := expertMapsResult{Planners: expertmaps.All(seed, []expertmaps.Size{expertmaps.Today, expertmaps.Target}, expertmaps.Planners)}
 			for _, ranks := range []int{expertmaps.Today.Ranks, expertmaps.Target.Ranks} {
--- a/pkg/cli/measure_group.go
+++ b/pkg/cli/measure_group.go
@@ -20,13 +20,16 @@
 		Short:   "Measure routing, refusals and expert maps on a model of a group of engines",
 		Long:    "Run the product's decisions on a model of a group of engines in virtual time: passes that all ranks execute together, experts in demand that change, stalls, reports that lag. Each variant leaves one decision out.",
 		Example: "  fescuehub measure group --size small --plots /tmp",
-		Args:    cobra.NoArgs,
+		Args:    noArgs,
 		RunE: func(*cobra.Command, []string) error {
 			sites := map[string]group.Site{"small": group.Small, "large": group.Large}
 			site, ok := sites[size]
 			if !ok {
 				return usage("--size is %q; write small or large", size)
 			}
+			if info, err := os.Stat(plots); plots != "" && (err != nil || !info.IsDir()) {
+				return usage("--plots is %q; name a directory that exists", plots)
+			}
 			results := group.Measure(site, seed)
 			if plots != "" {
 				for _, load := range group.Loads {
--- a/pkg/cli/measure_limits.go
+++ b/pkg/cli/measure_limits.go
@@ -12,7 +12,7 @@
 		Use:     "limits",
 		Short:   "Measure flow control under overload, in virtual time",
 		Example: "  fescuehub measure limits --seed 1",
-		Args:    cobra.NoArgs,
+		Args:    noArgs,
 		RunE: func(*cobra.Command, []string) error {
 			result := limits.Measure(seed)
 			return a.print(result, result.Write)
--- a/pkg/cli/measure_membership.go
+++ b/pkg/cli/measure_membership.go
@@ -12,7 +12,7 @@
 		Use:     "membership",
 		Short:   "Time until a lost replica gets no work, restarts, links, address answers and their bytes",
 		Example: "  fescuehub measure membership --seed 1",
-		Args:    cobra.NoArgs,
+		Args:    noArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			tables, err := membership.Run(cmd.Context(), seed)
 			if err != nil {
--- a/pkg/cli/measure_retries.go
+++ b/pkg/cli/measure_retries.go
@@ -12,7 +12,7 @@
 		Use:     "retries",
 		Short:   "Measure retries in an outage of half a pool, in virtual time",
 		Example: "  fescuehub measure retries --seed 1",
-		Args:    cobra.NoArgs,
+		Args:    noArgs,
 		RunE: func(*cobra.Command, []string) error {
 			result := retries.Measure(seed)
 			return a.print(result, result.Write)
--- a/pkg/cli/measure_routing.go
+++ b/pkg/cli/measure_routing.go
@@ -16,7 +16,7 @@
 		Use:     "routing",
 		Short:   "First-token time and cache hits of the choice of replicas against three baselines",
 		Example: "  fescuehub measure routing --seed 1 --site arcos",
-		Args:    cobra.NoArgs,
+		Args:    noArgs,
 		RunE: func(*cobra.Command, []string) error {
 			var sites []routing.Site
 			for _, s := range routing.Sites() {
--- a/pkg/cli/report.go
+++ b/pkg/cli/report.go
@@ -21,7 +21,7 @@
 		Long: "Show how fast the error budget of each service and organisation burns over 5 minutes, 1 hour and 6 hours, added over the entries named. " +
 			"With --html it also writes one self-contained page.",
 		Example: "  fescuehub report --operator 127.0.0.1:7101 --operator 127.0.0.1:7102 --html burn.html",
-		Args:    cobra.NoArgs,
+		Args:    noArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			r, err := readReport(cmd.Context(), addresses, top)
 			if err != nil {
--- a/pkg/cli/site.go
+++ b/pkg/cli/site.go
@@ -28,7 +28,7 @@
 		Short:   "Run a process on the operators' platform",
 		Long:    "Run a process on the operators' platform. The settings come from the file that the environment variable " + platform.SettingsVariable + " names. SIGTERM drains the process; a second SIGTERM ends it at once. SIGHUP reads the settings again.",
 		Example: "  " + platform.SettingsVariable + "=/etc/fescuehub/local.json fescuehub site entry",
-		Args:    cobra.NoArgs,
+		Args:    noArgs,
 		RunE:    func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
 	}
 	cmd.AddCommand(a.siteEntryCommand(), a.siteAgentCommand())
@@ -40,7 +40,7 @@
 		Use:     "entry",
 		Short:   "Run an entry: it answers callers and sends their requests straight to backend servers",
 		Example: "  " + platform.SettingsVariable + "=/etc/fescuehub/local.json fescuehub site entry",
-		Args:    cobra.NoArgs,
+		Args:    noArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			return a.runSite(cmd.Context(), "entry", platform.LoadEntry, func(s settings.Instance, log *zap.Logger) drainer {
 				return gateway.New(s, platform.Wire{}, platform.NewStore(s.LogAddress), log, telemetry.NewMetrics())
@@ -54,7 +54,7 @@
 		Use:     "agent",
 		Short:   "Run an agent: it reports the engine beside it and carries out orders about its expert map",
 		Example: "  " + platform.SettingsVariable + "=/etc/fescuehub/local.json fescuehub site agent",
-		Args:    cobra.NoArgs,
+		Args:    noArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			return a.runSite(cmd.Context(), "agent", platform.LoadAgent, func(s settings.Instance, log *zap.Logger) drainer {
 				control := func(address string) rankcontrol.Rank { return platform.NewRank(address) }
--- a/pkg/cli/soak.go
+++ b/pkg/cli/soak.go
@@ -22,8 +22,11 @@
 			"backend servers see. Each seed takes its length and about 15 seconds. It uses addresses in 127.77.0.0/16, which Linux has without setting them up. " +
 			"After a violation the processes' logs are kept, and the exit code is not 0.",
 		Example: "  fescuehub soak --seed 1 --seeds 50",
-		Args:    cobra.NoArgs,
+		Args:    noArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			if seeds < 1 || length < time.Second {
+				return usage("--seeds is %d and --length %v; write 1 or more, and 1s or more", seeds, length)
+			}
 			binary, err := os.Executable()
 			if err != nil {
 				return errors.Wrap(err, "find this program")
--- a/pkg/cli/standin.go
+++ b/pkg/cli/standin.go
@@ -27,7 +27,7 @@
 		Use:     "standin",
 		Short:   "Run a small stand-in of a system that fescuehub talks to, for tests",
 		Example: "  fescuehub standin log --listen 127.0.0.1:7001",
-		Args:    cobra.NoArgs,
+		Args:    noArgs,
 		RunE:    func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
 	}
 	cmd.AddCommand(a.standinLog(), a.standinInstances(), a.standinWeights(), a.standinEngine(), a.standinService())
@@ -114,7 +114,7 @@
 		Short:   "Run a stand-in of " + what,
 		Long:    "Run a stand-in of " + what + ". GET and PUT /faults read and switch its faults.",
 		Example: "  fescuehub standin " + name + " --listen 127.0.0.1:7001",
-		Args:    cobra.NoArgs,
+		Args:    noArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			ctx, stop := signalContext(cmd.Context())
 			defer stop()
--- a/pkg/cli/status.go
+++ b/pkg/cli/status.go
@@ -39,7 +39,7 @@
 		Use:     "status --operator ADDRESS",
 		Short:   "Show the state of entries and agents",
 		Example: "  fescuehub status --operator 127.0.0.1:7101 --operator 127.0.0.1:7102",
-		Args:    cobra.NoArgs,
+		Args:    noArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			var list []statusRow
 			for _, address := range addresses {
--- a/pkg/cli/version.go
+++ b/pkg/cli/version.go
@@ -22,7 +22,7 @@
 		Use:     "version",
 		Short:   "Print the version",
 		Example: "  fescuehub version --output json",
-		Args:    cobra.NoArgs,
+		Args:    noArgs,
 		RunE: func(*cobra.Command, []string) error {
 			info := versionInfo{Version: "unknown", FoldVersion: configfold.FoldVersion}
 			if b, ok := debug.ReadBuildInfo(); ok {
--- a/pkg/measure/group/site.go
+++ b/pkg/measure/group/site.go
@@ -112,5 +112,5 @@
 	{Name: "held at the ninth pass", Plans: true, Look: 150 * time.Millisecond, PlanTime: 40 * time.Millisecond, Margin: 9, Refuses: true},
 	{Name: "looks each 0.6 s", Plans: true, Look: 600 * time.Millisecond, PlanTime: 40 * time.Millisecond, Refuses: true},
 	{Name: "plans take 0.3 s", Plans: true, Look: 150 * time.Millisecond, PlanTime: 300 * time.Millisecond, Refuses: true},
-	{Name: "no maps", Refuses: true},
+	{Name: "no maps", Look: 150 * time.Millisecond, Refuses: true},
 }
--- a/pkg/measure/group/world.go
+++ b/pkg/measure/group/world.go
@@ -50,6 +50,8 @@
 	servers []fleet.Server
 	entries []*balance.Balancer
 	engines []*engine
+	// ranks holds the place of each server in engines.
+	ranks map[string]int
 	// reported are the loads that the engines' reports show.
 	reported []balance.EngineLoad
 	demand   blend
@@ -68,12 +70,14 @@
 	w := &world{
 		site: s, load: l, variant: v, random: random, clock: virtualtime.NewQueue(), result: newResult(s, l, v),
 		service: &fleet.Service{Name: service, Engine: &fleet.Engine{Slots: s.Slots, UsualPrompt: s.Prompt, UsualAnswer: float64(s.Events * s.Stride)}},
+		ranks:   make(map[string]int),
 		present: evenplan.Uniform(s.Sets, s.Experts, s.Ranks),
 	}
 	first := newDemand(random, s)
 	w.demand = blend{first, first, 1}
 	for r := range s.Ranks {
 		w.servers = append(w.servers, fleet.Server{ID: fmt.Sprint(r), Service: service, Address: fmt.Sprintf("r%d:1", r), Born: 1})
+		w.ranks[w.servers[r].ID] = r
 		w.engines = append(w.engines, &engine{})
 	}
 	for range s.Entries {
@@ -90,7 +94,7 @@
 	w.arrive()
 	w.begin()
 	w.clock.Every(reportLag, w.report)
-	w.clock.Every(w.look(), w.planner.look)
+	w.clock.Every(w.variant.Look, w.planner.look)
 	w.clock.Every(gossipPause, w.gossip)
 	if w.load.Shift > 0 {
 		w.clock.Every(w.load.Shift, w.shift)
@@ -99,13 +103,6 @@
 	return w.result.finish()
 }
 
-func (w *world) look() time.Duration {
-	if w.variant.Look == 0 {
-		return reportLag
-	}
-	return w.variant.Look
-}
-
 // arrive lets callers come for as long as the load lasts.
 func (w *world) arrive() {
 	pause := time.Duration(w.random.ExpFloat64() / w.site.Arrivals * float64(time.Second))
@@ -131,7 +128,7 @@
 		w.refuse(s)
 		return
 	}
-	fmt.Sscan(server.ID, &s.engine)
+	s.engine = w.ranks[server.ID]
 	b.Begin(now, server.ID, int(w.site.Prompt))
 	s.began, s.last, s.unread = now, now, w.site.Prompt
 	w.engines[s.engine].waiting = append(w.engines[s.engine].waiting, s)
--- a/pkg/popularity/popularity.go
+++ b/pkg/popularity/popularity.go
@@ -149,13 +149,14 @@
 	count := min(len(e.demand), maxSamples)
 	experts := len(e.demand[0]) / e.sets
 	out := make([]evenplan.Demand, e.sets)
+	seen := e.seen()
 	for s := range out {
 		own := make([][]float64, count)
 		mean := make([]float64, experts)
 		for k := range own {
 			own[k] = make([]float64, experts)
 		}
-		for n, r := range e.seen() {
+		for n, r := range seen {
 			for i, d := range e.demand[r][s*experts : (s+1)*experts] {
 				own[n%count][i] += d
 				mean[i] += d
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -239,8 +240,8 @@
 			x.finish(ctx, "no backend server is left")
 			return
 		}
-		if x.comesLate(server) {
-			x.finish(ctx, "every engine has requests that wait for a slot")
+		if reason := x.comesLate(server); reason != "" {
+			x.finish(ctx, reason)
 			return
 		}
 		if len(x.report.Attempts) == 0 {
@@ -309,18 +310,24 @@
 	return deadline
 }
 
-// comesLate reports whether a request that has certainly not run is better refused:
-// nothing would come before its caller leaves, or it would join a queue that stands,
-// in which all are late.
-func (x *exchange) comesLate(s fleet.Server) bool {
-	if x.begun || x.mayHaveRun > 0 || x.q.Route.TargetLatency <= 0 || x.q.Service.Engine == nil {
-		return false
+// comesLate returns why a request that has certainly not run is better refused; empty
+// where it is sent: nothing would come before its caller leaves, or it would join a
+// queue that stands, in which all are late.
+func (x *exchange) comesLate(s fleet.Server) string {
+	target := x.q.Route.TargetLatency
+	if x.begun || x.mayHaveRun > 0 || target <= 0 || x.q.Service.Engine == nil {
+		return ""
 	}
 	now := time.Now()
 	wait := x.balancer.Wait(now, x.q.Service, s.ID)
-	target := x.q.Route.TargetLatency
 	limits := balance.QueueLimits{Stands: target, Served: max(target-firstEvent, 0)}
-	return x.balancer.Refuses(now, x.q.Service.Name, wait, limits) || now.Add(wait+firstEvent).After(x.leaves())
+	if x.balancer.Refuses(now, x.q.Service.Name, wait, limits) {
+		return fmt.Sprintf("a queue stands at the engines; a slot is expected after %v", wait.Round(time.Millisecond))
+	}
+	if now.Add(wait + firstEvent).After(x.leaves()) {
+		return fmt.Sprintf("a slot is expected after %v, when the caller has left", wait.Round(time.Millisecond))
+	}
+	return ""
 }
 
 func (x *exchange) left() time.Duration { return time.Until(x.q.Deadline()) }
--- a/pkg/strictjson/strictjson.go
+++ b/pkg/strictjson/strictjson.go
@@ -50,6 +50,19 @@
 // Decode reads data into the struct that into points to. It returns every
 // fault found; into is complete only when there are none.
 func Decode(data []byte, into any) []Fault {
+	return decode(data, into, func(Fault) bool { return true })
+}
+
+// unknownField is the detail of a field that the struct does not have.
+const unknownField = "unknown field"
+
+// DecodeKnown decodes as Decode does a document of which only some fields are used:
+// the others are no fault.
+func DecodeKnown(data []byte, into any) []Fault {
+	return decode(data, into, func(f Fault) bool { return f.Detail != unknownField })
+}
+
+func decode(data []byte, into any, counts func(Fault) bool) []Fault {
 	dec := json.NewDecoder(bytes.NewReader(data))
 	dec.UseNumber()
 	var tree any
@@ -59,7 +72,13 @@
 	if dec.More() {
 		return []Fault{{"line " + lineOf(data, dec.InputOffset()), "text follows the document", "keep one JSON document in the file"}}
 	}
-	if faults := check(tree, reflect.TypeOf(into).Elem(), ""); len(faults) > 0 {
+	var faults []Fault
+	for _, f := range check(tree, reflect.TypeOf(into).Elem(), "") {
+		if counts(f) {
+			faults = append(faults, f)
+		}
+	}
+	if len(faults) > 0 {
 		return faults
 	}
 	if err := json.Unmarshal(data, into); err != nil {
@@ -120,7 +139,7 @@
 		at := join(place, name)
 		ft, known := fields[name]
 		if !known {
-			faults = append(faults, Fault{at, "unknown field", "remove it, or write one of: " + strings.Join(sortedKeys(fields), ", ")})
+			faults = append(faults, Fault{at, unknownField, "remove it, or write one of: " + strings.Join(sortedKeys(fields), ", ")})
 			continue
 		}
 		faults = append(faults, check(object[name], ft, at)...)
