Let a test of the follower wait until the sink hears that the log is back

The test looked as soon as the records were there; the follower hands records on first and tells the sink that the log is back afterwards, so a busy machine can put the look between the two. Change: the test waits for the news, at most 5 s, and still demands exactly one. Conclusion: a race of the test, none of the product."

--- a/pkg/follow/follow_test.go
+++ b/pkg/follow/follow_test.go
@@ -122,6 +122,8 @@
 
 func (s *sink) losses() int { s.mu.Lock(); defer s.mu.Unlock(); return s.lost }
 
+func (s *sink) returns() int { s.mu.Lock(); defer s.mu.Unlock(); return s.regained }
+
 func (s *sink) text() string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -171,6 +173,10 @@
 	l.put("a", "2")
 	l.set(func(l *log) { l.away, l.first = false, int64(len(l.records)) })
 	eventually(t, "map[a:2 c:1]", s)
+	// The records come just before the sink is told that the log is back.
+	for end := time.Now().Add(5 * time.Second); s.returns() == 0 && time.Now().Before(end); {
+		time.Sleep(5 * time.Millisecond)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.lost == 0 || s.regained != 1 {
