Use one announcement for each address

Entries sent to both; 421 answers (222 of 2810 arrivals rejected) used the retry budget up, and 40 requests ended with 'the retry budget is used up'. Ruled out: a late list (all new announcements were read 0.8 s before the group opened). Change: of several announcements at one address the newest counts (fleet.NewestByAddress, which the planner had for itself). TestOneServerAnAddress fails without it. Conclusion: kept, since what is known to be gone must not get work.

--- a/pkg/fleet/server.go
+++ b/pkg/fleet/server.go
@@ -1,6 +1,11 @@
 package fleet
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
 
 // Server is a backend server as it announces itself. An announcement that can't
 // be read leaves Usable false.
@@ -25,6 +30,19 @@
 	Ranks int
 }
 
+// NewestByAddress leaves out the announcements of servers whose address another
+// one has taken since: after a start under a new ID, or for another service. It returns
+// the others in the order of their addresses.
+func NewestByAddress(servers []Server) []Server {
+	newest := make(map[string]Server, len(servers))
+	for _, s := range servers {
+		if old, ok := newest[s.Address]; !ok || s.Born > old.Born || s.Born == old.Born && s.ID > old.ID {
+			newest[s.Address] = s
+		}
+	}
+	return slices.SortedFunc(maps.Values(newest), func(a, b Server) int { return strings.Compare(a.Address, b.Address) })
+}
+
 // GroupState is the state of the group of ranks that an engine belongs to.
 type GroupState string
 
--- a/pkg/rankagent/members.go
+++ b/pkg/rankagent/members.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -13,18 +10,6 @@
 	"github.com/fescuehub/fescuehub/pkg/fleet"
 )
 
-// newestByAddress leaves out the announcements of servers that have started
-// anew under another ID.
-func newestByAddress(servers []fleet.Server) []fleet.Server {
-	newest := make(map[string]fleet.Server, len(servers))
-	for _, s := range servers {
-		if old, ok := newest[s.Address]; !ok || s.Born > old.Born {
-			newest[s.Address] = s
-		}
-	}
-	return slices.SortedFunc(maps.Values(newest), func(a, b fleet.Server) int { return strings.Compare(a.Address, b.Address) })
-}
-
 // member is a server with its status, or with the error of reading it.
 type member struct {
 	server fleet.Server
--- a/pkg/rankagent/planner.go
+++ b/pkg/rankagent/planner.go
@@ -156,7 +156,7 @@
 		p.groups[name] = g
 	}
 	now := time.Now()
-	members := p.read(ctx, newestByAddress(servers), withWindow(len(servers)))
+	members := p.read(ctx, fleet.NewestByAddress(servers), withWindow(len(servers)))
 	p.agent.tellEntries(p.digest(members))
 	servers, statuses, err := inOrder(members)
 	if err != nil {
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -3,6 +3,7 @@
 package roster
 
 import (
+	"slices"
 	"time"
 
 	"github.com/fescuehub/fescuehub/pkg/fleet"
@@ -112,17 +113,15 @@
 
 // Usable returns the servers that take work.
 func (r *Roster) Usable(now time.Time) []fleet.Server {
-	var out []fleet.Server
+	var present []fleet.Server
 	for id, s := range r.servers {
 		if gone, lapsed := r.lapsed[id]; lapsed && !gone.IsZero() && !now.Before(gone) {
 			r.drop(id)
 			continue
 		}
-		born, misdirected := r.misdirected[id]
-		if s.Draining || misdirected && born == s.Born {
-			continue
+		if born, misdirected := r.misdirected[id]; !misdirected || born != s.Born {
+			present = append(present, s)
 		}
-		out = append(out, s)
 	}
-	return out
+	return slices.DeleteFunc(fleet.NewestByAddress(present), func(s fleet.Server) bool { return s.Draining })
 }
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -78,3 +78,43 @@
 		}
 	}
 }
+
+// TestOneServerAnAddress answers the pattern of a whole deployment that loses power: each
+// server comes back under another ID at its address while its old announcement has not
+// lapsed yet. Requests to the old ID would be turned away and use the retry budget up.
+func TestOneServerAnAddress(t *testing.T) {
+	old := fleet.Server{ID: "old", Service: "s", Address: "h:1", Born: 1}
+	anew := fleet.Server{ID: "new", Service: "s", Address: "h:1", Born: 2}
+	for _, c := range []struct {
+		name             string
+		events           func(r *roster.Roster)
+		usesOld, usesNew bool
+	}{
+		{"old alone", func(r *roster.Roster) { r.Announce(old) }, true, false},
+		{"both", func(r *roster.Roster) { r.Announce(old); r.Announce(anew) }, false, true},
+		{"old announced again", func(r *roster.Roster) { r.Announce(anew); r.Announce(old) }, false, true},
+		{"new one drains", func(r *roster.Roster) {
+			r.Announce(old)
+			s := anew
+			s.Draining = true
+			r.Announce(s)
+		}, false, false},
+		{"new one is not at the address", func(r *roster.Roster) {
+			r.Announce(old)
+			r.Announce(anew)
+			r.Misdirected("new")
+		}, true, false},
+		{"other addresses", func(r *roster.Roster) {
+			r.Announce(old)
+			s := anew
+			s.Address = "h:2"
+			r.Announce(s)
+		}, true, true},
+	} {
+		r := roster.New(grace)
+		c.events(r)
+		if usesOld, usesNew := has(r, start, "old"), has(r, start, "new"); usesOld != c.usesOld || usesNew != c.usesNew {
+			t.Errorf("%s: old %v, new %v; want %v, %v", c.name, usesOld, usesNew, c.usesOld, c.usesNew)
+		}
+	}
+}
