Let the election settle sooner after all processes have started

Cause: after the loss of everything all agents joined the election, since none had heard of a planner, and nine of twelve left it again; each join and leave moves it. Change: a start counts as word of a planner, so that only the agents of the first ranks join; while the generation changes or no planner is heard, members call each 0.1 s.

--- a/pkg/rankagent/agent.go
+++ b/pkg/rankagent/agent.go
@@ -75,7 +75,8 @@
 	mu          sync.Mutex
 	subscribers map[netip.AddrPort]time.Time
 	engineLost  bool
-	// planner is the peer address of the planner that asked last, at heard.
+	// planner is the peer address of the planner that asked last, at heard: since the
+	// start where none did.
 	planner string
 	heard   time.Time
 	counter popularity.Counter
@@ -98,6 +99,7 @@
 		member:      s.Name + "/" + uuid.NewString(),
 		subscribers: make(map[netip.AddrPort]time.Time),
 		maps:        make(map[int64]rankcontrol.Map),
+		heard:       time.Now(),
 		draining:    make(chan struct{}),
 	}
 }
--- a/pkg/rankagent/elect.go
+++ b/pkg/rankagent/elect.go
@@ -14,8 +14,13 @@
 	// electionTTL is how long an owner may be silent before another member
 	// takes over: a group that a dead planner holds stands still for so long.
 	electionTTL = 1200 * time.Millisecond
-	// electionPause is the time between two calls of a member.
-	electionPause = 350 * time.Millisecond
+	// electionPause is the time between two calls of a member, unsettledPause the same
+	// while no planner is heard of or members come and go: an owner gives the election up
+	// by its next call, and a member learns by another one that it owns it.
+	electionPause  = 350 * time.Millisecond
+	unsettledPause = 100 * time.Millisecond
+	// settleTime is how long after its last word a planner counts as known.
+	settleTime = 500 * time.Millisecond
 	// electionTimeout bounds one call.
 	electionTimeout = 900 * time.Millisecond
 	// candidates is the number of ranks whose agents always take part.
@@ -49,11 +54,15 @@
 			lost = err != nil
 			a.log.Info("dependency changed", zap.String("dependency", "shared log"), zap.Bool("lost", lost), telemetry.Err(err))
 		}
+		pause := electionPause
 		if err == nil {
+			if ownership.Generation != generation || a.plannerSilent(settleTime) {
+				pause = unsettledPause
+			}
 			generation = ownership.Generation
 			term = a.follow(ctx, term, ownership.Owner, generation)
 		}
-		wait.For(ctx, electionPause)
+		wait.For(ctx, pause)
 	}
 	if term != nil {
 		term.end()
@@ -69,10 +78,7 @@
 	if a.plans.Load() {
 		return true
 	}
-	a.mu.Lock()
-	silent := time.Since(a.heard) > plannerSilence
-	a.mu.Unlock()
-	if silent {
+	if a.plannerSilent(plannerSilence) {
 		return true
 	}
 	call, cancel := context.WithTimeout(ctx, localTimeout)
@@ -81,6 +87,15 @@
 	return err == nil && report.Ranks > 0 && report.Rank < candidates
 }
 
+// plannerSilent reports whether no planner has asked for a time. A start counts as
+// being asked: if all agents joined the election at once and most left it again, each of
+// these would move it.
+func (a *Agent) plannerSilent(longer time.Duration) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return time.Since(a.heard) > longer
+}
+
 func (a *Agent) resign(ctx context.Context, election string) {
 	ctx, cancel := context.WithTimeout(ctx, electionTimeout)
 	defer cancel()
