Send few requests to a group of engines until its first map

Cause: all that came while a group was broken was sent at once when it opened, about 110 requests under the map of its formation (most loaded rank at 3.1 times the mean): passes of 0.25 to 0.45 s, first events after 1.1 to 1.5 s, and half of these callers left after 2 s. Change: the planner tells that a group forms, from its opening to its first map, 0.8 s at most. Until then an entry uses its part of a sixth of the slots; the others wait as for a broken group. What is known of arming outlives the formation.

--- a/pkg/balance/balance_test.go
+++ b/pkg/balance/balance_test.go
@@ -228,16 +228,16 @@
 func TestBrokenGroup(t *testing.T) {
 	b := balance.New()
 	b.SetServers(servers(2))
-	if b.Broken(start, "s") {
+	if b.Holds(start, engines) {
 		t.Error("broken without a sign")
 	}
 	b.GroupFault(start, "s")
-	if !b.Broken(start.Add(100*time.Millisecond), "s") {
+	if !b.Holds(start.Add(100*time.Millisecond), engines) {
 		t.Error("an answer told that the group is broken")
 	}
 	probes := 0
 	for n := range 100 {
-		if !b.Broken(start.Add(time.Duration(n)*10*time.Millisecond), "s") {
+		if !b.Holds(start.Add(time.Duration(n)*10*time.Millisecond), engines) {
 			probes++
 		}
 	}
@@ -245,14 +245,42 @@
 		t.Errorf("%d probes in a second", probes)
 	}
 	b.Group(start.Add(2*time.Second), "s", fleet.GroupOpen, nil)
-	if b.Broken(start.Add(2*time.Second), "s") {
+	if b.Holds(start.Add(2*time.Second), engines) {
 		t.Error("a later report says that it is open")
 	}
 	b.Group(start.Add(3*time.Second), "s", fleet.GroupBroken, nil)
-	if !b.Broken(start.Add(3*time.Second), "s") {
+	if !b.Holds(start.Add(3*time.Second), engines) {
 		t.Error("a report says that it is broken")
 	}
-	if b.Broken(start.Add(10*time.Second), "s") {
+	if b.Holds(start.Add(10*time.Second), engines) {
 		t.Error("an old report counts")
 	}
 }
+
+// TestFormingGroup answers a group that forms anew after the loss of everything: a hundred
+// requests wait, and all of them under the first map make passes of half a second.
+func TestFormingGroup(t *testing.T) {
+	const entries, engineCount = 9, 12
+	sent := 0
+	for range entries {
+		b := balance.New()
+		b.SetServers(servers(engineCount))
+		for other := range entries - 1 {
+			b.Heard(start, fmt.Sprint(other), nil)
+		}
+		b.Group(start, "s", fleet.GroupForming, nil)
+		for range 12 {
+			if !b.Holds(start, engines) {
+				b.Begin(start, fmt.Sprint(sent%engineCount), 800)
+				sent++
+			}
+		}
+		b.Group(start.Add(time.Second), "s", fleet.GroupOpen, nil)
+		if b.Holds(start.Add(time.Second), engines) {
+			t.Error("requests wait after the first map")
+		}
+	}
+	if slots := engineCount * engines.Engine.Slots; sent < entries || sent > slots/6 {
+		t.Errorf("%d requests are sent before the first map to %d slots", sent, slots)
+	}
+}
--- a/pkg/balance/group.go
+++ b/pkg/balance/group.go
@@ -14,17 +14,52 @@
 	b.faults[service] = &fault{at: now, probed: now}
 }
 
-// Broken reports whether the group of a service's engines is broken: every
-// request to it would be turned away. Where only such an answer tells so, one
-// request each probePause finds out whether it still is.
-func (b *Balancer) Broken(now time.Time, service string) bool {
+// formingShare is the part of a group's slots that is used until its first map: their
+// requests tell what is in demand, and their passes stay short.
+const formingShare = 1.0 / 6
+
+// Holds reports whether a request has to wait for the group of a service's engines: it
+// is broken, and every request would be turned away, or it gets its first map in a
+// moment and has enough work until then. Where only an answer tells that it is broken,
+// one request each probePause finds out whether it still is.
+func (b *Balancer) Holds(now time.Time, service *fleet.Service) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	told := b.groups[service]
+	told := b.groups[service.Name]
 	known := now.Sub(told.at) <= reportLifetime
-	if known && told.state == fleet.GroupBroken {
+	switch {
+	case known && told.state == fleet.GroupBroken:
 		return true
+	case known && told.state == fleet.GroupForming:
+		return b.inFlight(service.Name) >= b.formingLimit(now, service)
 	}
+	return b.faulty(now, service.Name, told, known)
+}
+
+// inFlight returns the number of this entry's requests at a service; b.mu is held.
+func (b *Balancer) inFlight(service string) int {
+	n := 0
+	for _, s := range b.services[service] {
+		n += s.own.Requests
+	}
+	return n
+}
+
+// formingLimit returns this entry's part of the slots that are used while a group
+// forms; b.mu is held.
+func (b *Balancer) formingLimit(now time.Time, service *fleet.Service) int {
+	entries := 1
+	for _, o := range b.entries {
+		if now.Sub(o.at) <= othersLifetime {
+			entries++
+		}
+	}
+	slots := len(b.services[service.Name]) * service.Engine.Slots
+	return max(int(formingShare*float64(slots)/float64(entries)), 1)
+}
+
+// faulty reports whether the last answer tells of a broken group; b.mu is held.
+func (b *Balancer) faulty(now time.Time, service string, told groupState, known bool) bool {
 	f := b.faults[service]
 	if f == nil {
 		return false
--- a/pkg/fleet/server.go
+++ b/pkg/fleet/server.go
@@ -48,8 +48,11 @@
 
 // The states of a group.
 const (
-	GroupOpen   GroupState = "open"
-	GroupBroken GroupState = "broken"
+	GroupOpen GroupState = "open"
+	// GroupForming groups are open and get their first better map in a moment: a few
+	// requests tell what is in demand, the others wait for it.
+	GroupForming GroupState = "forming"
+	GroupBroken  GroupState = "broken"
 )
 
 // EngineReport is what an engine says of itself.
--- a/pkg/rankagent/planner.go
+++ b/pkg/rankagent/planner.go
@@ -87,6 +87,7 @@
 	changed   time.Time
 	pace      pace
 	arming    arming
+	opening   opening
 	// rests is why the group is not planned now; empty while it is.
 	rests string
 }
@@ -157,16 +158,22 @@
 	}
 	now := time.Now()
 	members := p.read(ctx, fleet.NewestByAddress(servers), withWindow(len(servers)))
-	p.agent.tellEntries(p.digest(members))
+	digest := p.digest(members)
 	servers, statuses, err := inOrder(members)
 	if err != nil {
+		p.agent.tellEntries(digest)
 		p.rests(g, err.Error())
 		g.clean = false
 		return nil
 	}
 	if epoch := statuses[0].Report.Epoch; g.epoch != epoch {
-		*g = group{name: name, epoch: epoch, demand: popularity.New(len(servers), engine.Sets, engine.Experts, DemandHalfLife)}
+		*g = group{name: name, epoch: epoch, arming: g.arming, demand: popularity.New(len(servers), engine.Sets, engine.Experts, DemandHalfLife)}
+		g.opening.begin(now, statuses[0].Report.Map)
 	}
+	if g.opening.lasts(now) {
+		digest.State = fleet.GroupForming
+	}
+	p.agent.tellEntries(digest)
 	g.pace.look(now, statuses[0].Report.Step)
 	g.demand.Advance(now)
 	for r, s := range statuses {
@@ -175,7 +182,12 @@
 	if g.demand.Settle() {
 		p.log.Info("other experts are in demand", zap.String("group", g.name))
 	}
-	return p.advance(ctx, g, servers, statuses, engine)
+	err = p.advance(ctx, g, servers, statuses, engine)
+	if digest.State == fleet.GroupForming && !g.opening.lasts(time.Now()) {
+		digest.State = fleet.GroupOpen
+		p.agent.tellEntries(digest)
+	}
+	return err
 }
 
 // rests logs why a group is not planned now, once for each reason.
@@ -383,5 +395,6 @@
 		return onlyFenced(err)
 	}
 	p.agent.scope.Counter("maps_switched").Inc(1)
+	g.opening.end()
 	return nil
 }
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -260,14 +260,14 @@
 	}
 }
 
-// waitForGroup waits while the group of engines is broken and reports whether
-// an attempt is still of use.
+// waitForGroup waits while the group of engines is broken or forms, and reports
+// whether an attempt is still of use.
 func (x *exchange) waitForGroup(ctx context.Context) bool {
 	if x.q.Service.Engine == nil {
 		return x.left() > leastUseful
 	}
 	x.groupFault = false
-	for x.balancer.Broken(time.Now(), x.q.Service.Name) {
+	for x.balancer.Holds(time.Now(), x.q.Service) {
 		x.groupFault = true
 		if !x.worthWaiting(ctx) {
 			return false
