Do not take a flood for a server that hangs

Ruled out: engines that hang (each answered other entries meanwhile). Change: a server hangs after 1 s or four times the service's mean time to an answer, whichever is more. TestFloodIsNoHang fails without it in the flood and holds the calm case.

--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -27,8 +27,10 @@
 	// multiple of the cost of one within them: it waits for a whole answer.
 	waitingCost = 4
 	// hangTime is how long a server may answer nothing while others answer: a
-	// first event usually takes 0.2 to 0.4 s.
-	hangTime = time.Second
+	// first event usually takes 0.2 to 0.4 s. hangLatencies bounds it where answers take
+	// longer, in mean times to an answer: all engines of a group read a flood at once.
+	hangTime      = time.Second
+	hangLatencies = 4
 	// missingTime is how long an engine that its planner does not reach is passed
 	// over: two looks of the planner at a large group.
 	missingTime = 600 * time.Millisecond
@@ -113,6 +115,8 @@
 	groups   map[string]groupState
 	// answered is when a server of a service last began to answer.
 	answered map[string]time.Time
+	// usual is the mean time to the head of an answer by service.
+	usual map[string]time.Duration
 	// streams is the mean time of a whole answer by service.
 	streams map[string]time.Duration
 	// queues are the queues at the engines by service.
@@ -137,6 +141,7 @@
 		faults:   make(map[string]*fault),
 		groups:   make(map[string]groupState),
 		answered: make(map[string]time.Time),
+		usual:    make(map[string]time.Duration),
 		streams:  make(map[string]time.Duration),
 		queues:   make(map[string]*queue),
 	}
@@ -182,11 +187,13 @@
 			s.oldest = now
 		}
 		b.answered[s.Service] = now
+		usual := b.usual[s.Service]
+		b.usual[s.Service] = usual + time.Duration(latencyWeight*float64(now.Sub(began)-usual))
 	}
 }
 
 // Hangs reports whether a server does not answer its planner, or has answered
-// nothing for hangTime while others of its service answered.
+// nothing for far longer than usual while others of its service answered.
 func (b *Balancer) Hangs(now time.Time, id string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -195,7 +202,8 @@
 }
 
 func (b *Balancer) hangs(now time.Time, s *server) bool {
-	return now.Before(s.missing) || !s.oldest.IsZero() && now.Sub(s.oldest) > hangTime && b.answered[s.Service].Sub(s.oldest) > hangTime/2
+	limit := max(hangTime, hangLatencies*b.usual[s.Service])
+	return now.Before(s.missing) || !s.oldest.IsZero() && now.Sub(s.oldest) > limit && b.answered[s.Service].Sub(s.oldest) > limit/2
 }
 
 // End takes a request off again and learns from its result.
--- a/pkg/balance/balance_test.go
+++ b/pkg/balance/balance_test.go
@@ -284,3 +284,31 @@
 		t.Errorf("%d requests are sent before the first map to %d slots", sent, slots)
 	}
 }
+
+// TestFloodIsNoHang answers a group that has just formed: a hundred prompts are read at
+// once, and all first events take a second. Attempts that were ended as hanging would
+// join another queue at its end.
+func TestFloodIsNoHang(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		latency time.Duration
+		want    bool
+	}{
+		{"calm", 200 * time.Millisecond, true},
+		{"flood", 800 * time.Millisecond, false},
+	} {
+		b := balance.New()
+		b.SetServers(servers(12))
+		for n := range 40 {
+			began := start.Add(time.Duration(n) * 20 * time.Millisecond)
+			id := fmt.Sprint(1 + n%11)
+			b.Begin(began, id, 800)
+			b.Answered(began.Add(c.latency), id, began)
+			b.End(began.Add(c.latency), id, 800, balance.Result{Latency: c.latency})
+		}
+		b.Begin(start, "0", 800)
+		if got := b.Hangs(start.Add(1300*time.Millisecond), "0"); got != c.want {
+			t.Errorf("%s: a server that is silent for 1.3 s hangs: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
