Let late requests yield to those that can be answered in time

Change: of each service's slots an entry uses its part of a quarter for requests that can't come in time any more; the others wait and are sent a second before their callers leave at the latest. TestLateRequestsYield names the load and fails without it.

--- a/pkg/balance/admission.go
+++ b/pkg/balance/admission.go
@@ -107,3 +107,41 @@
 	}
 	b.streams[service] = mean + time.Duration(streamWeight*float64(took-mean))
 }
+
+// lateShare is the part of a service's slots that late requests may use. At the rates
+// that deployments are sized for, requests that come on time use four slots in five
+// (56 streams a second of 1.85 s each, 144 slots).
+const lateShare = 0.25
+
+// TakeLate reports whether a request that is late already may be sent now, and counts
+// it until GiveLate. After an outage as many wait as there are slots; sent all at once
+// they would make everyone late who comes in the seconds after.
+func (b *Balancer) TakeLate(now time.Time, service *fleet.Service) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.late[service.Name] >= b.part(now, service, lateShare) {
+		return false
+	}
+	b.late[service.Name]++
+	return true
+}
+
+// GiveLate ends what TakeLate began.
+func (b *Balancer) GiveLate(service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.late[service]--
+}
+
+// part returns this entry's part of a share of a service's slots, at least one; b.mu is
+// held.
+func (b *Balancer) part(now time.Time, service *fleet.Service, share float64) int {
+	entries := 1
+	for _, o := range b.entries {
+		if now.Sub(o.at) <= othersLifetime {
+			entries++
+		}
+	}
+	slots := len(b.services[service.Name]) * service.Engine.Slots
+	return max(int(share*float64(slots)/float64(entries)), 1)
+}
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -119,6 +119,8 @@
 	usual map[string]time.Duration
 	// streams is the mean time of a whole answer by service.
 	streams map[string]time.Duration
+	// late counts this entry's late requests at each service.
+	late map[string]int
 	// queues are the queues at the engines by service.
 	queues map[string]*queue
 }
@@ -143,6 +145,7 @@
 		answered: make(map[string]time.Time),
 		usual:    make(map[string]time.Duration),
 		streams:  make(map[string]time.Duration),
+		late:     make(map[string]int),
 		queues:   make(map[string]*queue),
 	}
 }
--- a/pkg/balance/group.go
+++ b/pkg/balance/group.go
@@ -31,7 +31,7 @@
 	case known && told.state == fleet.GroupBroken:
 		return true
 	case known && told.state == fleet.GroupForming:
-		return b.inFlight(service.Name) >= b.formingLimit(now, service)
+		return b.inFlight(service.Name) >= b.part(now, service, formingShare)
 	}
 	return b.faulty(now, service.Name, told, known)
 }
@@ -45,19 +45,6 @@
 	return n
 }
 
-// formingLimit returns this entry's part of the slots that are used while a group
-// forms; b.mu is held.
-func (b *Balancer) formingLimit(now time.Time, service *fleet.Service) int {
-	entries := 1
-	for _, o := range b.entries {
-		if now.Sub(o.at) <= othersLifetime {
-			entries++
-		}
-	}
-	slots := len(b.services[service.Name]) * service.Engine.Slots
-	return max(int(formingShare*float64(slots)/float64(entries)), 1)
-}
-
 // faulty reports whether the last answer tells of a broken group; b.mu is held.
 func (b *Balancer) faulty(now time.Time, service string, told groupState, known bool) bool {
 	f := b.faults[service]
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -41,6 +41,9 @@
 	leaveGaps    = 8
 	// firstEvent is the usual time from an attempt to its first event.
 	firstEvent = 250 * time.Millisecond
+	// lastChance is the time before its caller leaves at which a late request is sent in
+	// any case.
+	lastChance = 1000 * time.Millisecond
 	// hangCheck is the time after which an attempt without an answer is given up
 	// if its server hangs: another one has time left before the caller leaves.
 	hangCheck = 1100 * time.Millisecond
@@ -201,6 +204,9 @@
 	x := &exchange{Relay: r, q: q, w: w, repeatable: q.Route.Repeatable(), lastEventID: q.LastEventID, progress: q.Arrived}
 	r.budget.First(time.Now(), q.Service.Name)
 	x.run(ctx)
+	if x.late {
+		r.balancer.GiveLate(q.Service.Name)
+	}
 	return x.report
 }
 
@@ -225,6 +231,8 @@
 	progress time.Time
 	// groupFault is true while the last thing known is a broken group.
 	groupFault bool
+	// late is true once the request counts among those that are late.
+	late bool
 	// failure is the last answer that says that the request failed.
 	failure *heldAnswer
 }
@@ -267,7 +275,7 @@
 		return x.left() > leastUseful
 	}
 	x.groupFault = false
-	for x.balancer.Holds(time.Now(), x.q.Service) {
+	for x.held(time.Now()) {
 		x.groupFault = true
 		if !x.worthWaiting(ctx) {
 			return false
@@ -278,6 +286,20 @@
 	return ctx.Err() == nil && x.left() > leastUseful
 }
 
+// held reports whether the request has to wait for the group, or for other late ones
+// since it is late itself.
+func (x *exchange) held(now time.Time) bool {
+	if x.balancer.Holds(now, x.q.Service) {
+		return true
+	}
+	target := x.q.Route.TargetLatency
+	if x.late || x.begun || x.mayHaveRun > 0 || target <= 0 || now.Sub(x.q.Arrived)+firstEvent <= target {
+		return false
+	}
+	x.late = x.balancer.TakeLate(now, x.q.Service)
+	return !x.late && x.leaves().Sub(now) > lastChance
+}
+
 // waitForBudget waits until the service's retry budget allows another attempt.
 // Only a request that has certainly not run, and not for want of a place, waits: it
 // can still be refused.
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -433,3 +433,47 @@
 		t.Errorf("%d sends for 40 requests", sentA+sentB)
 	}
 }
+
+// TestLateRequestsYield answers the seconds after an outage: 30 requests have waited for
+// the group until they are late, and new ones come. The new ones are sent at once, most
+// of the late ones a second before their callers leave at the latest.
+func TestLateRequestsYield(t *testing.T) {
+	release := make(chan struct{})
+	a := newBackend(t, func(c *net.TCPConn, r *http.Request, n int) bool {
+		<-release
+		return answer(200, "Seal: s\r\nContent-Type: text/event-stream\r\n", event(1))(c, r, n)
+	})
+	r := route(fleet.Streaming)
+	r.TargetLatency, r.Timeout = 400*time.Millisecond, 8*time.Second
+	s := newSite(t, r, fleet.Service{Engine: &fleet.Engine{Slots: 40}}, 94, a.server("a"))
+	s.balancer.Group(time.Now(), "s", fleet.GroupBroken, nil)
+	var all sync.WaitGroup
+	send := func(id string) {
+		all.Go(func() {
+			if status, _, _, err := s.send(context.Background(), id); err != nil || status != 200 {
+				t.Error(id, status, err)
+			}
+		})
+	}
+	for n := range 30 {
+		send(fmt.Sprint("late", n))
+	}
+	time.Sleep(300 * time.Millisecond)
+	s.balancer.Group(time.Now(), "s", fleet.GroupOpen, nil)
+	time.Sleep(200 * time.Millisecond)
+	late, _ := a.count()
+	if late == 0 || late > 10 {
+		t.Errorf("%d late requests are sent at the opening to 40 slots", late)
+	}
+	send("new")
+	time.Sleep(100 * time.Millisecond)
+	if sent, _ := a.count(); sent != late+1 {
+		t.Errorf("%d sends, want %d late ones and the new one", sent, late)
+	}
+	time.Sleep(700 * time.Millisecond)
+	if sent, _ := a.count(); sent != 31 {
+		t.Errorf("%d sends a second before callers leave, want all 31", sent)
+	}
+	close(release)
+	all.Wait()
+}
