Put changed bounds in force without a restart

Cause: a settings file that changed, with or without a signal, was told at SIGHUP alone and used after a restart.

--- a/pkg/cli/site.go
+++ b/pkg/cli/site.go
@@ -26,7 +26,7 @@
 	cmd := &cobra.Command{
 		Use:     "site",
 		Short:   "Run a process on the operators' platform",
-		Long:    "Run a process on the operators' platform. The settings come from the file that the environment variable " + platform.SettingsVariable + " names. SIGTERM drains the process; a second SIGTERM ends it at once. SIGHUP reads the settings again.",
+		Long:    "Run a process on the operators' platform. The settings come from the file that the environment variable " + platform.SettingsVariable + " names. SIGTERM drains the process; a second SIGTERM ends it at once. SIGHUP reads the settings again; a change without a signal is seen as well.",
 		Example: "  " + platform.SettingsVariable + "=/etc/fescuehub/local.json fescuehub site entry",
 		Args:    noArgs,
 		RunE:    func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
@@ -42,7 +42,7 @@
 		Example: "  " + platform.SettingsVariable + "=/etc/fescuehub/local.json fescuehub site entry",
 		Args:    noArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			return a.runSite(cmd.Context(), "entry", platform.LoadEntry, func(s settings.Instance, log *zap.Logger) drainer {
+			return a.runSite(cmd.Context(), "entry", platform.LoadEntry, func(s settings.Instance, log *zap.Logger) siteProcess {
 				return gateway.New(s, platform.Wire{}, platform.NewStore(s.LogAddress), log, telemetry.NewMetrics())
 			})
 		},
@@ -56,7 +56,7 @@
 		Example: "  " + platform.SettingsVariable + "=/etc/fescuehub/local.json fescuehub site agent",
 		Args:    noArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			return a.runSite(cmd.Context(), "agent", platform.LoadAgent, func(s settings.Instance, log *zap.Logger) drainer {
+			return a.runSite(cmd.Context(), "agent", platform.LoadAgent, func(s settings.Instance, log *zap.Logger) siteProcess {
 				control := func(address string) rankcontrol.Rank { return platform.NewRank(address) }
 				return rankagent.New(s, platform.Wire{}, platform.NewStore(s.LogAddress), control, log, telemetry.NewMetrics())
 			})
@@ -65,7 +65,7 @@
 }
 
 // runSite loads the settings, starts the process and handles its signals.
-func (a *app) runSite(ctx context.Context, process string, load func() (settings.Instance, error), start func(settings.Instance, *zap.Logger) drainer) error {
+func (a *app) runSite(ctx context.Context, process string, load func() (settings.Instance, error), start func(settings.Instance, *zap.Logger) siteProcess) error {
 	s, err := load()
 	if err != nil {
 		return err
@@ -76,22 +76,16 @@
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	defer signal.Stop(hup)
-	go reloadOnSignal(hup, s, load, log)
-	return runUntilSignal(ctx, start(s, log))
+	running := start(s, log)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go newReloader(s, load, running.Reload, log).run(ctx, hup)
+	return runUntilSignal(ctx, running)
 }
 
-// reloadOnSignal reads the settings again at SIGHUP. What a process opens and
-// promises is fixed at its start: a change is logged with its remedy.
-func reloadOnSignal(hup <-chan os.Signal, present settings.Instance, load func() (settings.Instance, error), log *zap.Logger) {
-	for range hup {
-		s, err := load()
-		switch {
-		case err != nil:
-			log.Error("the settings cannot be read again; the present ones stay", telemetry.Err(err))
-		case s != present:
-			log.Warn("the settings have changed; restart the process to use them", zap.Any("present", present), zap.Any("changed", s))
-		default:
-			log.Info("the settings were read again; nothing has changed")
-		}
-	}
+// siteProcess is a process on the operators' platform.
+type siteProcess interface {
+	drainer
+	// Reload takes bounds that have changed.
+	Reload(settings.Bounds)
 }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -91,6 +91,8 @@
 	relay    *relay.Relay
 	table    atomic.Pointer[fleet.Table]
 	drain    *leaving
+	// addressTime is how long callers keep an address answer, in nanoseconds.
+	addressTime atomic.Int64
 
 	mu        sync.Mutex
 	roster    *roster.Roster
@@ -116,11 +118,9 @@
 func New(s settings.Instance, d Dialect, shared sharedlog.Log, log *zap.Logger, metrics *telemetry.Metrics) *Gateway {
 	g := &Gateway{
 		settings: s, dialect: d, shared: shared, log: log, metrics: metrics, scope: metrics.Scope,
-		pools:    backendconn.NewPools(),
-		balancer: balance.New(),
-		budget: retrybudget.New(retrybudget.Limits{
-			Ratio: s.Bounds.RetryRatio, Floor: s.Bounds.RetryFloor, Window: s.Bounds.RetryWindow,
-		}, time.Now()),
+		pools:       backendconn.NewPools(),
+		balancer:    balance.New(),
+		budget:      retrybudget.New(retryLimits(s.Bounds), time.Now()),
 		roster:      roster.New(s.Bounds.LeaveGrace),
 		known:       make(map[string]netip.AddrPort),
 		planners:    make(map[string]planner),
@@ -131,6 +131,7 @@
 		},
 		latency: make(map[fleet.Kind]tally.Histogram),
 	}
+	g.addressTime.Store(int64(s.Bounds.AddressLifetime))
 	g.directory = directory.New(directory.Entry{Name: s.Name, Address: s.CallerAddress})
 	g.relay = relay.New(d, g.pools, g.balancer, g.budget, g.misdirected)
 	buckets := tally.MustMakeExponentialDurationBuckets(2*time.Millisecond, 1.6, 20)
@@ -140,6 +141,20 @@
 	return g
 }
 
+func retryLimits(b settings.Bounds) retrybudget.Limits {
+	return retrybudget.Limits{Ratio: b.RetryRatio, Floor: b.RetryFloor, Window: b.RetryWindow}
+}
+
+// Reload takes bounds that have changed.
+func (g *Gateway) Reload(b settings.Bounds) {
+	g.addressTime.Store(int64(b.AddressLifetime))
+	g.budget.SetLimits(b.RetryRatio, b.RetryFloor)
+	g.drain.setGrace(b.Grace)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.roster.SetReturnTime(b.LeaveGrace)
+}
+
 // Drain begins to leave; a second call ends the process at once.
 func (g *Gateway) Drain() {
 	if g.drain.begin() {
@@ -264,7 +279,7 @@
 		relay.Refuse(w, http.StatusServiceUnavailable, "no entry takes callers now", 0)
 		return
 	}
-	body, err := g.dialect.AddressAnswer(addresses, min(addressLifetime, g.settings.Bounds.AddressLifetime))
+	body, err := g.dialect.AddressAnswer(addresses, min(addressLifetime, time.Duration(g.addressTime.Load())))
 	if err != nil {
 		g.log.Error("an address answer cannot be encoded", telemetry.Err(err))
 		relay.Refuse(w, http.StatusInternalServerError, "the answer cannot be encoded", 0)
--- a/pkg/gateway/leave.go
+++ b/pkg/gateway/leave.go
@@ -38,6 +38,12 @@
 	return &leaving{grace: grace, begun: make(chan struct{})}
 }
 
+func (l *leaving) setGrace(grace time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.grace = grace
+}
+
 // begin reports whether this call began the drain.
 func (l *leaving) begin() bool {
 	first := false
--- a/pkg/rankagent/agent.go
+++ b/pkg/rankagent/agent.go
@@ -107,6 +107,9 @@
 // Drain ends the process: it has no callers.
 func (a *Agent) Drain() { a.drainOnce.Do(func() { close(a.draining) }) }
 
+// Reload takes bounds that have changed: an agent uses none.
+func (a *Agent) Reload(settings.Bounds) {}
+
 // Run serves until Drain is called or ctx ends.
 func (a *Agent) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
--- a/pkg/retrybudget/retrybudget.go
+++ b/pkg/retrybudget/retrybudget.go
@@ -57,6 +57,13 @@
 	return &Budget{limits: limits, start: now, services: make(map[string]*window), others: make(map[string]map[string]Counts), entries: 1}
 }
 
+// SetLimits changes the ratio and the floor.
+func (b *Budget) SetLimits(ratio, floor float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.limits.Ratio, b.limits.Floor = ratio, floor
+}
+
 // First counts a request.
 func (b *Budget) First(now time.Time, service string) {
 	b.mu.Lock()
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -36,6 +36,9 @@
 	}
 }
 
+// SetReturnTime changes how long lapsed announcements may take to come back.
+func (r *Roster) SetReturnTime(returnTime time.Duration) { r.returnTime = returnTime }
+
 // Announce takes a server's announcement.
 func (r *Roster) Announce(s fleet.Server) {
 	r.note(s.ID)
--- /dev/null
+++ b/pkg/settings/adopt.go
@@ -0,0 +1,33 @@
+package settings
+
+// Adopt returns the settings with the bounds of a later reading, and the names of the
+// other fields in which it differs: a process uses those from its start to its end. The
+// window of the retry budget is one of them, since its counts are kept in parts of it.
+func (s Instance) Adopt(later Instance) (next Instance, fixed []string) {
+	next = s
+	next.Bounds = later.Bounds
+	next.Bounds.RetryWindow = s.Bounds.RetryWindow
+	for _, f := range []struct {
+		name    string
+		changed bool
+	}{
+		{"name", s.Name != later.Name},
+		{"failure domain", s.FailureDomain != later.FailureDomain},
+		{"IP address", s.IP != later.IP},
+		{"address for callers", s.CallerAddress != later.CallerAddress},
+		{"address for readiness checks", s.ReadyAddress != later.ReadyAddress},
+		{"address for address questions", s.DirectoryAddress != later.DirectoryAddress},
+		{"port for other processes", s.PeerPort != later.PeerPort},
+		{"port for metrics", s.MetricsPort != later.MetricsPort},
+		{"address of the backend server", s.BackendAddress != later.BackendAddress},
+		{"service", s.Service != later.Service},
+		{"address of the log", s.LogAddress != later.LogAddress},
+		{"memory", s.MemoryBytes != later.MemoryBytes},
+		{"window of the retry budget", s.Bounds.RetryWindow != later.Bounds.RetryWindow},
+	} {
+		if f.changed {
+			fixed = append(fixed, f.name)
+		}
+	}
+	return next, fixed
+}
