Hold callers to the limits of the configuration in force

Cause: of the operators' four limits only that of a body was used: headers were bounded by the library at 1 MB, a head at 10 s, idle connections at 60 s, and a body that stalled held its request for ever. Change: headers beyond the limit get 431; a head that does not come, and idle time beyond the limit and 2 s, end the connection, by the configuration in force at that moment; a body that has not come at the request's deadline is answered 408 with the promise that nothing ran.

--- a/pkg/gateway/caller.go
+++ b/pkg/gateway/caller.go
@@ -4,9 +4,11 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/fescuehub/fescuehub/pkg/fleet"
@@ -35,7 +37,7 @@
 	if g.drain.leaving() {
 		w.Header().Set("Connection", "close")
 	}
-	q, version, refused := g.admit(r, arrived)
+	q, version, refused := g.admit(http.NewResponseController(w), r, arrived)
 	if refused != nil {
 		relay.Refuse(w, refused.status, refused.reason, refused.retryAfter)
 		g.log.Info("refused", zap.String("request", q.ID), zap.Int("status", refused.status), zap.String("reason", refused.reason),
@@ -51,8 +53,12 @@
 }
 
 // admit reads a request and finds its route, its key's holder and its service.
-func (g *Gateway) admit(r *http.Request, arrived time.Time) (*relay.Request, int64, *refusal) {
+func (g *Gateway) admit(conn *http.ResponseController, r *http.Request, arrived time.Time) (*relay.Request, int64, *refusal) {
 	q := &relay.Request{Method: r.Method, Target: r.RequestURI, Host: r.Host, Arrived: arrived}
+	limits := g.limits()
+	if most := limits.MaxHeaderBytes; most > 0 && headerBytes(r) > most {
+		return q, 0, &refusal{http.StatusRequestHeaderFieldsTooLarge, "the headers are larger than the configuration allows", 0}
+	}
 	headers, err := g.dialect.Request(r.Header)
 	q.CallerHeaders = headers
 	if err != nil {
@@ -71,16 +77,8 @@
 	if refused := authorise(table, q); refused != nil {
 		return q, table.Version, refused
 	}
-	limit := table.Limits.MaxBodyBytes
-	if limit <= 0 {
-		limit = maxBody
-	}
-	q.Body, err = io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if err != nil {
-		return q, table.Version, &refusal{http.StatusBadRequest, "the body cannot be read", 0}
-	}
-	if int64(len(q.Body)) > limit {
-		return q, table.Version, &refusal{http.StatusRequestEntityTooLarge, "the body is larger than the configuration allows", 0}
+	if refused := readBody(conn, r, q, limits.MaxBodyBytes); refused != nil {
+		return q, table.Version, refused
 	}
 	service, ok := table.Service(pick(route.Targets))
 	if !ok {
@@ -91,6 +89,27 @@
 	return q, table.Version, nil
 }
 
+// readBody reads the whole body until the request's deadline.
+func readBody(conn *http.ResponseController, r *http.Request, q *relay.Request, most int64) *refusal {
+	if r.Body == http.NoBody {
+		return nil
+	}
+	// A connection that can't be bounded is a test's.
+	_ = conn.SetReadDeadline(q.Deadline())
+	body, err := io.ReadAll(io.LimitReader(r.Body, most+1))
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return &refusal{http.StatusRequestTimeout, "the body has not come in time", startPause}
+	case err != nil:
+		return &refusal{http.StatusBadRequest, "the body cannot be read", 0}
+	case int64(len(body)) > most:
+		return &refusal{http.StatusRequestEntityTooLarge, "the body is larger than the configuration allows", 0}
+	}
+	_ = conn.SetReadDeadline(time.Time{})
+	q.Body = body
+	return nil
+}
+
 func authorise(table *fleet.Table, q *relay.Request) *refusal {
 	if !table.NeedsKey(q.Route) && q.Key == "" {
 		return nil
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -224,14 +224,6 @@
 	listener net.Listener
 }
 
-const (
-	// callerIdle is how long an idle connection of a caller is kept: four times
-	// the operators' usual limit, so that callers end them first.
-	callerIdle = 60 * time.Second
-	// callerHeader bounds the time in which a request's head arrives.
-	callerHeader = 10 * time.Second
-)
-
 func (g *Gateway) listen(ctx context.Context) ([]server, error) {
 	handlers := []struct {
 		address string
@@ -252,6 +244,10 @@
 			&http.Server{Handler: h.handler, ReadHeaderTimeout: callerHeader, IdleTimeout: callerIdle, ErrorLog: zap.NewStdLog(g.log)}, l,
 		})
 	}
+	// The operators' limits, which change, bound the connections of callers.
+	callers := &servers[0]
+	callers.ReadHeaderTimeout, callers.IdleTimeout, callers.ConnState = 0, 0, noteState
+	callers.listener = callerListener{callers.listener, g.limits}
 	return servers, nil
 }
 
--- /dev/null
+++ b/pkg/gateway/limits_test.go
@@ -0,0 +1,81 @@
+package gateway
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/fescuehub/fescuehub/pkg/fleet"
+)
+
+// limitedServer serves requests under limits that a test may change.
+func limitedServer(t *testing.T, l fleet.Limits) (string, *atomic.Pointer[fleet.Limits]) {
+	t.Helper()
+	var limits atomic.Pointer[fleet.Limits]
+	limits.Store(&l)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &http.Server{ConnState: noteState, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(300 * time.Millisecond) // longer than the limit of a head
+		fmt.Fprint(w, "whole")
+	})}
+	go func() { _ = s.Serve(callerListener{listener, func() fleet.Limits { return *limits.Load() }}) }()
+	t.Cleanup(func() { _ = s.Close() })
+	return listener.Addr().String(), &limits
+}
+
+func dial(t *testing.T, address string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+// closedWithin reports whether the peer closes a connection within a time.
+func closedWithin(t *testing.T, c net.Conn, within time.Duration) bool {
+	t.Helper()
+	_ = c.SetReadDeadline(time.Now().Add(within))
+	_, err := c.Read(make([]byte, 1))
+	return !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
+// TestCallersAreBoundByTheConfiguration: a head that does not come ends its connection;
+// a request that takes longer than a head may does not; an idle connection is kept for
+// the limit in force, also one that was raised meanwhile.
+func TestCallersAreBoundByTheConfiguration(t *testing.T) {
+	address, limits := limitedServer(t, fleet.Limits{HeaderTimeout: 150 * time.Millisecond, IdleTimeout: 100 * time.Millisecond})
+	slow := dial(t, address)
+	fmt.Fprint(slow, "GET / HTTP/1.1\r\nHos")
+	if !closedWithin(t, slow, time.Second) {
+		t.Error("a head that does not come keeps its connection")
+	}
+	served := dial(t, address)
+	fmt.Fprint(served, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	res, err := http.ReadResponse(bufio.NewReader(served), nil)
+	if err != nil {
+		t.Fatal("a request that takes long is cut: ", err)
+	}
+	if body, err := io.ReadAll(res.Body); err != nil || string(body) != "whole" {
+		t.Fatal(string(body), err)
+	}
+	idleConn := dial(t, address)
+	limits.Store(&fleet.Limits{HeaderTimeout: 150 * time.Millisecond, IdleTimeout: 1500 * time.Millisecond})
+	if closedWithin(t, idleConn, idleSlack+500*time.Millisecond) {
+		t.Error("an idle connection is closed before the limit that was raised meanwhile")
+	}
+	if !closedWithin(t, idleConn, 2*time.Second) {
+		t.Error("an idle connection is kept beyond its limit")
+	}
+}
