Send requests to a slow rank last

A slow rank's own part of a pass is longer already without a request, by its step time; the choice weighed its pace against its requests alone and gave it half as many as the others. Change: the pace counts for the step time as well, in requests (16 on the sites' engines). TestSlowRankGetsNoRequests fails without it.

--- a/pkg/balance/balance_test.go
+++ b/pkg/balance/balance_test.go
@@ -312,3 +312,29 @@
 		}
 	}
 }
+
+// TestSlowRankGetsNoRequests answers a rank that takes 2.24 times as long as the others: all
+// ranks wait for its part of each pass, which is longer already without a request.
+func TestSlowRankGetsNoRequests(t *testing.T) {
+	service := &fleet.Service{Name: "s", Engine: &fleet.Engine{Slots: 12, UsualPrompt: 800, UsualAnswer: 140, StepMS: 5.85, PerRequestMS: 0.355}}
+	random := rand.New(rand.NewPCG(1, 1))
+	b := balance.New()
+	b.SetServers(servers(12))
+	var loads []balance.EngineLoad
+	for n := range 12 {
+		loads = append(loads, balance.EngineLoad{Address: fmt.Sprintf("h%d:1", n), Born: 1, Pace: 1})
+	}
+	loads[3].Pace = 2.24
+	b.Group(start, "s", fleet.GroupOpen, loads)
+	slow := 0
+	for range 100 {
+		s, _ := b.Choose(start, service, nil, random.Float64)
+		b.Begin(start, s.ID, 800)
+		if s.ID == "3" {
+			slow++
+		}
+	}
+	if slow > 0 {
+		t.Errorf("the slow rank gets %d of 100 requests to 132 other slots", slow)
+	}
+}
--- a/pkg/balance/cost.go
+++ b/pkg/balance/cost.go
@@ -37,7 +37,17 @@
 		cost += waitingCost * float64(over)
 	}
 	if s.known(now) && s.engine.Pace > 1 {
-		cost *= s.engine.Pace
+		// A slow engine takes longer for each step without any request as well.
+		cost = (cost+stepRequests(engine))*s.engine.Pace - stepRequests(engine)
 	}
 	return cost
 }
+
+// stepRequests is the number of requests that add as much to a token step as it takes by
+// itself.
+func stepRequests(engine *fleet.Engine) float64 {
+	if engine.PerRequestMS <= 0 {
+		return 0
+	}
+	return engine.StepMS / engine.PerRequestMS
+}
