Leave the platform's entries by the product's own drain

Cause: the entry on the operators' platform decided for itself how far it had left, beside package drain; and a second SIGTERM, which the command's help says ends the process at once, did nothing. Change: it drives drain.Progress, which gains a quiet time before the end and a change of its bounds.

--- a/pkg/drain/drain.go
+++ b/pkg/drain/drain.go
@@ -32,6 +32,9 @@
 	// Bound ends the process whatever is in flight. It counts from the start
 	// of the drain.
 	Bound time.Duration
+	// Quiet is how long nothing may have been in flight before a process that refuses new
+	// work ends; 0 ends it at once.
+	Quiet time.Duration
 }
 
 // Progress is how far one process has come in leaving. It is not safe for concurrent use.
@@ -39,6 +42,8 @@
 	plan    Plan
 	phase   Phase
 	started time.Time
+	// busy is when something was last in flight.
+	busy time.Time
 	// cut is the number of requests in flight when the bound was met.
 	cut int
 }
@@ -46,6 +51,9 @@
 // New returns the progress of a process that serves.
 func New(plan Plan) *Progress { return &Progress{plan: plan} }
 
+// SetPlan changes the bounds.
+func (m *Progress) SetPlan(plan Plan) { m.plan = plan }
+
 // Start begins the drain. A second call ends it at once.
 func (m *Progress) Start(now time.Time, inFlight int) Phase {
 	if m.phase == Serving {
@@ -62,6 +70,9 @@
 	if m.phase == Serving || m.phase == Ended {
 		return m.phase
 	}
+	if inFlight > 0 {
+		m.busy = now
+	}
 	elapsed := now.Sub(m.started)
 	if elapsed >= m.plan.Bound {
 		return m.end(inFlight)
@@ -69,7 +80,7 @@
 	if m.phase == Announced && elapsed >= m.plan.Linger {
 		m.phase = Refusing
 	}
-	if m.phase == Refusing && inFlight == 0 {
+	if m.phase == Refusing && inFlight == 0 && now.Sub(m.busy) >= m.plan.Quiet {
 		m.phase = Ended
 	}
 	return m.phase
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -157,11 +157,14 @@
 
 // Drain begins to leave; a second call ends the process at once.
 func (g *Gateway) Drain() {
-	if g.drain.begin() {
-		g.log.Info("stopping: callers are sent elsewhere", zap.Int64("inFlight", g.drain.inFlight.Load()))
-		g.updateReady()
-		g.tell()
+	first, inFlight := g.drain.begin(time.Now())
+	if !first {
+		g.log.Warn("stopping at once: told to stop twice", zap.Int("inFlight", inFlight))
+		return
 	}
+	g.log.Info("stopping: callers are sent elsewhere", zap.Int("inFlight", inFlight))
+	g.updateReady()
+	g.tell()
 }
 
 // Run serves until the drain has ended.
--- a/pkg/gateway/leave.go
+++ b/pkg/gateway/leave.go
@@ -2,19 +2,20 @@
 
 import (
 	"context"
-	"github.com/fescuehub/fescuehub/pkg/telemetry"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
+
+	"github.com/fescuehub/fescuehub/pkg/drain"
+	"github.com/fescuehub/fescuehub/pkg/telemetry"
 )
 
 const (
 	// lingerShare is the part of the grace time for which a leaving entry still
-	// takes requests: callers hold old address answers.
+	// takes connections: callers hold old address answers.
 	lingerShare = 0.5
 	// closeMargin is kept between the bound of a drain and SIGKILL.
 	closeMargin = 300 * time.Millisecond
@@ -25,68 +26,61 @@
 
 // leaving is how far an entry has come in leaving.
 type leaving struct {
-	grace    time.Duration
-	inFlight atomic.Int64
-	once     sync.Once
-	begun    chan struct{}
 	mu       sync.Mutex
-	since    time.Time
-	last     time.Time
+	progress *drain.Progress
+	inFlight int
+	// begun is closed when the entry begins to leave.
+	begun chan struct{}
+}
+
+func planOf(grace time.Duration) drain.Plan {
+	return drain.Plan{Linger: time.Duration(lingerShare * float64(grace)), Bound: grace - closeMargin, Quiet: quietTime}
 }
 
 func newLeaving(grace time.Duration) *leaving {
-	return &leaving{grace: grace, begun: make(chan struct{})}
+	return &leaving{progress: drain.New(planOf(grace)), begun: make(chan struct{})}
 }
 
 func (l *leaving) setGrace(grace time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.grace = grace
+	l.progress.SetPlan(planOf(grace))
 }
 
-// begin reports whether this call began the drain.
-func (l *leaving) begin() bool {
-	first := false
-	l.once.Do(func() {
-		first = true
-		l.mu.Lock()
-		l.since = time.Now()
-		l.mu.Unlock()
+// begin begins to leave; a second call ends it at once.
+func (l *leaving) begin(now time.Time) (first bool, inFlight int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if first = l.progress.Named(); first {
 		close(l.begun)
-	})
-	return first
+	}
+	l.progress.Start(now, l.inFlight)
+	return first, l.inFlight
 }
 
 func (l *leaving) leaving() bool {
-	select {
-	case <-l.begun:
-		return true
-	default:
-		return false
-	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.progress.Named()
 }
 
-func (l *leaving) enter() { l.inFlight.Add(1) }
+func (l *leaving) enter() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.inFlight++
+}
 
 func (l *leaving) exit() {
-	l.inFlight.Add(-1)
 	l.mu.Lock()
-	l.last = time.Now()
-	l.mu.Unlock()
+	defer l.mu.Unlock()
+	l.progress.Advance(time.Now(), l.inFlight)
+	l.inFlight--
 }
 
-// over reports whether the process may end, and whether it takes requests until
-// then.
-func (l *leaving) over(now time.Time) (ended, taking bool) {
+func (l *leaving) advance(now time.Time) (phase drain.Phase, inFlight int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	elapsed := now.Sub(l.since)
-	if elapsed >= l.grace-closeMargin {
-		return true, false
-	}
-	taking = elapsed < time.Duration(lingerShare*float64(l.grace))
-	ended = !taking && l.inFlight.Load() == 0 && now.Sub(l.last) >= quietTime
-	return ended, taking
+	return l.progress.Advance(now, l.inFlight), l.inFlight
 }
 
 // leave waits for the drain and closes the servers.
@@ -98,18 +92,18 @@
 	closing := false
 	var group sync.WaitGroup
 	for ctx.Err() == nil {
-		ended, taking := g.drain.over(time.Now())
-		if ended {
+		phase, inFlight := g.drain.advance(time.Now())
+		if phase == drain.Ended {
 			break
 		}
-		if !taking && !closing {
+		if phase == drain.Refusing && !closing {
 			closing = true
-			g.log.Info("stopping: no more connections are taken", zap.Int64("inFlight", g.drain.inFlight.Load()))
+			g.log.Info("stopping: no more connections are taken", zap.Int("inFlight", inFlight))
 			group.Go(func() { g.shutdown(ctx, servers[0].Server) })
 		}
 		time.Sleep(leaveCheck)
 	}
-	cut := g.drain.inFlight.Load()
+	_, cut := g.drain.advance(time.Now())
 	for _, s := range servers {
 		_ = s.Close() // the process ends
 	}
