Say in a request's line what it was held for

Cause: a line told how long a request waited before its first attempt, not for what; since late requests yield and groups form, there are three reasons.

--- a/pkg/balance/balance_test.go
+++ b/pkg/balance/balance_test.go
@@ -228,16 +228,16 @@
 func TestBrokenGroup(t *testing.T) {
 	b := balance.New()
 	b.SetServers(servers(2))
-	if b.Holds(start, engines) {
+	if b.Holds(start, engines) != "" {
 		t.Error("broken without a sign")
 	}
 	b.GroupFault(start, "s")
-	if !b.Holds(start.Add(100*time.Millisecond), engines) {
+	if b.Holds(start.Add(100*time.Millisecond), engines) == "" {
 		t.Error("an answer told that the group is broken")
 	}
 	probes := 0
 	for n := range 100 {
-		if !b.Holds(start.Add(time.Duration(n)*10*time.Millisecond), engines) {
+		if b.Holds(start.Add(time.Duration(n)*10*time.Millisecond), engines) == "" {
 			probes++
 		}
 	}
@@ -245,14 +245,14 @@
 		t.Errorf("%d probes in a second", probes)
 	}
 	b.Group(start.Add(2*time.Second), "s", fleet.GroupOpen, nil)
-	if b.Holds(start.Add(2*time.Second), engines) {
+	if b.Holds(start.Add(2*time.Second), engines) != "" {
 		t.Error("a later report says that it is open")
 	}
 	b.Group(start.Add(3*time.Second), "s", fleet.GroupBroken, nil)
-	if !b.Holds(start.Add(3*time.Second), engines) {
+	if b.Holds(start.Add(3*time.Second), engines) == "" {
 		t.Error("a report says that it is broken")
 	}
-	if b.Holds(start.Add(10*time.Second), engines) {
+	if b.Holds(start.Add(10*time.Second), engines) != "" {
 		t.Error("an old report counts")
 	}
 }
@@ -270,13 +270,13 @@
 		}
 		b.Group(start, "s", fleet.GroupForming, nil)
 		for range 12 {
-			if !b.Holds(start, engines) {
+			if b.Holds(start, engines) == "" {
 				b.Begin(start, fmt.Sprint(sent%engineCount), 800)
 				sent++
 			}
 		}
 		b.Group(start.Add(time.Second), "s", fleet.GroupOpen, nil)
-		if b.Holds(start.Add(time.Second), engines) {
+		if b.Holds(start.Add(time.Second), engines) != "" {
 			t.Error("requests wait after the first map")
 		}
 	}
--- a/pkg/balance/group.go
+++ b/pkg/balance/group.go
@@ -18,22 +18,42 @@
 // requests tell what is in demand, and their passes stay short.
 const formingShare = 1.0 / 6
 
-// Holds reports whether a request has to wait for the group of a service's engines: it
-// is broken, and every request would be turned away, or it gets its first map in a
-// moment and has enough work until then. Where only an answer tells that it is broken,
-// one request each probePause finds out whether it still is.
-func (b *Balancer) Holds(now time.Time, service *fleet.Service) bool {
+// Hold is why a request has to wait before it is sent; empty where it has not.
+type Hold string
+
+// The reasons to wait.
+const (
+	// HeldBroken means that the group is broken: every request would be turned away.
+	HeldBroken Hold = "the group of engines is broken"
+	// HeldForming means that the group gets its first map in a moment and has enough work
+	// until then.
+	HeldForming Hold = "the group of engines gets its first map"
+	// HeldLate means that the request is late, and that such ones use their part of the
+	// slots.
+	HeldLate Hold = "late requests have their part of the slots"
+)
+
+// Holds returns whether a request has to wait for the group of a service's engines.
+// Where only an answer tells that it is broken, one request each probePause finds out
+// whether it still is.
+func (b *Balancer) Holds(now time.Time, service *fleet.Service) Hold {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	told := b.groups[service.Name]
 	known := now.Sub(told.at) <= reportLifetime
 	switch {
 	case known && told.state == fleet.GroupBroken:
-		return true
+		return HeldBroken
 	case known && told.state == fleet.GroupForming:
-		return b.inFlight(service.Name) >= b.part(now, service, formingShare)
+		if b.inFlight(service.Name) >= b.part(now, service, formingShare) {
+			return HeldForming
+		}
+		return ""
+	}
+	if b.faulty(now, service.Name, told, known) {
+		return HeldBroken
 	}
-	return b.faulty(now, service.Name, told, known)
+	return ""
 }
 
 // inFlight returns the number of this entry's requests at a service; b.mu is held.
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -188,6 +188,8 @@
 	Attempts []Attempt
 	// Reason says why no answer of a backend server was passed on.
 	Reason string
+	// Held says what it last waited for before an attempt; empty for nothing.
+	Held string
 	// Waited is the time before the first attempt.
 	Waited time.Duration
 	// Events is the number of events passed on.
@@ -275,8 +277,13 @@
 		return x.left() > leastUseful
 	}
 	x.groupFault = false
-	for x.held(time.Now()) {
-		x.groupFault = true
+	for {
+		hold := x.held(time.Now())
+		if hold == "" {
+			break
+		}
+		x.report.Held = string(hold)
+		x.groupFault = hold == balance.HeldBroken
 		if !x.worthWaiting(ctx) {
 			return false
 		}
@@ -286,18 +293,21 @@
 	return ctx.Err() == nil && x.left() > leastUseful
 }
 
-// held reports whether the request has to wait for the group, or for other late ones
-// since it is late itself.
-func (x *exchange) held(now time.Time) bool {
-	if x.balancer.Holds(now, x.q.Service) {
-		return true
+// held returns why the request has to wait: for the group, or for other late ones since
+// it is late itself.
+func (x *exchange) held(now time.Time) balance.Hold {
+	if hold := x.balancer.Holds(now, x.q.Service); hold != "" {
+		return hold
 	}
 	target := x.q.Route.TargetLatency
 	if x.late || x.begun || x.mayHaveRun > 0 || target <= 0 || now.Sub(x.q.Arrived)+firstEvent <= target {
-		return false
+		return ""
 	}
 	x.late = x.balancer.TakeLate(now, x.q.Service)
-	return !x.late && x.leaves().Sub(now) > lastChance
+	if x.late || x.leaves().Sub(now) <= lastChance {
+		return ""
+	}
+	return balance.HeldLate
 }
 
 // waitForBudget waits until the service's retry budget allows another attempt.
