Leave every rank of a group an expert

Cause: since a slow rank's load counts by its pace, a plan could take every expert off it. Ruled out: the spare places (these are refused with 409). Change: no move empties a rank. TestPlansKeepTheLimits draws slow ranks and checks it; it failed before.

--- a/pkg/evenplan/evenplan.go
+++ b/pkg/evenplan/evenplan.go
@@ -346,10 +346,13 @@
 }
 
 // cost returns the number of experts that a move copies, less what it spares;
-// -1 where the limits forbid it.
+// -1 where the limits forbid it, or where a rank would hold nothing.
 func (st *state) cost(m move) int {
 	cost := 0
 	for step := &m; step != nil; step = step.also {
+		if step.in < 0 && len(st.holds[step.rank]) == 1 {
+			return -1
+		}
 		if step.in >= 0 && !st.was[step.rank][step.in] {
 			if st.fresh[step.rank] >= st.limits.Spare {
 				return -1
--- a/pkg/evenplan/evenplan_test.go
+++ b/pkg/evenplan/evenplan_test.go
@@ -53,6 +53,10 @@
 		experts := rapid.IntRange(ranks, 30).Draw(t, "experts")
 		places := (experts+ranks-1)/ranks + rapid.IntRange(0, 3).Draw(t, "free")
 		limits := evenplan.Limits{Places: places, Spare: rapid.IntRange(0, 3).Draw(t, "spare"), MoveGain: rapid.Float64Range(0, 0.1).Draw(t, "gain")}
+		if rapid.Bool().Draw(t, "one rank is slow") {
+			limits.Pace = make([]float64, ranks)
+			limits.Pace[rapid.IntRange(0, ranks-1).Draw(t, "slow rank")] = rapid.Float64Range(1, 20).Draw(t, "pace")
+		}
 		present := evenplan.Uniform(1, experts, ranks)
 		for range 3 {
 			popularity := []evenplan.Demand{{rapid.SliceOfN(rapid.Float64Range(0, 100), experts, experts).Draw(t, "popularity")}}
@@ -70,6 +74,9 @@
 	seen := make([]bool, experts)
 	copies := 0
 	for r, held := range plan.Sets[0] {
+		if len(held) == 0 {
+			t.Fatalf("rank %d holds no expert: ranks refuse such a map", r)
+		}
 		if len(held) > l.Places {
 			t.Fatalf("rank %d holds %d experts, %d places", r, len(held), l.Places)
 		}
