Tell the first map of a group by its changes

Cause: the first map of a formation was sent whole to each agent, since its base, the map of the formation, was not among those that agents remember: 63 times 5 KB over the planner's link of 8 Mbit/s. Change: an order to prepare on that base tells the shape of the formation's map, which assigns experts in turn, and the changes. TestFirstMapIsToldByItsChanges fails without it (the agent knew no base).

--- a/pkg/mapswitch/mapswitch.go
+++ b/pkg/mapswitch/mapswitch.go
@@ -112,13 +112,12 @@
 func (g *Group) Prepare(ctx context.Context, version int64, m rankcontrol.Map, base int64, present rankcontrol.Map) error {
 	ctx, cancel := context.WithTimeout(ctx, prepareTime)
 	defer cancel()
-	var changes rankcontrol.Rows
-	if base != 0 {
-		changes = present.ChangesTo(m)
+	order := rankcontrol.Order{Operation: rankcontrol.Prepare, Version: version, Map: m, Base: base, Changes: present.ChangesTo(m)}
+	if base == 0 {
+		shape := present.Shape()
+		order.Formation = &shape
 	}
-	return g.each(ctx, func(ctx context.Context, r int) error {
-		return g.order(ctx, r, rankcontrol.Order{Operation: rankcontrol.Prepare, Version: version, Map: m, Base: base, Changes: changes})
-	})
+	return g.each(ctx, func(ctx context.Context, r int) error { return g.order(ctx, r, order) })
 }
 
 // Switch makes every rank use a prepared map from one pass on. After an error
--- a/pkg/rankagent/agent.go
+++ b/pkg/rankagent/agent.go
@@ -18,6 +18,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"github.com/fescuehub/fescuehub/pkg/evenplan"
 	"github.com/fescuehub/fescuehub/pkg/fleet"
 	"github.com/fescuehub/fescuehub/pkg/gossip"
 	"github.com/fescuehub/fescuehub/pkg/netconn"
@@ -288,6 +289,9 @@
 	whole := o.Map
 	if whole == nil {
 		base, known := a.maps[o.Base]
+		if f := o.Formation; o.Base == 0 && f != nil && f.Usable() {
+			base, known = evenplan.Uniform(f.Sets, f.Experts, f.Ranks), true
+		}
 		if !known {
 			return nil, false
 		}
--- a/pkg/rankagent/remote.go
+++ b/pkg/rankagent/remote.go
@@ -166,7 +166,7 @@
 		}
 	}
 	whole := o
-	whole.Base, whole.Changes = 0, nil
+	whole.Base, whole.Changes, whole.Formation = 0, nil, nil
 	if answered, err := r.call(ctx, methodOrder, whole, &reply); answered {
 		return reply.Verdict, err
 	}
--- a/pkg/rankcontrol/rankcontrol.go
+++ b/pkg/rankcontrol/rankcontrol.go
@@ -69,6 +69,37 @@
 	return out, nil
 }
 
+// Shape sizes a map.
+type Shape struct {
+	Sets    int `json:"sets"`
+	Experts int `json:"experts"`
+	Ranks   int `json:"ranks"`
+}
+
+// mostPlaces bounds the experts that a shape places: the target is 128 experts in each
+// of some hundred layers.
+const mostPlaces = 1 << 17
+
+// Usable reports whether a map can have the shape.
+func (s Shape) Usable() bool {
+	return s.Sets > 0 && s.Experts > 0 && s.Ranks > 0 && s.Sets <= mostPlaces && s.Experts <= mostPlaces && s.Ranks <= mostPlaces &&
+		s.Sets*s.Experts <= mostPlaces && s.Sets*s.Ranks <= mostPlaces
+}
+
+// Shape returns the shape of a map in which each expert is on a rank.
+func (m Map) Shape() Shape {
+	s := Shape{Sets: len(m)}
+	for _, ranks := range m {
+		s.Ranks = len(ranks)
+		for _, experts := range ranks {
+			for _, e := range experts {
+				s.Experts = max(s.Experts, e+1)
+			}
+		}
+	}
+	return s
+}
+
 // Order is one order.
 type Order struct {
 	Operation Operation `json:"operation"`
@@ -81,6 +112,9 @@
 	Map     Map   `json:"map,omitempty"`
 	Base    int64 `json:"base,omitempty"`
 	Changes Rows  `json:"changes,omitempty"`
+	// Formation is the shape of the group's first map, where Base is 0: it assigns the
+	// experts in turn.
+	Formation *Shape `json:"formation,omitempty"`
 	// Epoch is the formation of the group that the order is for.
 	Epoch int64 `json:"epoch"`
 	// Fence is the order giver's generation: lower ones than the rank has seen
