Half-close callers' connections before they are closed

Cause: the connections that bound callers hid CloseWrite from the HTTP server, which uses it to let an answer arrive where a part of the request was not read (413, 408). Found by reading, not by a failure. Change: they pass it on. The half-close is checked when the tests compile (this failed before); on loopback the answer arrives without it as well, so TestAnswerBeforeTheBodyArrives is a guard only.

--- a/pkg/gateway/limits.go
+++ b/pkg/gateway/limits.go
@@ -92,6 +92,15 @@
 	return n, err
 }
 
+// CloseWrite ends what is sent: http.Server does so before it closes a connection with
+// unread bytes, so that its answer arrives.
+func (c *callerConn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
 // noteState is a hook of http.Server, which calls it when the head of a request has
 // been read and when its answer is out.
 func noteState(conn net.Conn, state http.ConnState) {
--- a/pkg/gateway/limits_test.go
+++ b/pkg/gateway/limits_test.go
@@ -79,3 +79,28 @@
 		t.Error("an idle connection is kept beyond its limit")
 	}
 }
+
+// http.Server half-closes a connection only where it can.
+var _ interface{ CloseWrite() error } = (*callerConn)(nil)
+
+// TestAnswerBeforeTheBodyArrives: an answer to a request whose body was not read must
+// not be lost by a reset.
+func TestAnswerBeforeTheBodyArrives(t *testing.T) {
+	address, _ := limitedServer(t, fleet.Limits{HeaderTimeout: time.Second, IdleTimeout: time.Second})
+	for n := range 5 {
+		c := dial(t, address)
+		body := make([]byte, 4<<20)
+		go func() {
+			fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: %d\r\n\r\n", len(body))
+			_, _ = c.Write(body) // the server stops reading
+		}()
+		time.Sleep(500 * time.Millisecond) // the answer is out and the connection is closed
+		res, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			t.Fatalf("try %d: %v", n, err)
+		}
+		if text, err := io.ReadAll(res.Body); err != nil || string(text) != "whole" {
+			t.Fatalf("try %d: %q %v", n, text, err)
+		}
+	}
+}
