Judge each group of a service's engines by itself

A digest told one state for a service, and the planner sends one digest a group, so that one broken group would have kept requests from all others of its service. Change: states and faults are kept by group; requests wait only where every group is broken, and go to open ones. A line about a server names its group and rank. TestOneGroupOfSeveralIsBroken fails without it (the code had one state a service).

--- a/pkg/balance/admission.go
+++ b/pkg/balance/admission.go
@@ -119,7 +119,7 @@
 func (b *Balancer) TakeLate(now time.Time, service *fleet.Service) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.late[service.Name] >= b.part(now, service, lateShare) {
+	if b.late[service.Name] >= b.part(now, len(b.services[service.Name])*service.Engine.Slots, lateShare) {
 		return false
 	}
 	b.late[service.Name]++
@@ -133,15 +133,14 @@
 	b.late[service]--
 }
 
-// part returns this entry's part of a share of a service's slots, at least one; b.mu is
+// part returns this entry's part of a share of a number of slots, at least one; b.mu is
 // held.
-func (b *Balancer) part(now time.Time, service *fleet.Service, share float64) int {
+func (b *Balancer) part(now time.Time, slots int, share float64) int {
 	entries := 1
 	for _, o := range b.entries {
 		if now.Sub(o.at) <= othersLifetime {
 			entries++
 		}
 	}
-	slots := len(b.services[service.Name]) * service.Engine.Slots
 	return max(int(share*float64(slots)/float64(entries)), 1)
 }
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -110,9 +110,11 @@
 	mu       sync.Mutex
 	services map[string][]*server
 	servers  map[string]*server
-	entries  map[string]others
-	faults   map[string]*fault
-	groups   map[string]groupState
+	// members holds the servers of a service by group.
+	members map[string]map[groupKey][]*server
+	entries map[string]others
+	faults  map[groupKey]*fault
+	groups  map[groupKey]groupState
 	// answered is when a server of a service last began to answer.
 	answered map[string]time.Time
 	// usual is the mean time to the head of an answer by service.
@@ -140,8 +142,8 @@
 		services: make(map[string][]*server),
 		servers:  make(map[string]*server),
 		entries:  make(map[string]others),
-		faults:   make(map[string]*fault),
-		groups:   make(map[string]groupState),
+		faults:   make(map[groupKey]*fault),
+		groups:   make(map[groupKey]groupState),
 		answered: make(map[string]time.Time),
 		usual:    make(map[string]time.Duration),
 		streams:  make(map[string]time.Duration),
@@ -157,6 +159,7 @@
 	defer b.mu.Unlock()
 	servers := make(map[string]*server, len(list))
 	services := make(map[string][]*server)
+	members := make(map[string]map[groupKey][]*server)
 	for _, s := range list {
 		known := b.servers[s.ID]
 		if known == nil || known.Born != s.Born || known.Address != s.Address {
@@ -165,8 +168,12 @@
 		known.Server = s
 		servers[s.ID] = known
 		services[s.Service] = append(services[s.Service], known)
+		if members[s.Service] == nil {
+			members[s.Service] = make(map[groupKey][]*server)
+		}
+		members[s.Service][known.key()] = append(members[s.Service][known.key()], known)
 	}
-	b.servers, b.services = servers, services
+	b.servers, b.services, b.members = servers, services, members
 }
 
 // Begin counts a request that is sent to a server.
@@ -229,7 +236,7 @@
 		b.learnStream(s.Service, r.Took)
 	}
 	if r.Latency > 0 && !r.Failed && !r.TurnedAway {
-		delete(b.faults, s.Service)
+		delete(b.faults, s.key())
 	}
 }
 
@@ -306,17 +313,19 @@
 	Pace float64
 }
 
-// Group takes what a planner tells of the group of a service's engines.
-func (b *Balancer) Group(now time.Time, service string, state fleet.GroupState, engines []EngineLoad) {
+// Group takes what a planner tells of a group of a service's engines.
+func (b *Balancer) Group(now time.Time, service, group string, state fleet.GroupState, engines []EngineLoad) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.groups[service] = groupState{state: state, at: now}
+	key := groupKey{service, group}
+	b.groups[key] = groupState{state: state, at: now}
 	loads := make(map[string]EngineLoad, len(engines))
 	for _, e := range engines {
 		loads[e.Address] = e
 	}
 	var missing []*server
-	for _, s := range b.services[service] {
+	members := b.members[service][key]
+	for _, s := range members {
 		load, ok := loads[s.Address]
 		if ok && load.Born == s.Born {
 			s.engine, s.engineAt, s.sent = load, now, 0
@@ -326,7 +335,7 @@
 		}
 	}
 	// A planner that reaches few engines is cut off itself.
-	if len(missing)*mostMissing <= len(b.services[service]) {
+	if len(missing)*mostMissing <= len(members) {
 		for _, s := range missing {
 			s.missing = now.Add(missingTime)
 		}
@@ -354,6 +363,9 @@
 			candidates = append(candidates, s)
 		}
 	}
+	if service.Engine != nil {
+		candidates = b.inOpenGroups(now, candidates)
+	}
 	if len(candidates) <= largeService {
 		return b.cheapest(now, service, candidates, loads, random)
 	}
--- a/pkg/balance/balance_test.go
+++ b/pkg/balance/balance_test.go
@@ -80,7 +80,7 @@
 	}
 	for i, b := range balancers {
 		if digest {
-			b.Group(now, "s", fleet.GroupOpen, known)
+			b.Group(now, "s", "", fleet.GroupOpen, known)
 			continue
 		}
 		for j, other := range balancers {
@@ -153,7 +153,7 @@
 		for i := range c.reached {
 			known = append(known, balance.EngineLoad{Address: fmt.Sprintf("h%d:1", i), Born: 1, Running: 10})
 		}
-		b.Group(start, "s", fleet.GroupOpen, known)
+		b.Group(start, "s", "", fleet.GroupOpen, known)
 		hits := 0
 		for range 300 {
 			s, _ := b.Choose(start.Add(100*time.Millisecond), engines, nil, random.Float64)
@@ -231,7 +231,7 @@
 	if b.Holds(start, engines) != "" {
 		t.Error("broken without a sign")
 	}
-	b.GroupFault(start, "s")
+	b.GroupFault(start, "0")
 	if b.Holds(start.Add(100*time.Millisecond), engines) == "" {
 		t.Error("an answer told that the group is broken")
 	}
@@ -244,11 +244,11 @@
 	if probes > 4 {
 		t.Errorf("%d probes in a second", probes)
 	}
-	b.Group(start.Add(2*time.Second), "s", fleet.GroupOpen, nil)
+	b.Group(start.Add(2*time.Second), "s", "", fleet.GroupOpen, nil)
 	if b.Holds(start.Add(2*time.Second), engines) != "" {
 		t.Error("a later report says that it is open")
 	}
-	b.Group(start.Add(3*time.Second), "s", fleet.GroupBroken, nil)
+	b.Group(start.Add(3*time.Second), "s", "", fleet.GroupBroken, nil)
 	if b.Holds(start.Add(3*time.Second), engines) == "" {
 		t.Error("a report says that it is broken")
 	}
@@ -268,14 +268,14 @@
 		for other := range entries - 1 {
 			b.Heard(start, fmt.Sprint(other), nil)
 		}
-		b.Group(start, "s", fleet.GroupForming, nil)
+		b.Group(start, "s", "", fleet.GroupForming, nil)
 		for range 12 {
 			if b.Holds(start, engines) == "" {
 				b.Begin(start, fmt.Sprint(sent%engineCount), 800)
 				sent++
 			}
 		}
-		b.Group(start.Add(time.Second), "s", fleet.GroupOpen, nil)
+		b.Group(start.Add(time.Second), "s", "", fleet.GroupOpen, nil)
 		if b.Holds(start.Add(time.Second), engines) != "" {
 			t.Error("requests wait after the first map")
 		}
@@ -325,7 +325,7 @@
 		loads = append(loads, balance.EngineLoad{Address: fmt.Sprintf("h%d:1", n), Born: 1, Pace: 1})
 	}
 	loads[3].Pace = 2.24
-	b.Group(start, "s", fleet.GroupOpen, loads)
+	b.Group(start, "s", "", fleet.GroupOpen, loads)
 	slow := 0
 	for range 100 {
 		s, _ := b.Choose(start, service, nil, random.Float64)
@@ -338,3 +338,40 @@
 		t.Errorf("the slow rank gets %d of 100 requests to 132 other slots", slow)
 	}
 }
+
+// TestOneGroupOfSeveralIsBroken answers a service whose servers form several groups, one of
+// which lacks ranks and never opens: requests go to the others, and nobody waits.
+func TestOneGroupOfSeveralIsBroken(t *testing.T) {
+	for _, told := range []string{"by the planner", "by an answer"} {
+		b := balance.New()
+		list := servers(30)
+		for n := range list {
+			list[n].Group = fmt.Sprint("g", n/12) // the last one has 6 of 12 ranks
+		}
+		b.SetServers(list)
+		if told == "by the planner" {
+			b.Group(start, "s", "g2", fleet.GroupBroken, nil)
+			b.Group(start, "s", "g0", fleet.GroupOpen, nil)
+		} else {
+			b.GroupFault(start, "27")
+		}
+		now := start.Add(10 * time.Millisecond)
+		if hold := b.Holds(now, engines); hold != "" {
+			t.Errorf("%s: requests wait: %s", told, hold)
+		}
+		random := rand.New(rand.NewPCG(1, 1))
+		for range 60 {
+			s, ok := b.Choose(now, engines, nil, random.Float64)
+			if !ok || s.Group == "g2" {
+				t.Fatalf("%s: server %q of group %q is chosen", told, s.ID, s.Group)
+			}
+			b.Begin(now, s.ID, 800)
+		}
+		for _, group := range []string{"g0", "g1", "g2"} {
+			b.Group(now, "s", group, fleet.GroupBroken, nil)
+		}
+		if b.Holds(now, engines) != balance.HeldBroken {
+			t.Errorf("%s: requests do not wait though every group is broken", told)
+		}
+	}
+}
--- a/pkg/balance/group.go
+++ b/pkg/balance/group.go
@@ -6,12 +6,18 @@
 	"github.com/fescuehub/fescuehub/pkg/fleet"
 )
 
-// GroupFault notes that a request was turned away because the group of a
-// service's engines is broken.
-func (b *Balancer) GroupFault(now time.Time, service string) {
+// groupKey names a group of a service's engines.
+type groupKey struct{ service, group string }
+
+func (s *server) key() groupKey { return groupKey{s.Service, s.Server.Group} }
+
+// GroupFault notes that a server turned a request away because its group is broken.
+func (b *Balancer) GroupFault(now time.Time, id string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.faults[service] = &fault{at: now, probed: now}
+	if s := b.servers[id]; s != nil {
+		b.faults[s.key()] = &fault{at: now, probed: now}
+	}
 }
 
 // formingShare is the part of a group's slots that is used until its first map: their
@@ -33,52 +39,89 @@
 	HeldLate Hold = "late requests have their part of the slots"
 )
 
-// Holds returns whether a request has to wait for the group of a service's engines.
-// Where only an answer tells that it is broken, one request each probePause finds out
-// whether it still is.
+// Holds returns whether a request has to wait for the groups of a service's engines: it
+// has not where one of them takes it. Where only an answer tells that a group is broken,
+// one request each probePause finds out whether it still is.
 func (b *Balancer) Holds(now time.Time, service *fleet.Service) Hold {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	told := b.groups[service.Name]
-	known := now.Sub(told.at) <= reportLifetime
-	switch {
-	case known && told.state == fleet.GroupBroken:
-		return HeldBroken
-	case known && told.state == fleet.GroupForming:
-		if b.inFlight(service.Name) >= b.part(now, service, formingShare) {
+	var hold Hold
+	for key, members := range b.members[service.Name] {
+		switch h := b.holds(now, key, members, service); {
+		case h == "":
+			return ""
+		case hold != HeldForming:
+			hold = h
+		}
+	}
+	return hold
+}
+
+// holds returns why a group takes no request now; b.mu is held.
+func (b *Balancer) holds(now time.Time, key groupKey, members []*server, service *fleet.Service) Hold {
+	if b.told(now, key) == fleet.GroupForming {
+		inFlight := 0
+		for _, s := range members {
+			inFlight += s.own.Requests
+		}
+		if inFlight >= b.part(now, len(members)*service.Engine.Slots, formingShare) {
 			return HeldForming
 		}
 		return ""
 	}
-	if b.faulty(now, service.Name, told, known) {
-		return HeldBroken
+	if !b.brokenNow(now, key) {
+		return ""
 	}
-	return ""
+	if f := b.faults[key]; f != nil && b.told(now, key) != fleet.GroupBroken && now.Sub(f.probed) >= probePause {
+		f.probed = now
+		return ""
+	}
+	return HeldBroken
 }
 
-// inFlight returns the number of this entry's requests at a service; b.mu is held.
-func (b *Balancer) inFlight(service string) int {
-	n := 0
-	for _, s := range b.services[service] {
-		n += s.own.Requests
+// told returns what a planner told of a group lately; empty for nothing. b.mu is held.
+func (b *Balancer) told(now time.Time, key groupKey) fleet.GroupState {
+	if g := b.groups[key]; now.Sub(g.at) <= reportLifetime {
+		return g.state
 	}
-	return n
+	return ""
 }
 
-// faulty reports whether the last answer tells of a broken group; b.mu is held.
-func (b *Balancer) faulty(now time.Time, service string, told groupState, known bool) bool {
-	f := b.faults[service]
+// brokenNow reports whether a group is broken as far as is known; b.mu is held.
+func (b *Balancer) brokenNow(now time.Time, key groupKey) bool {
+	told := b.told(now, key)
+	if told == fleet.GroupBroken {
+		return true
+	}
+	f := b.faults[key]
 	if f == nil {
 		return false
 	}
 	// What came just after the answer may still be from before it.
-	if known && told.at.Sub(f.at) > reportDelay || now.Sub(f.at) > faultLifetime {
-		delete(b.faults, service)
-		return false
-	}
-	if now.Sub(f.probed) >= probePause {
-		f.probed = now
+	if told != "" && b.groups[key].at.Sub(f.at) > reportDelay || now.Sub(f.at) > faultLifetime {
+		delete(b.faults, key)
 		return false
 	}
 	return true
 }
+
+// inOpenGroups returns the engines whose group is not known to be broken; all of them
+// where every group is. b.mu is held.
+func (b *Balancer) inOpenGroups(now time.Time, candidates []*server) []*server {
+	broken := make(map[groupKey]bool)
+	var open []*server
+	for _, s := range candidates {
+		is, seen := broken[s.key()]
+		if !seen {
+			is = b.brokenNow(now, s.key())
+			broken[s.key()] = is
+		}
+		if !is {
+			open = append(open, s)
+		}
+	}
+	if len(open) == 0 {
+		return candidates
+	}
+	return open
+}
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -111,7 +111,7 @@
 	for i, r := range d.Ranks {
 		engines[i] = balance.EngineLoad{Address: r.Address, Born: r.Born, Running: r.Running, Waiting: r.Waiting, Pace: r.Pace}
 	}
-	g.balancer.Group(now, d.Service, d.State, engines)
+	g.balancer.Group(now, d.Service, d.Group, d.State, engines)
 }
 
 // peerAddress returns the peer port of the agent beside a backend server.
--- a/pkg/gateway/sinks.go
+++ b/pkg/gateway/sinks.go
@@ -117,7 +117,7 @@
 	}
 	for id, s := range present {
 		if old, was := g.servers[id]; !was || s.Born != old.Born {
-			g.log.Info("backend server takes work", zap.String("server", id), zap.String("service", s.Service), zap.String("address", s.Address))
+			g.log.Info("backend server takes work", zap.String("server", id), zap.String("service", s.Service), zap.String("address", s.Address), zap.String("group", s.Group), zap.Int("rank", s.Rank))
 		}
 	}
 	g.servers = present
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -60,6 +60,8 @@
 // Digest is what a planner tells the entries of one group of engines.
 type Digest struct {
 	Service string `json:"service"`
+	// Group is the group's name: a service may have several.
+	Group string `json:"group"`
 	// Peer is the planner's address for messages.
 	Peer  string           `json:"peer"`
 	State fleet.GroupState `json:"state"`
--- a/pkg/rankagent/planner.go
+++ b/pkg/rankagent/planner.go
@@ -158,7 +158,7 @@
 	}
 	now := time.Now()
 	members := p.read(ctx, fleet.NewestByAddress(servers), withWindow(len(servers)))
-	digest := p.digest(members)
+	digest := p.digest(name, members)
 	servers, statuses, err := inOrder(members)
 	if err != nil {
 		p.agent.tellEntries(digest)
@@ -205,8 +205,8 @@
 }
 
 // digest returns what the entries are told of a group.
-func (p *planner) digest(members []member) *gossip.Digest {
-	d := &gossip.Digest{Service: p.agent.settings.Service, Peer: p.peer(), State: fleet.GroupOpen}
+func (p *planner) digest(name string, members []member) *gossip.Digest {
+	d := &gossip.Digest{Service: p.agent.settings.Service, Group: name, Peer: p.peer(), State: fleet.GroupOpen}
 	for _, m := range members {
 		r := m.status.Report
 		if m.err != nil {
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -127,7 +127,7 @@
 		x.exclude(s.ID)
 		if head.GroupFault && x.q.Service.Engine != nil {
 			x.groupFault = true
-			x.balancer.GroupFault(time.Now(), x.q.Service.Name)
+			x.balancer.GroupFault(time.Now(), s.ID)
 		}
 		return notRun, nil
 	}
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -389,7 +389,7 @@
 	r := route(fleet.Streaming)
 	r.TargetLatency, r.Timeout = 400*time.Millisecond, 8*time.Second
 	s := newSite(t, r, fleet.Service{Engine: &fleet.Engine{Slots: 12}}, 94, a.server("a"))
-	s.balancer.Group(time.Now(), "s", fleet.GroupOpen, []balance.EngineLoad{{Address: a.server("a").Address, Running: 12, Waiting: 24}})
+	s.balancer.Group(time.Now(), "s", "", fleet.GroupOpen, []balance.EngineLoad{{Address: a.server("a").Address, Running: 12, Waiting: 24}})
 	began := time.Now()
 	status, _, header, err := s.send(context.Background(), "1")
 	if err != nil || status != http.StatusServiceUnavailable || header.Get("Retry-After") == "" {
@@ -446,7 +446,7 @@
 	r := route(fleet.Streaming)
 	r.TargetLatency, r.Timeout = 400*time.Millisecond, 8*time.Second
 	s := newSite(t, r, fleet.Service{Engine: &fleet.Engine{Slots: 40}}, 94, a.server("a"))
-	s.balancer.Group(time.Now(), "s", fleet.GroupBroken, nil)
+	s.balancer.Group(time.Now(), "s", "", fleet.GroupBroken, nil)
 	var all sync.WaitGroup
 	send := func(id string) {
 		all.Go(func() {
@@ -459,7 +459,7 @@
 		send(fmt.Sprint("late", n))
 	}
 	time.Sleep(300 * time.Millisecond)
-	s.balancer.Group(time.Now(), "s", fleet.GroupOpen, nil)
+	s.balancer.Group(time.Now(), "s", "", fleet.GroupOpen, nil)
 	time.Sleep(200 * time.Millisecond)
 	late, _ := a.count()
 	if late == 0 || late > 10 {
