--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -95,8 +95,7 @@
 	// addressLifetimeNanos is how long callers may cache an address answer, in nanoseconds.
 	addressLifetimeNanos atomic.Int64
 
-	// startupCtx ends when this entry becomes ready, or maxStartupWait after the start or the
-	// last Reload.
+	// startupCtx ends when this entry becomes ready, or maxStartupWait after the start.
 	startupCtx context.Context
 	endStartup context.CancelFunc
 
@@ -154,7 +153,6 @@
 
 // Reload applies changed bounds.
 func (g *Gateway) Reload(b settings.Bounds) {
-	g.startupCtx, g.endStartup = context.WithTimeout(context.Background(), maxStartupWait)
 	g.addressLifetimeNanos.Store(int64(b.AddressLifetime))
 	g.budget.SetLimits(b.RetryRatio, b.RetryFloor)
 	g.drain.setGrace(b.Grace)
