--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -124,6 +124,8 @@
 	lateInFlight map[string]int
 	// queues holds the state of the engines' queue by service.
 	queues map[string]*queue
+	// pauses holds, by server ID, the pauses that servers asked for.
+	pauses map[string]pause
 }
 
 // groupState is the last state of a group that its planner reported.
@@ -148,6 +150,7 @@
 		meanStreamTime: make(map[string]time.Duration),
 		lateInFlight:   make(map[string]int),
 		queues:         make(map[string]*queue),
+		pauses:         make(map[string]pause),
 	}
 }
 
@@ -348,7 +351,7 @@
 	return len(b.services[service])
 }
 
-// Choose returns the server with the lowest cost that is not excluded. In large services it
+// Choose returns the server with the lowest cost that is neither excluded nor paused. In large services it
 // compares only a random sample: load reports are older than the interval at which a server gets
 // new requests, so all entries would otherwise choose the same server. random returns uniform
 // values in [0, 1).
@@ -358,7 +361,7 @@
 	loads := b.sumEntryLoads(now)
 	candidates := make([]*server, 0, len(b.services[service.Name]))
 	for _, s := range b.services[service.Name] {
-		if !exclude[s.ID] {
+		if !exclude[s.ID] && !b.isPaused(now, s) {
 			candidates = append(candidates, s)
 		}
 	}
--- a/pkg/fleet/server.go
+++ b/pkg/fleet/server.go
@@ -21,6 +21,9 @@
 	// Incarnation identifies one start of the server under its ID; it increases with
 	// each start.
 	Incarnation int64
+	// Sequence orders the announcements of one incarnation: a later one has a higher
+	// sequence. 0 means that it is not known.
+	Sequence int64
 	// WarmupLeft is the time for which the server remains slow after its start.
 	WarmupLeft time.Duration
 	// Group, Rank and Ranks are the engine's group, its rank in the group and the
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -2,12 +2,12 @@
 // reads a snapshot, which is the newest record of each key, and then the records
 // after it. The pages of a snapshot are not consistent with each other: records
 // appended while the pages are read are read again afterwards. If records expire
-// before they are read, it reads a snapshot again.
+// before they are read, or the log was restored from an earlier copy, it reads a
+// snapshot again.
 package follow
 
 import (
 	"context"
-	"github.com/fescuehub/fescuehub/pkg/telemetry"
 	"math/rand/v2"
 	"time"
 
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"github.com/fescuehub/fescuehub/pkg/sharedlog"
+	"github.com/fescuehub/fescuehub/pkg/telemetry"
 	"github.com/fescuehub/fescuehub/pkg/wait"
 )
 
@@ -29,6 +30,8 @@
 	// coalescePause is the time from the arrival of records to the next read, so
 	// that one call reads records that arrive close together.
 	coalescePause = 200 * time.Millisecond
+	// maxPages bounds the pages of a snapshot; a page usually holds 500 records.
+	maxPages = 1000
 	// leaderCheckInterval is the interval at which a reader checks whether it has become a
 	// leader.
 	leaderCheckInterval = 250 * time.Millisecond
@@ -47,8 +50,8 @@
 	IsLeader func() bool
 	// Wake signals to a reader that is not a leader that new records exist.
 	Wake <-chan struct{}
-	// OnProgress is called with the next offset to read; it may be nil.
-	OnProgress func(next int64)
+	// OnProgress is called with the position to read from next; it may be nil.
+	OnProgress func(next sharedlog.Position)
 }
 
 // Sink receives the records of a topic. Its methods are called from one
@@ -56,6 +59,10 @@
 type Sink interface {
 	// Apply applies one record; an empty value deletes the key.
 	Apply(r sharedlog.Record)
+	// Restored is called before the snapshot that follows a restore of the log from an
+	// earlier copy. That snapshot may lack newer records that the sink has applied, and
+	// may contain records that they replaced.
+	Restored()
 	// BeginSnapshot starts a snapshot and EndSnapshot ends it. A key without a
 	// record in the snapshot has been deleted.
 	BeginSnapshot()
@@ -76,7 +83,7 @@
 		}
 		f.handleSuccess()
 		if o.OnProgress != nil {
-			o.OnProgress(f.next)
+			o.OnProgress(f.position)
 		}
 		f.waitForNextRead(ctx)
 	}
@@ -119,7 +126,11 @@
 	sink    Sink
 	logger  *zap.Logger
 	started bool
-	next    int64
+	// position is where the next read starts.
+	position sharedlog.Position
+	// readBefore is true once a snapshot has been read. restored is true if the next
+	// snapshot follows a restore of the log.
+	readBefore, restored bool
 	// gotRecords is true if the last read returned records.
 	gotRecords bool
 	// failures is the number of consecutive failed calls.
@@ -140,26 +151,68 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, pollWait+callSlack)
 	defer cancel()
-	batch, err := f.log.Read(callCtx, f.o.Topic, f.next, pollWait)
+	batch, err := f.log.Read(callCtx, f.o.Topic, f.position.Next, pollWait)
 	if errors.Is(err, sharedlog.ErrExpired) {
-		f.logger.Warn("records expired before they were read; reading the newest record of each key", zap.Int64("offset", f.next))
+		f.logger.Warn("records expired before they were read; reading the newest record of each key", zap.Int64("offset", f.position.Next))
 		f.started = false
 		return f.start(ctx)
 	}
 	if err != nil {
 		return err
 	}
+	if f.wasRestored(batch) {
+		// The next read follows after a pause, also if the log returns such batches repeatedly.
+		f.started, f.restored, f.gotRecords = false, true, true
+		return f.start(ctx)
+	}
 	for _, r := range batch.Records {
 		f.sink.Apply(r)
 	}
 	f.gotRecords = len(batch.Records) > 0
-	f.next = batch.Next
+	f.position.Next = batch.Next
 	return nil
 }
 
+// wasRestored reports whether the log was restored since the last read: the batch belongs to another
+// timeline, or its offsets are impossible for the position that was read.
+func (f *follower) wasRestored(batch sharedlog.Batch) bool {
+	if batch.Timeline != f.position.Timeline {
+		return true
+	}
+	if batch.End >= f.position.Next && batch.Next <= batch.End {
+		return false
+	}
+	f.logger.Warn("the log returned impossible offsets; reading the newest record of each key",
+		zap.Int64("offset", f.position.Next), zap.Int64("end", batch.End), zap.Int64("nextOffset", batch.Next))
+	return true
+}
+
 // start reads the newest record of each key. Reading continues from the end of
 // the log as of the first page, so records appended during the paging are read.
 func (f *follower) start(ctx context.Context) error {
+	pages, err := f.readPages(ctx)
+	if err != nil {
+		return err
+	}
+	position := sharedlog.Position{Timeline: pages[0].Timeline, Next: pages[0].End}
+	if f.restored || f.readBefore && position.Timeline != f.position.Timeline {
+		f.sink.Restored()
+	}
+	f.sink.BeginSnapshot()
+	for _, page := range pages {
+		for _, r := range page.Records {
+			f.sink.Apply(r)
+		}
+	}
+	f.sink.EndSnapshot()
+	f.position, f.started, f.readBefore, f.restored = position, true, true, false
+	f.logger.Info("read the newest record of each key", zap.Int64("nextOffset", position.Next),
+		zap.Int64("timeline", int64(position.Timeline)), zap.Int("pages", len(pages)))
+	return nil
+}
+
+// readPages reads the pages of a snapshot, all of which belong to one timeline.
+func (f *follower) readPages(ctx context.Context) ([]sharedlog.Page, error) {
 	var pages []sharedlog.Page
 	after := ""
 	for {
@@ -167,23 +220,19 @@
 		page, err := f.log.Newest(callCtx, f.o.Topic, after)
 		cancel()
 		if err != nil {
-			return err
+			return nil, err
+		}
+		if page.End < 0 || page.After != "" && page.After == after || len(pages) == maxPages {
+			return nil, errors.Newf("the log returned an impossible page: number %d, end %d, after key %q, continued after key %q", len(pages)+1, page.End, after, page.After)
+		}
+		if len(pages) > 0 && page.Timeline != pages[0].Timeline {
+			return nil, errors.Newf("the log was restored during a snapshot: timeline %d became %d", pages[0].Timeline, page.Timeline)
 		}
 		pages = append(pages, page)
 		if after = page.After; after == "" {
-			break
+			return pages, nil
 		}
 	}
-	f.sink.BeginSnapshot()
-	for _, page := range pages {
-		for _, r := range page.Records {
-			f.sink.Apply(r)
-		}
-	}
-	f.sink.EndSnapshot()
-	f.next, f.started = pages[0].End, true
-	f.logger.Info("read the newest record of each key", zap.Int64("nextOffset", f.next), zap.Int("pages", len(pages)))
-	return nil
 }
 
 func (f *follower) handleFailure(ctx context.Context, err error) {
--- a/pkg/follow/follow_test.go
+++ b/pkg/follow/follow_test.go
@@ -23,6 +23,7 @@
 	records     []sharedlog.Record
 	unavailable bool
 	reads       int
+	timeline    sharedlog.Timeline
 }
 
 func (l *log) put(key, value string) {
@@ -48,7 +49,7 @@
 	for _, r := range l.records {
 		newest[r.Key] = r
 	}
-	page := sharedlog.Page{End: int64(len(l.records))}
+	page := sharedlog.Page{Answer: sharedlog.Answer{Timeline: l.timeline}, End: int64(len(l.records))}
 	for _, key := range []string{"a", "b", "c"} {
 		r, ok := newest[key]
 		if !ok || key <= after || len(r.Value) == 0 {
@@ -66,7 +67,7 @@
 func (l *log) Read(ctx context.Context, _ sharedlog.Topic, from int64, wait time.Duration) (sharedlog.Batch, error) {
 	l.mu.Lock()
 	l.reads++
-	unavailable, first, records := l.unavailable, l.first, l.records
+	unavailable, first, records, timeline := l.unavailable, l.first, l.records, l.timeline
 	l.mu.Unlock()
 	switch {
 	case unavailable:
@@ -80,7 +81,11 @@
 		case <-ctx.Done():
 		}
 	}
-	return sharedlog.Batch{Records: records[from:], Next: int64(len(records))}, nil
+	batch := sharedlog.Batch{Answer: sharedlog.Answer{Timeline: timeline}, Next: from, End: int64(len(records))}
+	if from < batch.End {
+		batch.Records, batch.Next = records[from:], batch.End
+	}
+	return batch, nil
 }
 
 // sink keeps the newest value of each key.
@@ -89,6 +94,8 @@
 	values                      map[string]string
 	inSnapshot                  map[string]bool
 	failedReads, recoveredReads int
+	// restores counts the calls of Restored.
+	restores int
 }
 
 func (s *sink) Apply(r sharedlog.Record) {
@@ -100,6 +107,8 @@
 	}
 }
 
+func (s *sink) Restored() { s.mu.Lock(); defer s.mu.Unlock(); s.restores++ }
+
 func (s *sink) BeginSnapshot() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -213,3 +222,60 @@
 	mu.Unlock()
 	waitForText(t, "map[a:3]", s)
 }
+
+// TestRestoredLogIsReadAgain guards against records that are missed after the log was restored from
+// an earlier copy: offsets go back and are assigned again to other records. The follower must read a
+// snapshot whether the log has grown past the follower's offset again (told by the timeline), is
+// still behind it (told by its end), or states no timeline.
+func TestRestoredLogIsReadAgain(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		timeline sharedlog.Timeline
+		// added is the number of records that are appended after the restore.
+		added int
+	}{
+		{"grown past the old offset", 2, 5}, {"end at the old offset", 2, 2}, {"end before the old offset", 2, 0},
+		{"end before the old offset, no timeline", 0, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l := &log{timeline: min(c.timeline, 1)}
+			l.put("a", "1")
+			s := start(t, l, follow.Options{Wait: 50 * time.Millisecond})
+			waitForText(t, "map[a:1]", s)
+			l.put("a", "2")
+			l.put("b", "lost")
+			waitForText(t, "map[a:2 b:lost]", s)
+			l.set(func(l *log) {
+				l.records, l.timeline = l.records[:1:1], c.timeline
+				for i := range c.added {
+					l.records = append(l.records, sharedlog.Record{Key: "c", Value: fmt.Append(nil, i), Offset: int64(len(l.records))})
+				}
+			})
+			want := "map[a:1]"
+			if c.added > 0 {
+				want = fmt.Sprintf("map[a:1 c:%d]", c.added-1)
+			}
+			waitForText(t, want, s)
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if s.restores != 1 {
+				t.Errorf("the sink was notified of %d restores, want 1", s.restores)
+			}
+		})
+	}
+}
+
+// TestEachRestoreIsNoticed checks that two restores in a row lead to two snapshots, the second of
+// which replaces what was read since the first.
+func TestEachRestoreIsNoticed(t *testing.T) {
+	l := &log{timeline: 1}
+	l.put("a", "1")
+	s := start(t, l, follow.Options{Wait: 50 * time.Millisecond})
+	waitForText(t, "map[a:1]", s)
+	for timeline := sharedlog.Timeline(2); timeline < 4; timeline++ {
+		l.put("b", "lost")
+		waitForText(t, "map[a:1 b:lost]", s)
+		l.set(func(l *log) { l.records, l.timeline = l.records[:1:1], timeline })
+		waitForText(t, "map[a:1]", s)
+	}
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -116,13 +116,18 @@
 	// servers holds the usable backend servers by ID.
 	servers map[string]fleet.Server
 
+	// republish requests that this entry's record be written again.
+	republish chan struct{}
+	// malformed holds the malformed header values of backend servers that have been logged.
+	malformed loggedValues
+
 	socket *gossip.Socket
 }
 
 // New returns an entry process that has not opened any socket yet.
 func New(s settings.Instance, codec Codec, shared sharedlog.Log, log *zap.Logger, metrics *telemetry.Metrics) *Gateway {
 	g := &Gateway{
-		settings: s, codec: codec, sharedLog: shared, log: log, metrics: metrics, scope: metrics.Scope,
+		settings: s, codec: codec, sharedLog: sharedlog.NewGuard(shared, log), log: log, metrics: metrics, scope: metrics.Scope,
 		pools:         backendconn.NewPools(),
 		balancer:      balance.New(),
 		budget:        retrybudget.New(retryLimits(s.Bounds), time.Now()),
@@ -134,12 +139,13 @@
 		topics: map[sharedlog.Topic]*topic{
 			sharedlog.Operators: newTopic(), sharedlog.Servers: newTopic(),
 		},
-		latency: make(map[fleet.Kind]tally.Histogram),
+		latency:   make(map[fleet.Kind]tally.Histogram),
+		republish: make(chan struct{}, 1),
 	}
 	g.startupCtx, g.endStartup = context.WithTimeout(context.Background(), maxStartupWait)
 	g.addressLifetimeNanos.Store(int64(s.Bounds.AddressLifetime))
 	g.directory = directory.New(directory.Entry{Name: s.Name, Address: s.CallerAddress})
-	g.relay = relay.New(codec, g.pools, g.balancer, g.budget, g.handleMisdirected)
+	g.relay = relay.New(codec, g.pools, g.balancer, g.budget, g)
 	buckets := tally.MustMakeExponentialDurationBuckets(2*time.Millisecond, 1.6, 20)
 	for _, kind := range []fleet.Kind{fleet.Safe, fleet.Unsafe, fleet.Streaming} {
 		g.latency[kind] = metrics.Scope.Tagged(map[string]string{"kind": string(kind)}).Histogram("request_seconds", buckets)
@@ -198,7 +204,8 @@
 	startTask(func(ctx context.Context) {
 		follow.Run(ctx, g.sharedLog, g.topicOptions(sharedlog.Servers), (*serversSink)(g), g.log)
 	})
-	startTask(g.publishAndFollowEntries)
+	startTask(g.publishRecord)
+	startTask(g.followEntries)
 	startTask(func(ctx context.Context) {
 		for ctx.Err() == nil {
 			wait.For(ctx, g.sendState())
@@ -327,26 +334,51 @@
 	Peer string `json:"peer"`
 }
 
-// publishAndFollowEntries writes this entry's record, retrying until it succeeds, and then
-// polls the records of the other entries. The poll finds entries that gossip has not reached.
-func (g *Gateway) publishAndFollowEntries(ctx context.Context) {
+// followEntries polls the records of the other entries. The poll finds entries that gossip has not
+// reached.
+func (g *Gateway) followEntries(ctx context.Context) {
+	follow.Run(ctx, g.sharedLog, follow.Options{Topic: sharedlog.Entries, Pause: entriesPollInterval}, (*entriesSink)(g), g.log)
+}
+
+// republishRecord makes publishRecord write this entry's record again.
+func (g *Gateway) republishRecord() {
+	select {
+	case g.republish <- struct{}{}:
+	default: // it is already to be written
+	}
+}
+
+// publishRecord writes this entry's record at the start and after each restore of the log, which may
+// have removed it.
+func (g *Gateway) publishRecord(ctx context.Context) {
 	record, err := json.Marshal(entryRecord{Peer: net.JoinHostPort(g.settings.IP, portText(g.settings.PeerPort))})
 	if err != nil {
 		g.log.Error("failed to encode this entry's record", telemetry.Err(err))
 		return
 	}
+	for ctx.Err() == nil {
+		g.putRecord(ctx, record)
+		select {
+		case <-ctx.Done():
+		case <-g.republish:
+		}
+	}
+}
+
+// putRecord writes this entry's record, retrying until it succeeds. It logs the first failure.
+func (g *Gateway) putRecord(ctx context.Context, record []byte) {
 	for failures := 0; ctx.Err() == nil; {
 		putCtx, cancel := context.WithTimeout(ctx, recordWriteTimeout)
 		err := g.sharedLog.Put(putCtx, sharedlog.Entries, g.settings.Name, record)
 		cancel()
 		if err == nil {
-			break
+			return
+		}
+		if failures++; failures == 1 {
+			g.log.Warn("failed to write this entry's record; retrying until it succeeds", telemetry.Err(err))
 		}
-		failures++
-		g.log.Warn("failed to write this entry's record; retrying after a backoff", telemetry.Err(err))
 		wait.For(ctx, follow.Backoff(failures))
 	}
-	follow.Run(ctx, g.sharedLog, follow.Options{Topic: sharedlog.Entries, Pause: entriesPollInterval}, (*entriesSink)(g), g.log)
 }
 
 // recordWriteTimeout bounds one attempt to write this entry's record.
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"github.com/fescuehub/fescuehub/pkg/balance"
-	"github.com/fescuehub/fescuehub/pkg/telemetry"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -10,8 +8,10 @@
 
 	"go.uber.org/zap"
 
+	"github.com/fescuehub/fescuehub/pkg/balance"
 	"github.com/fescuehub/fescuehub/pkg/directory"
 	"github.com/fescuehub/fescuehub/pkg/gossip"
+	"github.com/fescuehub/fescuehub/pkg/telemetry"
 )
 
 // sendState sends this entry's state to the other entries and returns the time until the next
@@ -19,13 +19,14 @@
 // constant.
 func (g *Gateway) sendState() time.Duration {
 	now := time.Now()
-	loads, counts, next := g.balancer.OwnLoads(), g.budget.Snapshot(now), g.progress()
+	loads, counts := g.balancer.OwnLoads(), g.budget.Snapshot(now)
+	offsets, timelines := g.progress()
 	g.mu.Lock()
 	g.sequence++
 	state := &gossip.EntryState{
 		Name: g.settings.Name, Incarnation: g.incarnation, Sequence: g.sequence,
 		CallerAddress: g.settings.CallerAddress, FailureDomain: g.settings.FailureDomain,
-		Ready: g.directory.Ready(), InFlight: loads, Budget: counts, LogReachable: g.logReachable, NextOffsets: next,
+		Ready: g.directory.Ready(), InFlight: loads, Budget: counts, LogReachable: g.logReachable, NextOffsets: offsets, Timelines: timelines,
 	}
 	to := make([]netip.AddrPort, 0, len(g.peerAddresses))
 	for _, address := range g.peerAddresses {
@@ -36,6 +37,7 @@
 			g.budget.RemoveEntry(name)
 		}
 	}
+	state.Leaving = sampleLeaving(g.roster.Leaving())
 	if len(to) >= smallFleetEntries {
 		state.InFlight = nil // planners report the engines' load
 	}
@@ -45,6 +47,18 @@
 	return time.Duration(max(len(to), smallFleetEntries)) * gossipInterval / smallFleetEntries
 }
 
+// sampleLeaving returns at most gossip.MaxLeaving of the leaving servers, chosen at random, so that
+// successive messages carry all of them.
+func sampleLeaving(leaving map[string]int64) map[string]int64 {
+	for id := range leaving { // the order of a map is random
+		if len(leaving) <= gossip.MaxLeaving {
+			break
+		}
+		delete(leaving, id)
+	}
+	return leaving
+}
+
 // subscribe renews the digest subscription at each service's planner. Where no planner is
 // known, it subscribes at random agents on the hosts of engines, which answer with the planner's
 // address.
@@ -154,7 +168,8 @@
 	if isNew {
 		g.log.Info("entry discovered", zap.String("entry", e.Name), zap.Stringer("from", from))
 	}
-	g.observeProgress(e.NextOffsets)
+	g.observeProgress(e.NextOffsets, e.Timelines)
+	g.markLeaving(e.Leaving, e.Name)
 	g.balancer.SetEntryLoads(now, e.Name, e.InFlight)
 	g.budget.SetEntryCounts(e.Name, e.Budget)
 }
--- a/pkg/gateway/sinks.go
+++ b/pkg/gateway/sinks.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"github.com/fescuehub/fescuehub/pkg/telemetry"
 	"net/netip"
 	"strconv"
 	"time"
@@ -10,7 +9,9 @@
 	"go.uber.org/zap"
 
 	"github.com/fescuehub/fescuehub/pkg/fleet"
+	"github.com/fescuehub/fescuehub/pkg/relay"
 	"github.com/fescuehub/fescuehub/pkg/sharedlog"
+	"github.com/fescuehub/fescuehub/pkg/telemetry"
 )
 
 // operatorsSink applies the configurations that operators have published.
@@ -35,6 +36,10 @@
 	g.updateReady()
 }
 
+// Restored implements follow.Sink. The current configuration stays in force if the restored log
+// contains an earlier one. This entry's record may be gone from the restored log.
+func (s *operatorsSink) Restored() { (*Gateway)(s).republishRecord() }
+
 // BeginSnapshot implements follow.Sink.
 func (s *operatorsSink) BeginSnapshot() {}
 
@@ -68,6 +73,14 @@
 	}
 }
 
+// Restored implements follow.Sink.
+func (s *serversSink) Restored() {
+	g := (*Gateway)(s)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.roster.LogRestored(time.Now())
+}
+
 // BeginSnapshot implements follow.Sink.
 func (s *serversSink) BeginSnapshot() {
 	g := (*Gateway)(s)
@@ -126,14 +139,45 @@
 	g.balancer.SetServers(usable)
 }
 
-// handleMisdirected stops using a server after another server has answered at its address.
-func (g *Gateway) handleMisdirected(server string) {
+// Misdirected implements relay.ServerObserver. It stops using a server after another server has
+// answered at its address.
+func (g *Gateway) Misdirected(server string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.roster.MarkMisdirected(server)
 	g.refreshServers(time.Now())
 }
 
+// Leaving implements relay.ServerObserver. It stops using a server that has said that it is leaving.
+func (g *Gateway) Leaving(server string, incarnation int64) {
+	g.markLeaving(map[string]int64{server: incarnation}, "response")
+}
+
+// markLeaving stops using servers that are leaving, which are given with their incarnations. source
+// says who reported it.
+func (g *Gateway) markLeaving(servers map[string]int64, source string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	changed := false
+	for id, incarnation := range servers {
+		if g.roster.MarkLeaving(id, incarnation) {
+			changed = true
+			g.log.Info("backend server is leaving", zap.String("server", id), zap.Int64("incarnation", incarnation), zap.String("reportedBy", source))
+		}
+	}
+	if changed {
+		g.refreshServers(time.Now())
+	}
+}
+
+// RetryAfterIgnored implements relay.ServerObserver.
+func (g *Gateway) RetryAfterIgnored(server, value string) {
+	if g.malformed.add(value) {
+		g.log.Warn("ignored a malformed or excessive Retry-After of a backend server: want seconds", zap.String("server", server),
+			zap.String("value", value), zap.Duration("max", relay.MaxServerPause))
+	}
+}
+
 // entriesSink collects the peer addresses of the other entries.
 type entriesSink Gateway
 
@@ -155,6 +199,9 @@
 	g.peerAddresses[r.Key] = peer
 }
 
+// Restored implements follow.Sink. Entries that the restored log lacks stay known.
+func (s *entriesSink) Restored() { (*Gateway)(s).republishRecord() }
+
 // BeginSnapshot implements follow.Sink.
 func (s *entriesSink) BeginSnapshot() {}
 
--- a/pkg/gateway/topics.go
+++ b/pkg/gateway/topics.go
@@ -1,7 +1,7 @@
 package gateway
 
 import (
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/fescuehub/fescuehub/pkg/follow"
@@ -9,18 +9,37 @@
 )
 
 // topic is this entry's read progress in a topic of the shared log. Two entries long-poll the
-// log; the others read when a message reports a higher offset, so that the calls to the log do
+// log; the others read when a message reports a later position, so that the calls to the log do
 // not grow with the number of entries.
 type topic struct {
-	nextOffset atomic.Int64
-	wake       chan struct{}
+	mu   sync.Mutex
+	next sharedlog.Position
+	wake chan struct{}
 }
 
 func newTopic() *topic { return &topic{wake: make(chan struct{}, 1)} }
 
-// observe wakes the reader if another entry has read further than this one.
-func (t *topic) observe(next int64) {
-	if next <= t.nextOffset.Load() {
+func (t *topic) setPosition(next sharedlog.Position) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.next = next
+}
+
+func (t *topic) position() sharedlog.Position {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.next
+}
+
+// observe wakes the reader if another entry has read further than this one, or has read the log
+// after a restore that this entry has not noticed yet. A position without a timeline is compared by
+// its offset only.
+func (t *topic) observe(next sharedlog.Position) {
+	own := t.position()
+	if next.Timeline == 0 {
+		next.Timeline = own.Timeline
+	}
+	if !next.After(own) {
 		return
 	}
 	select {
@@ -33,7 +52,7 @@
 	t := g.topics[name]
 	return follow.Options{
 		Topic: name, Wait: longPollWait, Pause: topicPollInterval,
-		IsLeader: g.isLogReader, Wake: t.wake, OnProgress: t.nextOffset.Store,
+		IsLeader: g.isLogReader, Wake: t.wake, OnProgress: t.setPosition,
 	}
 }
 
@@ -44,18 +63,23 @@
 	return g.directory.IsLogReader(time.Now(), logReaders)
 }
 
-// progress returns the next offset to read of each topic, by topic name.
-func (g *Gateway) progress() map[string]int64 {
-	next := make(map[string]int64, len(g.topics))
+// progress returns the next offset to read of each topic and the timeline that it belongs to, by
+// topic name.
+func (g *Gateway) progress() (offsets, timelines map[string]int64) {
+	offsets, timelines = make(map[string]int64, len(g.topics)), make(map[string]int64, len(g.topics))
 	for name, t := range g.topics {
-		next[name.String()] = t.nextOffset.Load()
+		next := t.position()
+		offsets[name.String()] = next.Next
+		if next.Timeline > 0 {
+			timelines[name.String()] = int64(next.Timeline)
+		}
 	}
-	return next
+	return offsets, timelines
 }
 
-func (g *Gateway) observeProgress(next map[string]int64) {
+func (g *Gateway) observeProgress(offsets, timelines map[string]int64) {
 	for name, t := range g.topics {
-		t.observe(next[name.String()])
+		t.observe(sharedlog.Position{Timeline: sharedlog.Timeline(timelines[name.String()]), Next: offsets[name.String()]})
 	}
 }
 
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"encoding/json"
-	"github.com/fescuehub/fescuehub/pkg/telemetry"
 	"net"
 	"net/netip"
 
@@ -16,11 +15,15 @@
 	"github.com/fescuehub/fescuehub/pkg/balance"
 	"github.com/fescuehub/fescuehub/pkg/fleet"
 	"github.com/fescuehub/fescuehub/pkg/retrybudget"
+	"github.com/fescuehub/fescuehub/pkg/telemetry"
 )
 
 // maxMessageBytes limits the size of a datagram.
 const maxMessageBytes = 60 << 10
 
+// MaxLeaving bounds the leaving servers in one message: about 3 KB.
+const MaxLeaving = 64
+
 // EntryState is the state that an entry sends to the other entries.
 type EntryState struct {
 	Name string `json:"name"`
@@ -35,8 +38,14 @@
 	// the offset that it reads next.
 	LogReachable bool             `json:"reads"`
 	NextOffsets  map[string]int64 `json:"next,omitempty"`
+	// Timelines holds, by topic, the timeline of the log that NextOffsets belongs to; a topic is
+	// missing if the log states none.
+	Timelines map[string]int64 `json:"tl,omitempty"`
 	// InFlight is the load that the entry has in flight at each backend server.
 	InFlight map[string]balance.Load `json:"load,omitempty"`
+	// Leaving holds the incarnations, by ID, of backend servers that are leaving, for up to
+	// MaxLeaving servers.
+	Leaving map[string]int64 `json:"leave,omitempty"`
 	// Budget counts requests and retries by service.
 	Budget map[string]retrybudget.Counts `json:"budget,omitempty"`
 }
--- a/pkg/mapswitch/lag_test.go
+++ b/pkg/mapswitch/lag_test.go
@@ -29,6 +29,15 @@
 	return report, err
 }
 
+func nextVersion(t *testing.T, f *mapswitch.FenceCounter) int64 {
+	t.Helper()
+	version, err := f.NextVersion()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return version
+}
+
 // resolveWithLaggingReport runs a second planner that resolves the state after a first one. The
 // first planner was suspended for seconds, resumed, disarmed the other ranks and was fenced off.
 // The anchor holds the group and was armed a moment ago, which its report does not show yet.
@@ -36,10 +45,10 @@
 	t.Helper()
 	g := newGroup(1, ranks, allChecks, faults{})
 	ctx := context.Background()
-	first := mapswitch.NewFenceCounter(1)
-	version := first.NextVersion()
+	first := mapswitch.NewFenceCounter(1, 1)
+	version := nextVersion(t, first)
 	order := func(r int, o rankcontrol.Order) {
-		o.Epoch, o.Fence = g.epochNow(), first.NextVersion()
+		o.Epoch, o.Fence = g.epochNow(), nextVersion(t, first)
 		if verdict, err := g.ranks[r].Order(ctx, o); err != nil || verdict != rankcontrol.Accepted && verdict != rankcontrol.InEffect {
 			t.Fatalf("%s at rank %d: %s, %v", o.Operation, r, verdict, err)
 		}
@@ -51,7 +60,7 @@
 	order(1, rankcontrol.Order{Operation: rankcontrol.Hold, Step: step})
 	order(1, rankcontrol.Order{Operation: rankcontrol.Arm, Version: version, Step: step})
 	since := time.Now()
-	f := &mapswitch.Group{Anchor: 1, Epoch: g.epochNow(), Fences: mapswitch.NewFenceCounter(2), ReportLag: reportLag}
+	f := &mapswitch.Group{Anchor: 1, Epoch: g.epochNow(), Fences: mapswitch.NewFenceCounter(1, 2), ReportLag: reportLag}
 	f.Ranks = g.controls(func(r rankcontrol.Rank) rankcontrol.Rank {
 		if r.(*rank) == g.ranks[1] {
 			return lagging{r, since}
--- a/pkg/mapswitch/mapswitch.go
+++ b/pkg/mapswitch/mapswitch.go
@@ -16,6 +16,7 @@
 
 	"github.com/fescuehub/fescuehub/pkg/fleet"
 	"github.com/fescuehub/fescuehub/pkg/rankcontrol"
+	"github.com/fescuehub/fescuehub/pkg/sharedlog"
 	"github.com/fescuehub/fescuehub/pkg/wait"
 )
 
@@ -43,10 +44,16 @@
 	// defaultReportLag bounds the age of a report that was read from another instance: three times
 	// the age that the engine specification states.
 	defaultReportLag = 600 * time.Millisecond
-	// fencesPerGeneration bounds the fences that one generation allocates.
-	fencesPerGeneration = 1 << 24
+	// A fence consists of the timeline of the shared log, the generation of the election in 24 bits
+	// and a number in 24 bits. The timeline has at most 15 bits (sharedlog.MaxTimeline).
+	timelineShift, generationShift = 48, 24
+	fencesPerGeneration            = 1 << generationShift
 )
 
+// ErrFencesExhausted means that a planner has allocated every fence of its generation. It must resign
+// from the election, which starts another generation.
+var ErrFencesExhausted = errors.New("all fences of this generation are allocated: resign from the election")
+
 // ErrFenced means that a rank has seen a higher fence: another planner has taken over.
 var ErrFenced = errors.New("fenced off: another planner has taken over")
 
@@ -56,25 +63,31 @@
 // FenceCounter allocates the fences of one planner: each order gets a higher one than all earlier
 // orders.
 type FenceCounter struct {
-	mu   sync.Mutex
-	next int64
+	mu          sync.Mutex
+	first, next int64
 }
 
-// NewFenceCounter returns the counter of one generation of the planner's election. Its fences are
-// higher than those of all earlier generations.
-func NewFenceCounter(generation int64) *FenceCounter {
-	return &FenceCounter{next: generation * fencesPerGeneration}
+// NewFenceCounter returns the counter of one generation of the planner's election in one timeline of
+// the shared log. Its fences are higher than those of all earlier generations of the timeline and
+// than those of all earlier timelines, in which the generation may have been higher.
+func NewFenceCounter(timeline sharedlog.Timeline, generation int64) *FenceCounter {
+	first := int64(timeline)<<timelineShift + generation<<generationShift
+	return &FenceCounter{first: first, next: first}
 }
 
-func (f *FenceCounter) allocate() int64 {
+func (f *FenceCounter) allocate() (int64, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.next-f.first >= fencesPerGeneration-1 {
+		return 0, ErrFencesExhausted
+	}
 	f.next++
-	return f.next
+	return f.next, nil
 }
 
-// NextVersion allocates a map version that is higher than all earlier ones.
-func (f *FenceCounter) NextVersion() int64 { return f.allocate() }
+// NextVersion allocates a map version that is higher than all earlier ones. The error is
+// ErrFencesExhausted.
+func (f *FenceCounter) NextVersion() (int64, error) { return f.allocate() }
 
 // Group controls the ranks of a group in one epoch.
 type Group struct {
@@ -216,13 +229,16 @@
 // cannot be older than the fence.
 func (g *Group) fenceAndReport(ctx context.Context) ([]fleet.EngineReport, error) {
 	reports := make([]fleet.EngineReport, len(g.Ranks))
-	unused := g.Fences.NextVersion()
+	unused, err := g.Fences.NextVersion()
+	if err != nil {
+		return nil, err
+	}
 	read := func(ctx context.Context, r int) error {
 		report, err := g.report(ctx, r)
 		reports[r] = report
 		return err
 	}
-	err := g.forEachRank(ctx, func(ctx context.Context, r int) error {
+	err = g.forEachRank(ctx, func(ctx context.Context, r int) error {
 		if err := g.orderIgnoringConflict(ctx, r, rankcontrol.Order{Operation: rankcontrol.Disarm, Version: unused}); err != nil {
 			return err
 		}
@@ -282,7 +298,11 @@
 func (g *Group) sendOrder(ctx context.Context, r int, o rankcontrol.Order) error {
 	o.Epoch = g.Epoch
 	for {
-		o.Fence = g.Fences.allocate()
+		fence, err := g.Fences.allocate()
+		if err != nil {
+			return err
+		}
+		o.Fence = fence
 		attempt, cancel := context.WithTimeout(ctx, g.orderTimeout(o.Operation))
 		verdict, err := g.Ranks[r].Order(attempt, o)
 		cancel()
--- a/pkg/mapswitch/matrix_test.go
+++ b/pkg/mapswitch/matrix_test.go
@@ -56,7 +56,10 @@
 	if err := f.Resolve(ctx); err != nil {
 		return err
 	}
-	version := fences.NextVersion()
+	version, err := fences.NextVersion()
+	if err != nil {
+		return err
+	}
 	if err := f.Prepare(ctx, version, nil, 0, nil); err != nil {
 		return err
 	}
@@ -69,12 +72,23 @@
 	return g.epoch
 }
 
+// plannerFences returns the fences of the planners that are elected one after the other. In the mode
+// "restore" the shared log is restored between the first election and the second one, so that the
+// generation goes back while the timeline rises.
+func plannerFences(mode string) (first, second, third *mapswitch.FenceCounter) {
+	if mode == "restore" {
+		return mapswitch.NewFenceCounter(1, 7), mapswitch.NewFenceCounter(2, 5), mapswitch.NewFenceCounter(2, 6)
+	}
+	return mapswitch.NewFenceCounter(1, 1), mapswitch.NewFenceCounter(1, 2), mapswitch.NewFenceCounter(1, 3)
+}
+
 // runTakeover runs one cell of the matrix: the first planner stops at an order, a second one takes
 // over, and the first one resumes if it was suspended. It returns the group, which records a
 // violation.
 func runTakeover(seed uint64, c checks, f faults, at int, mode string) *group {
 	g := newGroup(seed, ranks, c, f)
 	g.idle = mode == "idle"
+	firstFences, secondFences, _ := plannerFences(mode)
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	first, endFirst := context.WithCancel(ctx)
@@ -82,7 +96,7 @@
 	s := &plannerStop{remaining: at}
 	var done sync.WaitGroup
 	switch mode {
-	case "freeze":
+	case "freeze", "restore":
 		s.suspended, s.resume = make(chan struct{}), make(chan struct{})
 	default:
 		s.cancel = endFirst
@@ -90,9 +104,9 @@
 	ended := make(chan struct{})
 	done.Go(func() {
 		defer close(ended)
-		_ = prepareAndSwitch(first, g, g.controls(s.wrap), mapswitch.NewFenceCounter(1)) // any outcome is allowed
+		_ = prepareAndSwitch(first, g, g.controls(s.wrap), firstFences) // any outcome is allowed
 	})
-	if mode == "freeze" {
+	if s.suspended != nil {
 		select {
 		case <-s.suspended:
 		case <-ended:
@@ -103,7 +117,7 @@
 	if mode == "reform" {
 		g.reform()
 	}
-	_ = prepareAndSwitch(ctx, g, g.controls(identity), mapswitch.NewFenceCounter(2)) // any outcome is allowed
+	_ = prepareAndSwitch(ctx, g, g.controls(identity), secondFences) // any outcome is allowed
 	if s.resume != nil {
 		close(s.resume)
 	}
@@ -119,7 +133,7 @@
 // TestEachPassUsesOneMap injects every fault at every order of a switch: no pass may begin while
 // two ranks have different maps, and the group must be released in the end.
 func TestEachPassUsesOneMap(t *testing.T) {
-	for _, mode := range []string{"kill", "freeze", "reform", "idle"} {
+	for _, mode := range []string{"kill", "freeze", "reform", "idle", "restore"} {
 		for k, f := range faultRates {
 			t.Run(fmt.Sprintf("%s/%d", mode, k), func(t *testing.T) {
 				t.Parallel()
@@ -129,7 +143,7 @@
 						if g.violation != "" {
 							t.Fatalf("stopped at order %d, seed %d: %s", at, seed, g.violation)
 						}
-						checkReleased(t, g, at, seed)
+						checkReleased(t, g, mode, at, seed)
 					}
 				}
 			})
@@ -139,12 +153,13 @@
 
 // checkReleased resolves once more, as a planner does in its next round, and then expects that no
 // rank holds the group.
-func checkReleased(t *testing.T, g *group, at int, seed uint64) {
+func checkReleased(t *testing.T, g *group, mode string, at int, seed uint64) {
 	t.Helper()
+	_, _, fences := plannerFences(mode)
 	g.mu.Lock()
 	g.faults, g.idle = faults{}, false
 	g.mu.Unlock()
-	f := &mapswitch.Group{Ranks: g.controls(identity), Anchor: 1, Epoch: g.epochNow(), Fences: mapswitch.NewFenceCounter(3)}
+	f := &mapswitch.Group{Ranks: g.controls(identity), Anchor: 1, Epoch: g.epochNow(), Fences: fences}
 	if err := f.Resolve(context.Background()); err != nil {
 		t.Fatalf("stopped at order %d, seed %d: %v", at, seed, err)
 	}
@@ -181,7 +196,7 @@
 // the initial map.
 func TestSwitchChangesTheMapOfEveryRank(t *testing.T) {
 	g := newGroup(1, ranks, allChecks, faults{})
-	if err := prepareAndSwitch(context.Background(), g, g.controls(identity), mapswitch.NewFenceCounter(1)); err != nil {
+	if err := prepareAndSwitch(context.Background(), g, g.controls(identity), mapswitch.NewFenceCounter(1, 1)); err != nil {
 		t.Fatal(err)
 	}
 	g.deliverLateOrders()
@@ -221,7 +236,7 @@
 		g := newGroup(1, 3, allChecks, faults{})
 		g.steady = true
 		ranks := g.controls(func(r rankcontrol.Rank) rankcontrol.Rank { return &passBeforeHold{Rank: r, group: g, passes: begun} })
-		group := &mapswitch.Group{Ranks: ranks, Epoch: 1, Fences: mapswitch.NewFenceCounter(1), PassTime: 250 * time.Millisecond, ArmingTime: 15 * time.Millisecond}
+		group := &mapswitch.Group{Ranks: ranks, Epoch: 1, Fences: mapswitch.NewFenceCounter(1, 1), PassTime: 250 * time.Millisecond, ArmingTime: 15 * time.Millisecond}
 		for _, r := range g.ranks {
 			r.prepared = 5
 		}
--- a/pkg/rankagent/agent.go
+++ b/pkg/rankagent/agent.go
@@ -95,7 +95,7 @@
 // New returns an agent that has not been started.
 func New(s settings.Instance, d Decoder, shared sharedlog.Log, control func(address string) rankcontrol.Rank, log *zap.Logger, metrics *telemetry.Metrics) *Agent {
 	return &Agent{
-		settings: s, decoder: d, shared: shared, control: control, local: control(s.BackendAddress),
+		settings: s, decoder: d, shared: sharedlog.NewGuard(shared, log), control: control, local: control(s.BackendAddress),
 		log: log, metrics: metrics, scope: metrics.Scope,
 		memberID:      s.Name + "/" + uuid.NewString(),
 		subscribers:   make(map[netip.AddrPort]time.Time),
--- a/pkg/rankagent/elect.go
+++ b/pkg/rankagent/elect.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
-	"github.com/fescuehub/fescuehub/pkg/telemetry"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/fescuehub/fescuehub/pkg/mapswitch"
+	"github.com/fescuehub/fescuehub/pkg/sharedlog"
+	"github.com/fescuehub/fescuehub/pkg/telemetry"
 	"github.com/fescuehub/fescuehub/pkg/wait"
 )
 
@@ -36,7 +39,7 @@
 // over, the ranks refuse the lower fence.
 func (a *Agent) electAndPlan(ctx context.Context) {
 	election := electionPrefix + a.settings.Service
-	var generation int64
+	var last sharedlog.Ownership
 	var term *term
 	lost, member := false, false
 	for ctx.Err() == nil {
@@ -50,7 +53,7 @@
 		}
 		member = true
 		call, cancel := context.WithTimeout(ctx, electionTimeout)
-		ownership, err := a.shared.Elect(call, election, a.memberID, electionTTL, generation)
+		ownership, err := a.shared.Elect(call, election, a.memberID, electionTTL, last)
 		cancel()
 		if lost != (err != nil) && ctx.Err() == nil {
 			lost = err != nil
@@ -58,11 +61,15 @@
 		}
 		pause := electionInterval
 		if err == nil {
-			if ownership.Generation != generation || a.plannerSilent(plannerKnownTimeout) {
+			if ownership.Timeline != last.Timeline || ownership.Generation != last.Generation || a.plannerSilent(plannerKnownTimeout) {
 				pause = unsettledElectionInterval
 			}
-			generation = ownership.Generation
-			term = a.updateTerm(ctx, term, ownership.Owner, generation)
+			last = ownership
+			if term != nil && term.fencesExhausted() {
+				a.resign(ctx, election)
+				last = sharedlog.Ownership{}
+			}
+			term = a.updateTerm(ctx, term, last)
 		}
 		wait.For(ctx, pause)
 	}
@@ -108,8 +115,12 @@
 
 // term is a period in which this agent plans.
 type term struct {
-	cancel context.CancelFunc
-	done   chan struct{}
+	// timeline is the timeline of the shared log in which this agent was elected.
+	timeline sharedlog.Timeline
+	cancel   context.CancelFunc
+	done     chan struct{}
+	// err is why the planner stopped; it is set before done is closed.
+	err error
 }
 
 func (t *term) end() {
@@ -126,26 +137,33 @@
 	}
 }
 
+func (t *term) fencesExhausted() bool {
+	return t.ended() && errors.Is(t.err, mapswitch.ErrFencesExhausted)
+}
+
 // updateTerm starts a term when this agent becomes the owner, and ends it when the agent loses the
-// election or its planner has stopped. It returns the current term, nil if there is none.
-func (a *Agent) updateTerm(ctx context.Context, current *term, owner bool, generation int64) *term {
-	if current != nil && (!owner || current.ended()) {
-		a.log.Info("stopped planning expert maps: another agent owns the election, or this planner was fenced off", zap.Bool("owner", owner), zap.Int64("generation", generation))
+// election, its planner has stopped, or the shared log was restored: an election of an earlier
+// timeline is void, because the restored log may have elected another agent. It returns the current
+// term, nil if there is none.
+func (a *Agent) updateTerm(ctx context.Context, current *term, o sharedlog.Ownership) *term {
+	if current != nil && (!o.Owner || o.Timeline != current.timeline || current.ended()) {
 		current.end()
+		a.log.Info("stopped planning expert maps", zap.Bool("owner", o.Owner), zap.Int64("generation", o.Generation),
+			zap.Int64("timeline", int64(o.Timeline)), zap.Int64("electedInTimeline", int64(current.timeline)), telemetry.Err(current.err))
 		current = nil
 	}
-	if current != nil || !owner {
+	if current != nil || !o.Owner {
 		return current
 	}
-	a.log.Info("started planning expert maps", zap.Int64("generation", generation))
+	a.log.Info("started planning expert maps", zap.Int64("generation", o.Generation), zap.Int64("timeline", int64(o.Timeline)))
 	ctx, cancel := context.WithCancel(ctx)
-	t := &term{cancel: cancel, done: make(chan struct{})}
-	p := newPlanner(a, generation)
+	t := &term{timeline: o.Timeline, cancel: cancel, done: make(chan struct{})}
+	p := newPlanner(a, o)
 	a.planning.Store(true)
 	go func() {
 		defer close(t.done)
 		defer a.planning.Store(false)
-		p.run(ctx)
+		t.err = p.run(ctx)
 	}()
 	return t
 }
--- a/pkg/rankagent/planner.go
+++ b/pkg/rankagent/planner.go
@@ -64,7 +64,12 @@
 
 	mu      sync.Mutex
 	servers map[string]fleet.Server
-	engine  *fleet.Engine
+	// restoredServers holds the servers that a restored log does not list, and when each of them is
+	// removed unless it announces itself again.
+	restoredServers map[string]time.Time
+	engine          *fleet.Engine
+	// version is the version of the configuration that engine is part of.
+	version int64
 
 	// ranks holds the control of each rank by the address of its engine.
 	ranks  map[string]*remoteRank
@@ -93,15 +98,18 @@
 	pauseReason string
 }
 
-func newPlanner(a *Agent, generation int64) *planner {
+func newPlanner(a *Agent, o sharedlog.Ownership) *planner {
 	return &planner{
-		agent: a, log: a.log.With(zap.Int64("generation", generation)), fences: mapswitch.NewFenceCounter(generation),
-		servers: make(map[string]fleet.Server), ranks: make(map[string]*remoteRank), groups: make(map[string]*group),
+		agent:   a,
+		log:     a.log.With(zap.Int64("timeline", int64(o.Timeline)), zap.Int64("generation", o.Generation)),
+		fences:  mapswitch.NewFenceCounter(o.Timeline, o.Generation),
+		servers: make(map[string]fleet.Server), restoredServers: make(map[string]time.Time), ranks: make(map[string]*remoteRank), groups: make(map[string]*group),
 	}
 }
 
-// run plans until ctx ends or another planner takes over.
-func (p *planner) run(ctx context.Context) {
+// run plans until ctx ends, another planner takes over, or the fences are exhausted. The error is nil
+// if ctx ended.
+func (p *planner) run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	p.ctx = ctx
@@ -120,17 +128,19 @@
 		}
 	}()
 	for ctx.Err() == nil {
-		if err := p.round(ctx); errors.Is(err, mapswitch.ErrFenced) {
-			p.log.Warn("planning stopped: another planner has taken over")
-			return
+		if err := p.round(ctx); err != nil {
+			p.log.Warn("planning stopped", telemetry.Err(err))
+			return err
 		}
 		wait.For(ctx, roundInterval)
 	}
+	return nil
 }
 
-// round reconciles each group once.
+// round reconciles each group once. An error means that this planner must stop.
 func (p *planner) round(ctx context.Context) error {
 	p.mu.Lock()
+	p.removeLapsedServers(time.Now())
 	engine := p.engine
 	members := make(map[string][]fleet.Server)
 	for _, s := range p.servers {
@@ -298,13 +308,13 @@
 	err := f.Resolve(ctx)
 	g.resolved = err == nil
 	p.log.Info("recover a group", zap.String("group", g.name), zap.Int64("epoch", g.epoch), telemetry.Err(err))
-	return onlyFenced(err)
+	return onlyFinal(err)
 }
 
-// onlyFenced returns err if it is ErrFenced, and otherwise nil: the planner retries after any other
-// error.
-func onlyFenced(err error) error {
-	if errors.Is(err, mapswitch.ErrFenced) {
+// onlyFinal returns err if the planner must stop because of it, and otherwise nil: the planner
+// retries after any other error.
+func onlyFinal(err error) error {
+	if errors.Is(err, mapswitch.ErrFenced) || errors.Is(err, mapswitch.ErrFencesExhausted) {
 		return err
 	}
 	return nil
@@ -359,8 +369,11 @@
 		return nil
 	}
 	planningTime := time.Since(began)
-	version := p.fences.NextVersion()
-	err := f.Prepare(ctx, version, plan.Sets, g.currentVersion, g.current)
+	version, err := p.fences.NextVersion()
+	if err != nil {
+		return err
+	}
+	err = f.Prepare(ctx, version, plan.Sets, g.currentVersion, g.current)
 	p.log.Info("prepare an expert map", zap.String("group", g.name), zap.Int64("epoch", g.epoch), zap.Int64("version", version),
 		zap.Float64("skewBefore", plan.Before), zap.Float64("skewAfter", plan.After), zap.Int("copies", plan.Copies),
 		zap.Float64("maxSlowdown", slices.Max(limits.Slowdown)),
@@ -368,7 +381,7 @@
 	p.agent.scope.Counter("maps_prepared").Inc(1)
 	g.lastChange = time.Now()
 	if err != nil {
-		return onlyFenced(err)
+		return onlyFinal(err)
 	}
 	g.next, g.nextVersion, g.nextSentAt = plan.Sets, version, time.Now()
 	return p.switchOver(ctx, g, f)
@@ -404,7 +417,7 @@
 	g.lastChange = time.Now()
 	if err != nil {
 		g.resolved, g.next = false, nil
-		return onlyFenced(err)
+		return onlyFinal(err)
 	}
 	p.agent.scope.Counter("maps_switched").Inc(1)
 	g.formingPhase.end()
--- a/pkg/rankagent/sinks.go
+++ b/pkg/rankagent/sinks.go
@@ -1,6 +1,8 @@
 package rankagent
 
 import (
+	"time"
+
 	"go.uber.org/zap"
 
 	"github.com/fescuehub/fescuehub/pkg/sharedlog"
@@ -19,15 +21,22 @@
 	if !ok || err != nil {
 		return
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.Version < s.version {
+		return // the log was restored from a copy without the newer configuration
+	}
+	s.version = c.Version
 	for _, service := range c.Services {
 		if service.Name == s.agent.settings.Service {
-			s.mu.Lock()
 			s.engine = service.Engine
-			s.mu.Unlock()
 		}
 	}
 }
 
+// Restored implements follow.Sink. Apply ignores configurations older than the current one.
+func (s *configurationSink) Restored() {}
+
 // BeginSnapshot implements follow.Sink.
 func (s *configurationSink) BeginSnapshot() {}
 
@@ -47,6 +56,7 @@
 func (s *rankSink) Apply(r sharedlog.Record) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	delete(s.restoredServers, r.Key)
 	if len(r.Value) == 0 {
 		delete(s.servers, r.Key)
 		return
@@ -59,11 +69,37 @@
 	s.servers[r.Key] = server
 }
 
+// Restored implements follow.Sink. The servers stay known for a grace period, in which they announce
+// themselves again if they run.
+func (s *rankSink) Restored() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	removeAt := time.Now().Add(s.agent.settings.Bounds.LeaveGrace)
+	for id := range s.servers {
+		s.restoredServers[id] = removeAt
+	}
+}
+
 // BeginSnapshot implements follow.Sink.
 func (s *rankSink) BeginSnapshot() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	clear(s.servers)
+	for id := range s.servers {
+		if _, restored := s.restoredServers[id]; !restored {
+			delete(s.servers, id)
+		}
+	}
+}
+
+// removeLapsedServers removes the servers that have not announced themselves again in time after a
+// restore of the log. The caller holds p.mu.
+func (p *planner) removeLapsedServers(now time.Time) {
+	for id, removeAt := range p.restoredServers {
+		if !now.Before(removeAt) {
+			delete(p.servers, id)
+			delete(p.restoredServers, id)
+		}
+	}
 }
 
 // EndSnapshot implements follow.Sink.
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -121,9 +122,7 @@
 // receive processes the headers and then the body of a response.
 func (x *exchange) receive(ctx context.Context, s fleet.Server, response *backendconn.Response) (outcome, error) {
 	head := x.codec.DecodeResponse(response.Status, response.Header)
-	if head.WrongServer {
-		x.misdirected(s.ID)
-	}
+	x.observe(s, response.Status, head)
 	if head.NotRun {
 		x.exclude(s.ID)
 		if head.GroupFault && x.q.Service.Engine != nil {
@@ -148,6 +147,29 @@
 	return x.relayBuffered(ctx, s, response, success)
 }
 
+// observe records what a response says about its server.
+func (x *exchange) observe(s fleet.Server, status int, head ResponseHeaders) {
+	if head.WrongServer {
+		x.observer.Misdirected(s.ID)
+		return
+	}
+	if head.Leaving {
+		x.observer.Leaving(s.ID, s.Incarnation)
+	}
+	if status != http.StatusServiceUnavailable || head.RetryAfter == "" {
+		return
+	}
+	pause, ok := serverPause(head.RetryAfter)
+	if !ok {
+		x.observer.RetryAfterIgnored(s.ID, head.RetryAfter)
+	}
+	if pause > 0 {
+		now := time.Now()
+		// Entries that were refused at the same time do not return at the same time.
+		x.balancer.Pause(now, s, now.Add(pause+rand.N(min(pause/4, maxPauseJitter)+1)))
+	}
+}
+
 // brokenOffOr returns brokenOff if the response to the caller has started, and o otherwise.
 func (x *exchange) brokenOffOr(o outcome) outcome {
 	if x.started {
--- a/pkg/relay/headers.go
+++ b/pkg/relay/headers.go
@@ -1,12 +1,34 @@
 package relay
 
 import (
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 )
 
+const (
+	// MaxServerPause bounds the pause of a server that asks for more: it is then tried once per
+	// MaxServerPause.
+	MaxServerPause = 5 * time.Minute
+	// maxPauseJitter bounds the random extension of a server's pause.
+	maxPauseJitter = time.Second
+)
+
+// serverPause returns the pause that a Retry-After in seconds asks for. It returns false for a value
+// that is not a number of seconds from 0 to MaxServerPause; a larger number is reduced to that.
+func serverPause(value string) (time.Duration, bool) {
+	s, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
+	if err != nil || math.IsNaN(s) || s < 0 {
+		return 0, false
+	}
+	if s > MaxServerPause.Seconds() {
+		return MaxServerPause, false
+	}
+	return time.Duration(s * float64(time.Second)), true
+}
+
 // hopByHopHeaders are the hop-by-hop headers, which apply to a single connection.
 var hopByHopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -94,6 +94,11 @@
 	// GroupFault means that the request was refused because the group of engines depends on a
 	// server that is dead or unreachable.
 	GroupFault bool
+	// Leaving means that the server is about to end and accepts no new requests.
+	Leaving bool
+	// RetryAfter is the time, as the server states it in seconds, for which an overloaded server
+	// wants no requests; empty if it states none.
+	RetryAfter string
 }
 
 // Codec translates between header fields and their meaning.
@@ -138,19 +143,30 @@
 	Start(ctx context.Context, server, address string, r *backendconn.Request) (*backendconn.Response, error)
 }
 
+// ServerObserver is told what responses say about the servers that sent them. Its methods may be
+// called concurrently.
+type ServerObserver interface {
+	// Misdirected is called when the address of a server belongs to another server.
+	Misdirected(server string)
+	// Leaving is called when an incarnation of a server says that it is leaving.
+	Leaving(server string, incarnation int64)
+	// RetryAfterIgnored is called when a server states a Retry-After that is not a number of
+	// seconds from 0 to MaxServerPause.
+	RetryAfterIgnored(server, value string)
+}
+
 // Relay forwards requests. It is safe for concurrent use.
 type Relay struct {
 	codec     Codec
 	transport Transport
 	balancer  *balance.Balancer
 	budget    *retrybudget.Budget
-	// misdirected is called with the ID of a server whose address belongs to another server.
-	misdirected func(server string)
+	observer  ServerObserver
 }
 
 // New returns a relay.
-func New(codec Codec, t Transport, b *balance.Balancer, budget *retrybudget.Budget, misdirected func(string)) *Relay {
-	return &Relay{codec: codec, transport: t, balancer: b, budget: budget, misdirected: misdirected}
+func New(codec Codec, t Transport, b *balance.Balancer, budget *retrybudget.Budget, o ServerObserver) *Relay {
+	return &Relay{codec: codec, transport: t, balancer: b, budget: budget, observer: o}
 }
 
 // outcome is what is certain about an ended attempt.
@@ -261,6 +277,9 @@
 			x.finish(ctx, "retry budget exhausted")
 			return
 		}
+		if !x.balancer.Accepts(time.Now(), server) {
+			continue // it left, restarted or paused while the request waited
+		}
 		o := x.attempt(ctx, server)
 		if o == answered {
 			return
@@ -467,7 +486,8 @@
 		if x.groupFault {
 			mean = retryAfterGroupMean
 		}
-		retryAfter = mean*3/4 + rand.N(mean/2)
+		// Callers return when the first paused server accepts requests again, not all at once.
+		retryAfter = x.balancer.PauseLeft(time.Now(), x.q.Service.Name) + mean*3/4 + rand.N(mean/2)
 	}
 	WriteError(x.w, status, reason, retryAfter)
 }
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -35,7 +35,7 @@
 func (testCodec) DecodeResponse(status int, h http.Header) relay.ResponseHeaders {
 	return relay.ResponseHeaders{
 		RequestID: h.Get("Id"), Sealed: h.Get("Seal") != "", NotRun: h.Get("Not-Run") != "" || status == 421, WrongServer: status == 421,
-		GroupFault: h.Get("Fault") != "",
+		GroupFault: h.Get("Fault") != "", Leaving: h.Get("Leaving") != "", RetryAfter: h.Get("Retry-After"),
 	}
 }
 
@@ -144,6 +144,25 @@
 	balancer *balance.Balancer
 	mu       sync.Mutex
 	reports  []relay.Report
+	// leaving and ignored record the calls of Leaving and RetryAfterIgnored.
+	leaving, ignored []string
+}
+
+// Misdirected implements relay.ServerObserver.
+func (s *testRelay) Misdirected(string) {}
+
+// Leaving implements relay.ServerObserver.
+func (s *testRelay) Leaving(server string, _ int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = append(s.leaving, server)
+}
+
+// RetryAfterIgnored implements relay.ServerObserver.
+func (s *testRelay) RetryAfterIgnored(_, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ignored = append(s.ignored, value)
 }
 
 func newTestRelay(t *testing.T, route fleet.Route, service fleet.Service, floor float64, servers ...fleet.Server) *testRelay {
@@ -151,7 +170,7 @@
 	s := &testRelay{balancer: balance.New()}
 	s.balancer.SetServers(servers)
 	budget := retrybudget.New(retrybudget.Limits{Ratio: 0.2, Floor: floor, Window: 10 * time.Second}, time.Now())
-	r := relay.New(testCodec{}, backendconn.NewPools(), s.balancer, budget, func(string) {})
+	r := relay.New(testCodec{}, backendconn.NewPools(), s.balancer, budget, s)
 	service.Name = "s"
 	s.front = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		body, _ := io.ReadAll(req.Body) // test clients send complete bodies
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -21,12 +21,20 @@
 	// misdirected holds, by ID, the incarnation of servers at whose address another server
 	// answers.
 	misdirected map[string]int64
+	// leaving holds, by ID, the incarnation of servers that have said in a response that they are
+	// leaving. A change of the announcement does not affect it.
+	leaving *incarnations
+	// departed holds the last announcement of the servers that were removed.
+	departed *incarnations
 	// logLost is true while the log is unavailable. regainedAt is when the log last became
 	// available again.
 	logLost    bool
 	regainedAt time.Time
 	// snapshot collects the IDs announced in the snapshot being read, nil outside of one.
 	snapshot map[string]bool
+	// restored is true from a restore of the log from an earlier copy to the end of the snapshot
+	// that follows: the snapshot contains announcements that later ones had replaced.
+	restored bool
 }
 
 // New returns an empty roster.
@@ -36,6 +44,8 @@
 		servers:     make(map[string]fleet.Server),
 		lapsed:      make(map[string]time.Time),
 		misdirected: make(map[string]int64),
+		leaving:     newIncarnations(),
+		departed:    newIncarnations(),
 	}
 }
 
@@ -45,8 +55,27 @@
 // Announce adds or replaces the announcement of a server.
 func (r *Roster) Announce(s fleet.Server) {
 	r.markSeen(s.ID)
+	if r.restored && r.isOutdated(s) {
+		return
+	}
 	r.servers[s.ID] = s
 	delete(r.lapsed, s.ID)
+	r.departed.remove(s.ID)
+	if mark, ok := r.leaving.get(s.ID); ok && mark.incarnation != s.Incarnation {
+		r.leaving.remove(s.ID)
+	}
+}
+
+// isOutdated reports whether an announcement is not newer than the last known one of the server, or
+// than the last one before the server was removed.
+func (r *Roster) isOutdated(s fleet.Server) bool {
+	known := mark{}
+	if old, ok := r.servers[s.ID]; ok {
+		known = mark{old.Incarnation, old.Sequence}
+	} else if known, ok = r.departed.get(s.ID); !ok {
+		return false
+	}
+	return s.Incarnation < known.incarnation || s.Incarnation == known.incarnation && s.Sequence <= known.sequence
 }
 
 // Remove handles the removal of an announcement. The server is removed at once if it was draining
@@ -59,7 +88,7 @@
 		return
 	}
 	graceEnd := r.regainedAt.Add(r.gracePeriod)
-	if s.Draining || !r.logLost && !now.Before(graceEnd) {
+	if s.Draining || r.isLeaving(s) || !r.logLost && !now.Before(graceEnd) {
 		r.drop(id)
 		return
 	}
@@ -78,11 +107,22 @@
 func (r *Roster) Unreadable(id string) { r.drop(id) }
 
 func (r *Roster) drop(id string) {
+	if s, ok := r.servers[id]; ok {
+		r.departed.set(id, mark{s.Incarnation, s.Sequence})
+	}
 	delete(r.servers, id)
 	delete(r.lapsed, id)
 	delete(r.misdirected, id)
 }
 
+// LogRestored records that the log was restored from an earlier copy. The snapshot that follows does
+// not undo what later announcements said: servers that it lacks get the grace period to announce
+// themselves again, and outdated announcements of servers that are draining or gone are ignored.
+func (r *Roster) LogRestored(now time.Time) {
+	r.restored = true
+	r.LogRegained(now)
+}
+
 // BeginSnapshot starts a snapshot of all announcements.
 func (r *Roster) BeginSnapshot() { r.snapshot = make(map[string]bool) }
 
@@ -93,7 +133,7 @@
 			r.Remove(now, id)
 		}
 	}
-	r.snapshot = nil
+	r.snapshot, r.restored = nil, false
 }
 
 func (r *Roster) markSeen(id string) {
@@ -121,6 +161,37 @@
 	}
 }
 
+// MarkLeaving records that a server has said in a response that it is leaving. The incarnation is
+// unusable from then on, whatever it announces. A mark of another incarnation than the announced one
+// is ignored.
+func (r *Roster) MarkLeaving(id string, incarnation int64) (isNew bool) {
+	s, ok := r.servers[id]
+	if !ok || s.Incarnation != incarnation || r.isLeaving(s) {
+		return false
+	}
+	r.leaving.set(id, mark{incarnation: incarnation})
+	return true
+}
+
+func (r *Roster) isLeaving(s fleet.Server) bool {
+	m, ok := r.leaving.get(s.ID)
+	return ok && m.incarnation == s.Incarnation
+}
+
+// Leaving returns the incarnations, by ID, of the announced servers that are marked as leaving.
+func (r *Roster) Leaving() map[string]int64 {
+	var leaving map[string]int64
+	for id, s := range r.servers {
+		if r.isLeaving(s) {
+			if leaving == nil {
+				leaving = make(map[string]int64)
+			}
+			leaving[id] = s.Incarnation
+		}
+	}
+	return leaving
+}
+
 // Usable returns the servers that can be given new work. Of the servers with the same address,
 // only the newest counts.
 func (r *Roster) Usable(now time.Time) []fleet.Server {
@@ -134,5 +205,5 @@
 			candidates = append(candidates, s)
 		}
 	}
-	return slices.DeleteFunc(fleet.NewestByAddress(candidates), func(s fleet.Server) bool { return s.Draining })
+	return slices.DeleteFunc(fleet.NewestByAddress(candidates), func(s fleet.Server) bool { return s.Draining || r.isLeaving(s) })
 }
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -23,6 +23,23 @@
 	return false
 }
 
+// later returns a later announcement of the same incarnation.
+func later(s fleet.Server, draining bool) fleet.Server {
+	s.Sequence++
+	s.Draining = draining
+	return s
+}
+
+// restore reads the snapshot of a log that was restored after a minute.
+func restore(r *roster.Roster, listed ...fleet.Server) {
+	r.LogRestored(at(time.Minute))
+	r.BeginSnapshot()
+	for _, s := range listed {
+		r.Announce(s)
+	}
+	r.CompleteSnapshot(at(time.Minute))
+}
+
 // A server must become unusable when it drains, is removed, or another server answers at its
 // address, but not because its announcement lapsed while the log was unavailable: otherwise an
 // outage of the log would make every server unusable.
@@ -71,6 +88,52 @@
 			s.Incarnation = 2
 			r.Announce(s)
 		}, 0, true},
+		{"leaving", func(r *roster.Roster) { r.MarkLeaving("a", 1) }, 0, false},
+		{"leaving, announced again", func(r *roster.Roster) { r.MarkLeaving("a", 1); r.Announce(server) }, 0, false},
+		{"leaving, removed and announced again", func(r *roster.Roster) {
+			r.MarkLeaving("a", 1)
+			r.Remove(at(time.Minute), "a")
+			r.Announce(server)
+		}, time.Minute, false},
+		{"leaving, restarted", func(r *roster.Roster) {
+			r.MarkLeaving("a", 1)
+			s := server
+			s.Incarnation = 2
+			r.Announce(s)
+		}, 0, true},
+		{"leaving, marked with another incarnation", func(r *roster.Roster) { r.MarkLeaving("a", 7) }, 0, true},
+		{"leaving, lapsed while the log is unavailable", func(r *roster.Roster) {
+			r.MarkLeaving("a", 1)
+			r.LogLost()
+			r.Remove(at(time.Second), "a")
+		}, time.Second, false},
+		{"missing from a restored log", func(r *roster.Roster) { restore(r) }, time.Minute + 1900*time.Millisecond, true},
+		{"missing from a restored log, not announced again", func(r *roster.Roster) { restore(r) }, time.Minute + grace, false},
+		{"missing from a restored log, announced again", func(r *roster.Roster) { restore(r); r.Announce(server) }, time.Hour, true},
+		{"draining, ready in a restored log", func(r *roster.Roster) {
+			r.Announce(later(server, true))
+			restore(r, server)
+		}, time.Minute, false},
+		{"draining, ready in a restored log, then announced as ready", func(r *roster.Roster) {
+			r.Announce(later(server, true))
+			restore(r, server)
+			r.Announce(server)
+		}, time.Minute, true},
+		{"removed, listed in a restored log", func(r *roster.Roster) {
+			r.Remove(at(time.Minute), "a")
+			restore(r, server)
+		}, time.Minute, false},
+		{"removed, listed in a restored log, then announced", func(r *roster.Roster) {
+			r.Remove(at(time.Minute), "a")
+			restore(r, server)
+			r.Announce(later(server, false))
+		}, time.Minute, true},
+		{"restarted before the restored log was read", func(r *roster.Roster) {
+			r.Announce(later(server, true))
+			s := server
+			s.Incarnation = 2
+			restore(r, s)
+		}, time.Minute, true},
 	} {
 		r := roster.New(grace)
 		r.LogRegained(at(-time.Hour))
--- a/pkg/sharedlog/sharedlog.go
+++ b/pkg/sharedlog/sharedlog.go
@@ -34,9 +34,39 @@
 	Offset int64
 }
 
+// Timeline numbers the histories of the log. A restore of the log from an earlier copy starts a new
+// timeline, which is higher than all earlier ones: records after the copy are gone, and their offsets
+// and the generations of elections are assigned again. 0 means that the log states no timeline.
+type Timeline int64
+
+// Answer is the part of an answer that tells its timeline.
+type Answer struct {
+	// StatedTimeline is the timeline as the log states it; empty if it states none.
+	StatedTimeline string
+	// Timeline is set by Guard.
+	Timeline Timeline
+}
+
+// Position is a position in a topic.
+type Position struct {
+	Timeline Timeline
+	// Next is the offset to read from next.
+	Next int64
+}
+
+// After reports whether the position is later than another one. A position of a higher timeline is
+// later than every position of a lower one.
+func (p Position) After(other Position) bool {
+	if p.Timeline != other.Timeline {
+		return p.Timeline > other.Timeline
+	}
+	return p.Next > other.Next
+}
+
 // Page is one page of the newest records. The pages together are not a
 // consistent snapshot: continue reading from the End of the first page.
 type Page struct {
+	Answer
 	Records []Record
 	// After is the argument for the next page; empty on the last page.
 	After string
@@ -46,9 +76,12 @@
 
 // Batch is the result of a read.
 type Batch struct {
+	Answer
 	Records []Record
 	// Next is the offset to read from next.
 	Next int64
+	// End is the end of the topic when it was read.
+	End int64
 }
 
 // ErrExpired means that the requested records are no longer retained.
@@ -65,6 +98,7 @@
 
 // Ownership is the result of Elect.
 type Ownership struct {
+	Answer
 	// Generation increases with each change of owner.
 	Generation int64
 	// Owner is true if the member owns the election.
@@ -83,9 +117,9 @@
 	// Put writes the record of a key.
 	Put(ctx context.Context, topic Topic, key string, value []byte) error
 	// Elect joins an election or renews the membership. One member owns the
-	// election until it has not renewed for ttl. generation is that of the last
-	// Ownership that the member received, 0 if it has received none.
-	Elect(ctx context.Context, election, member string, ttl time.Duration, generation int64) (Ownership, error)
+	// election until it has not renewed for ttl. last is the last Ownership that the
+	// member received in the current timeline; its zero value if it has received none.
+	Elect(ctx context.Context, election, member string, ttl time.Duration, last Ownership) (Ownership, error)
 	// Resign leaves an election.
 	Resign(ctx context.Context, election, member string) error
 }
