--- a/pkg/backendconn/exchange.go
+++ b/pkg/backendconn/exchange.go
@@ -64,6 +64,7 @@
 type conn struct {
 	server    string
 	nc        net.Conn
+	bounded   *boundedReader
 	br        *bufio.Reader
 	idleUntil time.Time
 }
@@ -116,7 +117,8 @@
 	if err != nil {
 		return nil, false, errors.Wrap(err, "connect to the backend server")
 	}
-	return &conn{server: server, nc: nc, br: bufio.NewReaderSize(nc, readBufferBytes)}, false, nil
+	bounded := &boundedReader{nc: nc}
+	return &conn{server: server, nc: nc, bounded: bounded, br: bufio.NewReaderSize(bounded, readBufferBytes)}, false, nil
 }
 
 func (c *conn) roundTrip(r *Request) (*Response, error) {
@@ -172,11 +174,13 @@
 
 func (c *conn) readHead(method string) (*http.Response, error) {
 	for range maxInformational {
+		c.bounded.beginHead(c.br.Buffered())
 		response, err := http.ReadResponse(c.br, &http.Request{Method: method})
 		if err != nil {
 			return nil, err
 		}
 		if response.StatusCode >= 200 {
+			c.bounded.beginBody()
 			return response, nil
 		}
 	}
@@ -186,7 +190,7 @@
 // Close releases the response. The connection is kept only if the body was read to its end and no
 // bytes follow it.
 func (r *Response) Close() {
-	if !r.stop() || !r.complete() {
+	if !r.stop() || !r.complete() || r.conn.nc.SetReadDeadline(time.Time{}) != nil {
 		netconn.Abort(r.conn.nc)
 		return
 	}
--- a/pkg/eventstream/eventstream.go
+++ b/pkg/eventstream/eventstream.go
@@ -9,8 +9,9 @@
 	"github.com/cockroachdb/errors"
 )
 
-// MaxEventBytes is the maximum size of one event.
-const MaxEventBytes = 1 << 20
+// MaxEventBytes is the maximum size of one event. An entry relays some hundred streams at a time, each
+// of which may buffer an event.
+const MaxEventBytes = 256 << 10
 
 // ErrTruncated means that the stream ended within an event.
 var ErrTruncated = errors.New("event stream truncated: it ended within an event")
@@ -22,6 +23,9 @@
 	Raw []byte
 	// ID is the event's id field; empty if it has none.
 	ID string
+	// Comment is true if the event has no field: it contains only comments, which keep a connection
+	// open, or nothing.
+	Comment bool
 }
 
 // Reader reads events from a stream.
@@ -37,7 +41,7 @@
 // stream ends within an event, and otherwise the error of the stream.
 func (r *Reader) Next() (Event, error) {
 	r.buf = r.buf[:0]
-	id := ""
+	id, comment := "", true
 	for {
 		start := len(r.buf)
 		if err := r.readLine(); err != nil {
@@ -48,8 +52,9 @@
 		}
 		line := bytes.TrimRight(r.buf[start:], "\r\n")
 		if len(line) == 0 {
-			return Event{Raw: r.buf, ID: id}, nil
+			return Event{Raw: r.buf, ID: id, Comment: comment}, nil
 		}
+		comment = comment && line[0] == ':'
 		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			id = string(bytes.TrimPrefix(value, []byte(" ")))
 		}
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/fescuehub/fescuehub/pkg/panics"
 	"github.com/fescuehub/fescuehub/pkg/sharedlog"
 	"github.com/fescuehub/fescuehub/pkg/telemetry"
 	"github.com/fescuehub/fescuehub/pkg/wait"
@@ -165,14 +166,21 @@
 		f.started, f.restored, f.gotRecords = false, true, true
 		return f.start(ctx)
 	}
-	for _, r := range batch.Records {
-		f.sink.Apply(r)
-	}
+	f.applyAll(batch.Records)
 	f.gotRecords = len(batch.Records) > 0
 	f.position.Next = batch.Next
 	return nil
 }
 
+// applyAll applies records. A record that the sink fails to handle is skipped.
+func (f *follower) applyAll(records []sharedlog.Record) {
+	for _, r := range records {
+		if err := panics.Catch(func() { f.sink.Apply(r) }); err != nil {
+			f.logger.Error("failed to apply a record; it is skipped", zap.String("key", r.Key), zap.Int64("offset", r.Offset), telemetry.Err(err))
+		}
+	}
+}
+
 // wasRestored reports whether the log was restored since the last read: the batch belongs to another
 // timeline, or its offsets are impossible for the position that was read.
 func (f *follower) wasRestored(batch sharedlog.Batch) bool {
@@ -200,9 +208,7 @@
 	}
 	f.sink.BeginSnapshot()
 	for _, page := range pages {
-		for _, r := range page.Records {
-			f.sink.Apply(r)
-		}
+		f.applyAll(page.Records)
 	}
 	f.sink.EndSnapshot()
 	f.position, f.started, f.readBefore, f.restored = position, true, true, false
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -14,6 +14,7 @@
 
 	"github.com/fescuehub/fescuehub/pkg/balance"
 	"github.com/fescuehub/fescuehub/pkg/fleet"
+	"github.com/fescuehub/fescuehub/pkg/panics"
 	"github.com/fescuehub/fescuehub/pkg/retrybudget"
 	"github.com/fescuehub/fescuehub/pkg/telemetry"
 )
@@ -142,6 +143,11 @@
 			s.log.Warn("skipped a gossip message that cannot be decoded", zap.Stringer("from", from), telemetry.Err(err))
 			continue
 		}
-		receive(from, m)
+		if err := panics.Catch(func() { receive(from, m) }); err != nil {
+			s.log.Error("failed to handle a gossip message; it is skipped", zap.Stringer("from", from), telemetry.Err(err))
+		}
 	}
 }
+
+// Address returns the address at which the socket receives messages.
+func (s *Socket) Address() netip.AddrPort { return s.conn.LocalAddr().(*net.UDPAddr).AddrPort() }
--- a/pkg/httpclient/httpclient.go
+++ b/pkg/httpclient/httpclient.go
@@ -13,8 +13,12 @@
 	"github.com/cockroachdb/errors"
 )
 
-// maxIdleConnsPerHost limits the idle connections to one address.
-const maxIdleConnsPerHost = 256
+const (
+	// maxIdleConnsPerHost limits the idle connections to one address.
+	maxIdleConnsPerHost = 256
+	// maxHeadBytes bounds the head of a response.
+	maxHeadBytes = 64 << 10
+)
 
 // New returns a client without a proxy. It sets no timeout; the context of a
 // request limits its duration.
@@ -25,6 +29,7 @@
 	transport := http.DefaultTransport.(*http.Transport).Clone()
 	transport.Proxy = nil
 	transport.MaxIdleConnsPerHost = maxIdleConnsPerHost
+	transport.MaxResponseHeaderBytes = maxHeadBytes
 	return transport
 }
 
--- a/pkg/rankagent/members.go
+++ b/pkg/rankagent/members.go
@@ -31,6 +31,9 @@
 			epoch, size = r.Epoch, r.Ranks
 		}
 	}
+	if size > len(members) {
+		return nil, nil, errors.CombineErrors(errors.Newf("%d servers are announced, but epoch %d has %d ranks", len(members), epoch, size), errs)
+	}
 	servers, statuses := make([]fleet.Server, size), make([]rankStatus, size)
 	found := 0
 	for _, m := range members {
--- a/pkg/rankagent/planner.go
+++ b/pkg/rankagent/planner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"slices"
 	"strconv"
@@ -16,6 +17,7 @@
 	"github.com/fescuehub/fescuehub/pkg/follow"
 	"github.com/fescuehub/fescuehub/pkg/gossip"
 	"github.com/fescuehub/fescuehub/pkg/mapswitch"
+	"github.com/fescuehub/fescuehub/pkg/panics"
 	"github.com/fescuehub/fescuehub/pkg/popularity"
 	"github.com/fescuehub/fescuehub/pkg/rankcontrol"
 	"github.com/fescuehub/fescuehub/pkg/sharedlog"
@@ -80,6 +82,8 @@
 type group struct {
 	name  string
 	epoch int64
+	// shape is the size of the group's expert maps.
+	shape rankcontrol.Shape
 	// resolved is true once no order of an earlier planner or of a failed switch is pending.
 	resolved       bool
 	demand         *popularity.Estimator
@@ -128,7 +132,12 @@
 		}
 	}()
 	for ctx.Err() == nil {
-		if err := p.round(ctx); err != nil {
+		var err error
+		if panicked := panics.Catch(func() { err = p.round(ctx) }); panicked != nil {
+			p.log.Error("a planning round failed; the groups are read anew", telemetry.Err(panicked))
+			clear(p.groups)
+		}
+		if err != nil {
 			p.log.Warn("planning stopped", telemetry.Err(err))
 			return err
 		}
@@ -178,8 +187,14 @@
 		g.resolved = false
 		return nil
 	}
-	if epoch := statuses[0].Report.Epoch; g.epoch != epoch {
-		*g = group{name: name, epoch: epoch, armingEstimate: g.armingEstimate, demand: popularity.New(len(servers), engine.Sets, engine.Experts, DemandHalfLife)}
+	shape := rankcontrol.Shape{Sets: engine.Sets, Experts: engine.Experts, Ranks: len(servers)}
+	if !shape.Valid() {
+		p.agent.sendDigest(digest)
+		p.setPauseReason(g, fmt.Sprintf("the configured expert maps are empty or too large: %+v", shape))
+		return nil
+	}
+	if epoch := statuses[0].Report.Epoch; g.epoch != epoch || g.shape != shape {
+		*g = group{name: name, epoch: epoch, shape: shape, armingEstimate: g.armingEstimate, demand: popularity.New(len(servers), engine.Sets, engine.Experts, DemandHalfLife)}
 		g.formingPhase.begin(now, statuses[0].Report.Map)
 	}
 	if g.formingPhase.active(now) {
@@ -344,6 +359,9 @@
 				present[set] = append(present[set], experts)
 			}
 		}
+		if err := present.Check(g.shape); err != nil {
+			return errors.Wrapf(err, "the ranks returned an invalid map of version %d", version)
+		}
 		g.current = present
 	}
 	g.currentVersion = version
--- a/pkg/rankcontrol/rankcontrol.go
+++ b/pkg/rankcontrol/rankcontrol.go
@@ -99,6 +99,33 @@
 	return s
 }
 
+// Check returns an error unless the map has the sizes of the shape, each expert is on a rank, and no
+// rank has an expert twice.
+func (m Map) Check(s Shape) error {
+	if len(m) != s.Sets {
+		return errors.Newf("the map has %d sets, want %d", len(m), s.Sets)
+	}
+	for set, ranks := range m {
+		if len(ranks) != s.Ranks {
+			return errors.Newf("set %d of the map has %d ranks, want %d", set, len(ranks), s.Ranks)
+		}
+		// lastRank is the last rank, counted from 1, on which an expert was found; 0 if none.
+		lastRank := make([]int, s.Experts)
+		for r, experts := range ranks {
+			for _, e := range experts {
+				if e < 0 || e >= s.Experts || lastRank[e] == r+1 {
+					return errors.Newf("set %d of the map has expert %d at rank %d, twice or not in 0 to %d", set, e, r, s.Experts-1)
+				}
+				lastRank[e] = r + 1
+			}
+		}
+		if e := slices.Index(lastRank, 0); e >= 0 {
+			return errors.Newf("set %d of the map has expert %d at no rank", set, e)
+		}
+	}
+	return nil
+}
+
 // Order is one order to a rank.
 type Order struct {
 	Operation Operation `json:"operation"`
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -16,9 +17,15 @@
 	"github.com/fescuehub/fescuehub/pkg/fleet"
 )
 
-// maxBufferedBytes bounds the response body that is buffered until it is complete; a longer one is
-// streamed to the caller.
-const maxBufferedBytes = 1 << 20
+const (
+	// maxBufferedBytes bounds the response body that is buffered until it is complete; a longer one
+	// is streamed to the caller. An entry buffers some hundred responses at a time.
+	maxBufferedBytes = 256 << 10
+	// maxResponseBytes bounds a response body. A server in trouble may send bytes without end.
+	maxResponseBytes = 64 << 20
+)
+
+var errResponseTooLong = errors.Newf("response body exceeds the limit of %d bytes", maxResponseBytes)
 
 // bufferedResponse is a complete response.
 type bufferedResponse struct {
@@ -44,13 +51,16 @@
 	latency := time.Duration(0)
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	defer x.cancelIfUnresponsive(s, cancel).Stop()
+	var responding atomic.Bool
+	defer x.cancelIfUnresponsive(s, &responding, cancel).Stop()
+	x.cancelAttempt = cancel
 	response, err := x.transport.Start(attemptCtx, s.ID, s.Address, x.backendRequest(s))
 	var o outcome
 	if err != nil {
 		o = x.classifyError(s, err)
 		record.Error = err.Error()
 	} else {
+		responding.Store(true)
 		latency = time.Since(began)
 		x.balancer.ResponseStarted(time.Now(), s.ID, began)
 		record.Status = response.Status
@@ -75,11 +85,13 @@
 
 var errUnresponsive = errors.New("backend server is unresponsive while others respond")
 
-// cancelIfUnresponsive starts a timer that cancels the attempt if its server is unresponsive, the
-// request may be repeated and another attempt is left.
-func (x *exchange) cancelIfUnresponsive(s fleet.Server, cancel context.CancelCauseFunc) *time.Timer {
+// cancelIfUnresponsive starts a timer that cancels the attempt if its server is unresponsive and has
+// not begun to respond to it, the request may be repeated and another attempt is left.
+func (x *exchange) cancelIfUnresponsive(s fleet.Server, responding *atomic.Bool, cancel context.CancelCauseFunc) *time.Timer {
+	// The timer runs on another goroutine, so it must not read the state of the exchange.
+	mayRepeat := x.repeatable && !x.started && x.possibleRuns+1 < x.q.Route.MaxAttempts
 	return time.AfterFunc(unresponsiveTimeout, func() {
-		if x.repeatable && !x.started && x.possibleRuns+1 < x.q.Route.MaxAttempts && x.balancer.Unresponsive(time.Now(), s.ID) {
+		if mayRepeat && !responding.Load() && x.balancer.Unresponsive(time.Now(), s.ID) {
 			cancel(errUnresponsive)
 		}
 	})
@@ -217,15 +229,22 @@
 	if _, err := x.w.Write(buffered.body); err != nil {
 		return brokenOff, errors.Wrap(err, "write the response to the caller")
 	}
-	if _, err := io.Copy(x.w, response.Body); err != nil {
+	limit := int64(maxResponseBytes - len(buffered.body))
+	n, err := io.Copy(x.w, io.LimitReader(response.Body, limit+1))
+	if err != nil {
 		return brokenOff, errors.Wrap(err, "copy the response body to the caller")
 	}
+	if n > limit {
+		return brokenOff, errResponseTooLong
+	}
 	return answered, nil
 }
 
 // relayStream passes on complete events as they arrive.
 func (x *exchange) relayStream(ctx context.Context, s fleet.Server, response *backendconn.Response) (outcome, error) {
 	events := eventstream.NewReader(response.Body)
+	stall := newStallTimer(x.stallTimeout(), x.cancelAttempt)
+	defer stall.stop()
 	for {
 		e, err := events.Next()
 		if err == io.EOF {
@@ -239,6 +258,8 @@
 			x.exclude(s.ID)
 			if ctx.Err() != nil {
 				err = context.Cause(ctx)
+			} else if stall.expired() {
+				err = errStalled
 			}
 			return x.brokenOffOr(notKnown), errors.Wrap(err, "read the event stream")
 		}
@@ -246,6 +267,9 @@
 			x.exclude(s.ID)
 			return x.brokenOffOr(notKnown), errors.Newf("event stream has a gap: event %q does not follow event %q", e.ID, x.lastEventID)
 		}
+		if !e.Comment {
+			stall.reset()
+		}
 		if !x.started {
 			x.startResponse(response)
 		}
@@ -279,7 +303,9 @@
 	if e.ID != "" {
 		x.lastEventID = e.ID
 	}
-	x.report.Events++
-	x.lastProgress = time.Now()
+	if !e.Comment {
+		x.report.Events++
+		x.lastProgress = time.Now()
+	}
 	return nil
 }
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -250,6 +250,8 @@
 	lastProgress time.Time
 	// groupFault is true if the last attempt or check found the group broken.
 	groupFault bool
+	// cancelAttempt cancels the current attempt.
+	cancelAttempt context.CancelCauseFunc
 	// holdsLateSlot is true once the request has acquired a late slot of the balancer.
 	holdsLateSlot bool
 	// failedResponse is the last response that reported a failure of the request.
@@ -356,12 +358,18 @@
 	if r.Kind != fleet.Streaming {
 		return deadline
 	}
-	if at := x.lastProgress.Add(max(minIdleTimeout, idleTargetLatencies*r.TargetLatency, idleTargetGaps*r.TargetGap)); at.Before(deadline) {
+	if at := x.lastProgress.Add(x.callerPatience()); at.Before(deadline) {
 		return at
 	}
 	return deadline
 }
 
+// callerPatience returns how long a caller is expected to wait for the next event of a stream.
+func (x *exchange) callerPatience() time.Duration {
+	r := x.q.Route
+	return max(minIdleTimeout, idleTargetLatencies*r.TargetLatency, idleTargetGaps*r.TargetGap)
+}
+
 // refusalReason returns why a request that has certainly not run should be refused; empty if it
 // should be sent. It is refused if its first event is expected after the caller disconnects, or if
 // it would join a standing queue, in which all requests are late.
--- a/pkg/rpc/codec.go
+++ b/pkg/rpc/codec.go
@@ -4,17 +4,24 @@
 	"bufio"
 	"encoding/json"
 	"io"
+	"net"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/fescuehub/fescuehub/pkg/problem"
 )
 
-// MaxMessageBytes limits the size of one message.
-const MaxMessageBytes = 16 << 20
+const (
+	// MaxMessageBytes limits the size of one message.
+	MaxMessageBytes = 16 << 20
+	// messageTimeout limits the time from the first byte of a message to its end. The largest messages
+	// take a few seconds on the slowest links.
+	messageTimeout = 15 * time.Second
+)
 
 // lineCodec encodes each message as one line of JSON. It implements jsonrpc2.ObjectCodec.
-type lineCodec struct{}
+type lineCodec struct{ nc net.Conn }
 
 // WriteObject implements jsonrpc2.ObjectCodec.
 func (lineCodec) WriteObject(stream io.Writer, obj any) error {
@@ -27,24 +34,42 @@
 }
 
 // ReadObject implements jsonrpc2.ObjectCodec. An oversized message is an error of kind TooLarge, a
-// malformed one an error of kind BadRequest. Any error closes the connection.
-func (lineCodec) ReadObject(stream *bufio.Reader, v any) error {
+// malformed one an error of kind BadRequest. A message that is incomplete after messageTimeout is an
+// error, too. Any error closes the connection.
+func (c lineCodec) ReadObject(stream *bufio.Reader, v any) error {
+	if _, err := stream.Peek(1); err != nil {
+		return err
+	}
+	if err := c.nc.SetReadDeadline(time.Now().Add(messageTimeout)); err != nil {
+		return errors.Wrap(err, "set the read deadline of a message")
+	}
+	line, err := readLine(stream)
+	if err != nil {
+		return err
+	}
+	if err := c.nc.SetReadDeadline(time.Time{}); err != nil {
+		return errors.Wrap(err, "clear the read deadline of a message")
+	}
+	if err := json.Unmarshal(line, v); err != nil {
+		return problem.New(problem.BadRequest, "run the same release on every instance", "malformed message: %v", err)
+	}
+	return nil
+}
+
+// readLine reads a line of at most MaxMessageBytes.
+func readLine(stream *bufio.Reader) ([]byte, error) {
 	var line []byte
 	for {
 		part, err := stream.ReadSlice('\n')
 		line = append(line, part...)
 		if len(line) > MaxMessageBytes {
-			return problem.New(problem.TooLarge, "run the same release on every instance", "message larger than %d bytes", MaxMessageBytes)
+			return nil, problem.New(problem.TooLarge, "run the same release on every instance", "message larger than %d bytes", MaxMessageBytes)
 		}
 		if err == nil {
-			break
+			return line, nil
 		}
 		if !errors.Is(err, bufio.ErrBufferFull) {
-			return err
+			return nil, err
 		}
 	}
-	if err := json.Unmarshal(line, v); err != nil {
-		return problem.New(problem.BadRequest, "run the same release on every instance", "malformed message: %v", err)
-	}
-	return nil
 }
--- a/pkg/rpc/rpc.go
+++ b/pkg/rpc/rpc.go
@@ -12,6 +12,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/fescuehub/fescuehub/pkg/panics"
 	"github.com/fescuehub/fescuehub/pkg/problem"
 )
 
@@ -76,7 +77,7 @@
 		<-ready
 		return c.handle(ctx, methods, req)
 	})
-	c.rpc = jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(nc, lineCodec{}), jsonrpc2.AsyncHandler(handler),
+	c.rpc = jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(nc, lineCodec{nc}), jsonrpc2.AsyncHandler(handler),
 		jsonrpc2.SetLogger(errorCounter{brokenMessages}))
 	close(ready)
 	return c
@@ -91,7 +92,11 @@
 	if req.Params != nil {
 		params = *req.Params
 	}
-	result, err := method(ctx, c, params)
+	var result any
+	var err error
+	if panicked := panics.Catch(func() { result, err = method(ctx, c, params) }); panicked != nil {
+		err = problem.New(problem.Internal, "report the defect with this text", "method %s failed: %v", req.Method, panicked)
+	}
 	if err != nil {
 		return nil, encodeError(err)
 	}
--- a/pkg/rpc/rpc_test.go
+++ b/pkg/rpc/rpc_test.go
@@ -20,7 +20,7 @@
 }
 
 // serve runs a server and returns its address. The server's method "half" halves an even number and
-// fails for an odd one.
+// fails for an odd one; "panic" panics.
 func serve(t *testing.T, scope tally.Scope) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -33,6 +33,8 @@
 			return nil, problem.New(problem.KeyReused, "send an even number", "%d is odd", p.N).WithOutcome(problem.NotRun)
 		}
 		return number{p.N / 2}, nil
+	}), "panic": rpc.Typed(func(context.Context, *rpc.Conn, number) (any, error) {
+		panic("index out of range")
 	})})
 	done := make(chan error, 1)
 	go func() { done <- server.Run(ctx) }()
@@ -135,3 +137,21 @@
 		t.Fatalf("document: got %+v, want status 429 and a retry after 2 s", doc)
 	}
 }
+
+// TestPanicOfMethodFailsOnlyItsCall guards against a process that ends because the handling of one
+// call panics. The call must fail without a claim about its outcome, and the connection stays usable.
+func TestPanicOfMethodFailsOnlyItsCall(t *testing.T) {
+	conn, err := rpc.Dial(context.Background(), serve(t, tally.NoopScope), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	var got number
+	err = conn.Call(context.Background(), "panic", number{4}, &got)
+	if p := problem.Of(err); p.Kind != problem.Internal || p.Outcome != "" {
+		t.Errorf("got kind %q, outcome %q; want internal without an outcome", p.Kind, p.Outcome)
+	}
+	if err := conn.Call(context.Background(), "half", number{4}, &got); err != nil || got.N != 2 {
+		t.Errorf("the next call: got %v, error %v", got, err)
+	}
+}
