--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -213,6 +213,16 @@
 	return s != nil && b.unresponsive(now, s)
 }
 
+// ShouldAbandon reports whether requests that wait for a response of a server should be sent to
+// another one: the server has sent this entry nothing for unresponsiveTime, and is unresponsive. A
+// server that is only silent towards its planner while it responds to requests is not abandoned.
+func (b *Balancer) ShouldAbandon(now time.Time, id string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.servers[id]
+	return s != nil && !s.silentSince.IsZero() && now.Sub(s.silentSince) > unresponsiveTime && b.unresponsive(now, s)
+}
+
 func (b *Balancer) unresponsive(now time.Time, s *server) bool {
 	limit := max(unresponsiveTime, unresponsiveLatencies*b.meanLatency[s.Service])
 	return now.Before(s.unreachableUntil) || !s.silentSince.IsZero() && now.Sub(s.silentSince) > limit && b.lastResponse[s.Service].Sub(s.silentSince) > limit/2
--- a/pkg/balance/balance_test.go
+++ b/pkg/balance/balance_test.go
@@ -380,3 +380,31 @@
 		}
 	}
 }
+
+// TestRespondingServerIsNotAbandoned guards against requests that are started again at another server
+// because theirs is only silent towards its planner for a while: it is not abandoned while it responds
+// to other requests, and is once it has been silent towards this entry as well.
+func TestRespondingServerIsNotAbandoned(t *testing.T) {
+	b := balance.New()
+	var servers []fleet.Server
+	var reached []balance.EngineLoad
+	for n := range 12 {
+		s := fleet.Server{ID: fmt.Sprint(n), Service: "s", Address: fmt.Sprintf("h:%d", n), Group: "g"}
+		servers = append(servers, s)
+		if n != 0 {
+			reached = append(reached, balance.EngineLoad{Address: s.Address})
+		}
+	}
+	b.SetServers(servers)
+	b.Begin(start, "0", 0)
+	b.Begin(start, "0", 0)
+	b.UpdateGroup(start.Add(900*time.Millisecond), "s", "g", fleet.GroupOpen, reached)
+	b.ResponseStarted(start.Add(900*time.Millisecond), "0", start)
+	if b.ShouldAbandon(start.Add(1100*time.Millisecond), "0") {
+		t.Error("a server that responded 0.2 s ago is abandoned because its planner did not reach it")
+	}
+	b.UpdateGroup(start.Add(1900*time.Millisecond), "s", "g", fleet.GroupOpen, reached)
+	if !b.ShouldAbandon(start.Add(2*time.Second), "0") {
+		t.Error("a server that neither responds nor is reached by its planner is not abandoned")
+	}
+}
--- a/pkg/rankagent/agent.go
+++ b/pkg/rankagent/agent.go
@@ -73,6 +73,11 @@
 	scope    tally.Scope
 	memberID string
 
+	// orderMu serialises the orders to the engine, so that none overtakes one with a lower fence.
+	// highestFence is the highest fence of an order; it survives a restart of the engine.
+	orderMu      sync.Mutex
+	highestFence int64
+
 	mu          sync.Mutex
 	subscribers map[netip.AddrPort]time.Time
 	engineLost  bool
@@ -275,15 +280,27 @@
 		}
 		o.Map = full
 	}
-	call, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	verdict, err := a.local.Order(call, o)
+	verdict, err := a.orderFenced(ctx, o)
 	if err == nil && o.Operation == rankcontrol.Prepare && verdict == rankcontrol.Accepted {
 		a.awaitPrepared(ctx, o.Version)
 	}
 	return verdict, err
 }
 
+// orderFenced passes an order on to the local engine unless its fence is lower than that of an earlier
+// order. An engine need not check the fences itself.
+func (a *Agent) orderFenced(ctx context.Context, o rankcontrol.Order) (rankcontrol.Verdict, error) {
+	a.orderMu.Lock()
+	defer a.orderMu.Unlock()
+	if o.Fence < a.highestFence {
+		return rankcontrol.Fenced, nil
+	}
+	a.highestFence = o.Fence
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	return a.local.Order(ctx, o)
+}
+
 // fullMap returns the full map of an order to prepare, and keeps it as the base of later changes.
 // It returns false if the base is unknown or the changes do not fit it.
 func (a *Agent) fullMap(o rankcontrol.Order) (rankcontrol.Map, bool) {
--- a/pkg/rankagent/planner.go
+++ b/pkg/rankagent/planner.go
@@ -259,7 +259,7 @@
 	r := p.ranks[address]
 	if r == nil {
 		host, _, _ := net.SplitHostPort(address) // the address was checked when the announcement was decoded
-		r = &remoteRank{ctx: p.ctx, planner: p.peer(), timeout: p.timeout(), agent: net.JoinHostPort(host, strconv.Itoa(p.agent.settings.PeerPort)), direct: p.agent.control(address)}
+		r = &remoteRank{ctx: p.ctx, planner: p.peer(), timeout: p.timeout(), agent: net.JoinHostPort(host, strconv.Itoa(p.agent.settings.PeerPort)), direct: p.agent.control(address), fencedByAgent: p.agent.settings.Bounds.UncheckedFences}
 		p.ranks[address] = r
 	}
 	return r
--- a/pkg/rankagent/remote.go
+++ b/pkg/rankagent/remote.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/fescuehub/fescuehub/pkg/fleet"
 	"github.com/fescuehub/fescuehub/pkg/problem"
 	"github.com/fescuehub/fescuehub/pkg/rankcontrol"
@@ -32,6 +34,9 @@
 	planner string
 	agent   string
 	direct  rankcontrol.Rank
+	// fencedByAgent is true if the engine does not check fences, so that only its agent does. Orders
+	// must not bypass the agent then.
+	fencedByAgent bool
 
 	mu   sync.Mutex
 	conn *rpc.Conn
@@ -171,5 +176,8 @@
 	if answered, err := r.call(ctx, methodOrder, full, &reply); answered {
 		return reply.Verdict, err
 	}
+	if r.fencedByAgent {
+		return "", errors.Newf("agent %s cannot be reached, and its engine does not check fences", r.agent)
+	}
 	return r.direct.Order(ctx, full)
 }
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -91,7 +91,7 @@
 	// The timer runs on another goroutine, so it must not read the state of the exchange.
 	mayRepeat := x.repeatable && !x.started && x.possibleRuns+1 < x.q.Route.MaxAttempts
 	return time.AfterFunc(unresponsiveTimeout, func() {
-		if mayRepeat && !responding.Load() && x.balancer.Unresponsive(time.Now(), s.ID) {
+		if mayRepeat && !responding.Load() && x.balancer.ShouldAbandon(time.Now(), s.ID) {
 			cancel(errUnresponsive)
 		}
 	})
--- a/pkg/settings/instance.go
+++ b/pkg/settings/instance.go
@@ -52,4 +52,7 @@
 	AddressLifetime time.Duration
 	// Stall is how long work that depends on a failed rank may make no progress.
 	Stall time.Duration
+	// UncheckedFences is true unless the engines are known to refuse an order with a lower fence
+	// than they have seen.
+	UncheckedFences bool
 }
