--- a/pkg/rankagent/agent.go
+++ b/pkg/rankagent/agent.go
@@ -14,7 +14,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/google/uuid"
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
@@ -66,11 +65,13 @@
 	decoder  Decoder
 	shared   sharedlog.Log
 	// control returns the control of the engine at an address.
-	control  func(address string) rankcontrol.Rank
-	local    rankcontrol.Rank
-	log      *zap.Logger
-	metrics  *telemetry.Metrics
-	scope    tally.Scope
+	control func(address string) rankcontrol.Rank
+	local   rankcontrol.Rank
+	log     *zap.Logger
+	metrics *telemetry.Metrics
+	scope   tally.Scope
+	// memberID identifies this agent in the election. It stays the same over a restart: the peer
+	// address can be opened by one process only.
 	memberID string
 
 	// orderMu serialises the orders to the engine, so that none overtakes one with a lower fence.
@@ -102,7 +103,7 @@
 	return &Agent{
 		settings: s, decoder: d, shared: sharedlog.NewGuard(shared, log), control: control, local: control(s.BackendAddress),
 		log: log, metrics: metrics, scope: metrics.Scope,
-		memberID:      s.Name + "/" + uuid.NewString(),
+		memberID:      s.Name + "/" + net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)),
 		subscribers:   make(map[netip.AddrPort]time.Time),
 		maps:          make(map[int64]rankcontrol.Map),
 		plannerSeenAt: time.Now(),
--- a/pkg/rankagent/elect.go
+++ b/pkg/rankagent/elect.go
@@ -26,8 +26,9 @@
 	// plannerKnownTimeout is how long after its last call a planner counts as known. A planner
 	// calls each agent several times in that time.
 	plannerKnownTimeout = 500 * time.Millisecond
-	// electionTimeout bounds one election call.
+	// electionTimeout bounds one election call, and resignTimeout one call to resign.
 	electionTimeout = 900 * time.Millisecond
+	resignTimeout   = 400 * time.Millisecond
 	// candidateRanks is the number of lowest ranks whose agents always take part in the election.
 	candidateRanks = 3
 	// electionPrefix precedes the service name in the name of the election.
@@ -37,11 +38,15 @@
 // electAndPlan takes part in the election of the service's planner, and plans while this agent owns
 // it. An owner that cannot reach the shared log continues to plan: once another planner has taken
 // over, the ranks refuse the lower fence.
+//
+// An agent that starts resigns first: a former process at its address may still own the election, but
+// cannot run any more. Otherwise no agent could plan until that membership expires, and this process
+// would continue the former one's generation with lower fences.
 func (a *Agent) electAndPlan(ctx context.Context) {
 	election := electionPrefix + a.settings.Service
 	var last sharedlog.Ownership
 	var term *term
-	lost, member := false, false
+	lost, member, formerResigned := false, false, false
 	for ctx.Err() == nil {
 		if !a.isCandidate(ctx) {
 			if member && term == nil {
@@ -51,6 +56,12 @@
 			wait.For(ctx, electionInterval)
 			continue
 		}
+		if !formerResigned {
+			if formerResigned = a.resign(ctx, election); !formerResigned {
+				wait.For(ctx, unsettledElectionInterval)
+				continue
+			}
+		}
 		member = true
 		call, cancel := context.WithTimeout(ctx, electionTimeout)
 		ownership, err := a.shared.Elect(call, election, a.memberID, electionTTL, last)
@@ -105,12 +116,15 @@
 	return time.Since(a.plannerSeenAt) > timeout
 }
 
-func (a *Agent) resign(ctx context.Context, election string) {
-	ctx, cancel := context.WithTimeout(ctx, electionTimeout)
+// resign leaves the election and reports whether the shared log has confirmed it.
+func (a *Agent) resign(ctx context.Context, election string) bool {
+	ctx, cancel := context.WithTimeout(ctx, resignTimeout)
 	defer cancel()
 	if err := a.shared.Resign(ctx, election, a.memberID); err != nil {
 		a.log.Warn("failed to resign from the election; this membership ends when its TTL expires", telemetry.Err(err))
+		return false
 	}
+	return true
 }
 
 // term is a period in which this agent plans.
--- a/pkg/rankagent/planner.go
+++ b/pkg/rankagent/planner.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/fescuehub/fescuehub/pkg/evenplan"
 	"github.com/fescuehub/fescuehub/pkg/fleet"
@@ -74,8 +75,7 @@
 	version int64
 
 	// ranks holds the control of each rank by the address of its engine.
-	ranks  map[string]*remoteRank
-	groups map[string]*group
+	ranks map[string]*remoteRank
 }
 
 // group is the state of one group in one epoch.
@@ -107,7 +107,7 @@
 		agent:   a,
 		log:     a.log.With(zap.Int64("timeline", int64(o.Timeline)), zap.Int64("generation", o.Generation)),
 		fences:  mapswitch.NewFenceCounter(o.Timeline, o.Generation),
-		servers: make(map[string]fleet.Server), restoredServers: make(map[string]time.Time), ranks: make(map[string]*remoteRank), groups: make(map[string]*group),
+		servers: make(map[string]fleet.Server), restoredServers: make(map[string]time.Time), ranks: make(map[string]*remoteRank),
 	}
 }
 
@@ -126,60 +126,72 @@
 	})
 	defer topics.Wait()
 	defer cancel()
-	defer func() {
-		for _, r := range p.ranks {
-			r.close()
-		}
-	}()
+	defer p.closeRanks()
+	var groups errgroup.Group
+	planned := make(map[string]bool)
 	for ctx.Err() == nil {
-		var err error
-		if panicked := panics.Catch(func() { err = p.round(ctx) }); panicked != nil {
-			p.log.Error("a planning round failed; the groups are read anew", telemetry.Err(panicked))
-			clear(p.groups)
-		}
-		if err != nil {
-			p.log.Warn("planning stopped", telemetry.Err(err))
-			return err
+		for name := range p.members() {
+			if !planned[name] {
+				planned[name] = true
+				groups.Go(func() error { defer cancel(); return p.runGroup(ctx, name) })
+			}
 		}
 		wait.For(ctx, roundInterval)
 	}
-	return nil
+	return groups.Wait()
 }
 
-// round reconciles each group once. An error means that this planner must stop.
-func (p *planner) round(ctx context.Context) error {
+// members returns the servers of each group of the service.
+func (p *planner) members() map[string][]fleet.Server {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.removeLapsedServers(time.Now())
-	engine := p.engine
 	members := make(map[string][]fleet.Server)
 	for _, s := range p.servers {
 		if s.Ranks > 0 && s.Service == p.agent.settings.Service {
 			members[s.Group] = append(members[s.Group], s)
 		}
 	}
-	p.mu.Unlock()
-	if engine == nil || engine.Sets == 0 {
-		return nil
-	}
-	for name, servers := range members {
-		if err := p.reconcileGroup(ctx, name, servers, engine); err != nil {
+	return members
+}
+
+// runGroup plans one group until ctx ends. The groups are planned concurrently: while the ranks of one
+// copy experts, another may need a new map. An error means that this planner must stop.
+func (p *planner) runGroup(ctx context.Context, name string) error {
+	g := &group{name: name}
+	for ctx.Err() == nil {
+		var err error
+		if panicked := panics.Catch(func() { err = p.round(ctx, g) }); panicked != nil {
+			p.log.Error("a planning round failed; the group is read anew", zap.String("group", name), telemetry.Err(panicked))
+			g = &group{name: name}
+		}
+		if err != nil {
+			p.log.Warn("planning stopped", zap.String("group", name), telemetry.Err(err))
 			return err
 		}
+		wait.For(ctx, roundInterval)
 	}
 	return nil
 }
 
+// round reconciles a group once. An error means that this planner must stop.
+func (p *planner) round(ctx context.Context, g *group) error {
+	servers := p.members()[g.name]
+	p.mu.Lock()
+	engine := p.engine
+	p.mu.Unlock()
+	if engine == nil || engine.Sets == 0 || len(servers) == 0 {
+		return nil
+	}
+	return p.reconcileGroup(ctx, g, servers, engine)
+}
+
 // reconcileGroup reads the status of all ranks of a group, sends the group's digest to the entries
 // and advances the group's expert map.
-func (p *planner) reconcileGroup(ctx context.Context, name string, servers []fleet.Server, engine *fleet.Engine) error {
-	g := p.groups[name]
-	if g == nil {
-		g = &group{name: name}
-		p.groups[name] = g
-	}
+func (p *planner) reconcileGroup(ctx context.Context, g *group, servers []fleet.Server, engine *fleet.Engine) error {
 	now := time.Now()
 	members := p.readStatuses(ctx, fleet.NewestByAddress(servers), windowRequests(len(servers)))
-	digest := p.digest(name, members)
+	digest := p.digest(g.name, members)
 	servers, statuses, err := orderedRanks(members)
 	if err != nil {
 		p.agent.sendDigest(digest)
@@ -194,7 +206,7 @@
 		return nil
 	}
 	if epoch := statuses[0].Report.Epoch; g.epoch != epoch || g.shape != shape {
-		*g = group{name: name, epoch: epoch, shape: shape, armingEstimate: g.armingEstimate, demand: popularity.New(len(servers), engine.Sets, engine.Experts, DemandHalfLife)}
+		*g = group{name: g.name, epoch: epoch, shape: shape, armingEstimate: g.armingEstimate, demand: popularity.New(len(servers), engine.Sets, engine.Experts, DemandHalfLife)}
 		g.formingPhase.begin(now, statuses[0].Report.Map)
 	}
 	if g.formingPhase.active(now) {
@@ -255,21 +267,29 @@
 	return net.JoinHostPort(p.agent.settings.IP, strconv.Itoa(p.agent.settings.PeerPort))
 }
 
+// rank returns the control of the rank at an address.
 func (p *planner) rank(address string) *remoteRank {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	r := p.ranks[address]
 	if r == nil {
 		host, _, _ := net.SplitHostPort(address) // the address was checked when the announcement was decoded
-		r = &remoteRank{ctx: p.ctx, planner: p.peer(), timeout: p.timeout(), agent: net.JoinHostPort(host, strconv.Itoa(p.agent.settings.PeerPort)), direct: p.agent.control(address), fencedByAgent: p.agent.settings.Bounds.UncheckedFences}
+		r = &remoteRank{
+			ctx: p.ctx, planner: p.peer(), timeout: agentTimeout + time.Duration(len(p.servers))*agentTimeoutPerRank,
+			agent:  net.JoinHostPort(host, strconv.Itoa(p.agent.settings.PeerPort)),
+			direct: p.agent.control(address), fencedByAgent: p.agent.settings.Bounds.UncheckedFences,
+		}
 		p.ranks[address] = r
 	}
 	return r
 }
 
-// timeout returns the bound on one call to an agent.
-func (p *planner) timeout() time.Duration {
+func (p *planner) closeRanks() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return agentTimeout + time.Duration(len(p.servers))*agentTimeoutPerRank
+	for _, r := range p.ranks {
+		r.close()
+	}
 }
 
 // switchGroup returns the control of a group's ranks for a switch. The anchor is the local rank,
--- a/pkg/sharedlog/guard.go
+++ b/pkg/sharedlog/guard.go
@@ -36,7 +36,8 @@
 	// changes counts the changes of current.
 	changes int
 	// logged holds the malformed and falling timelines that have been logged.
-	logged map[string]bool
+	logged        map[string]bool
+	missingLogged bool
 }
 
 // NewGuard returns a guard of the log.
@@ -118,7 +119,7 @@
 // parse returns a stated timeline, or false if it is missing or malformed. g.mu must be held.
 func (g *Guard) parse(stated string) (Timeline, bool) {
 	if stated == "" {
-		g.logOnce("the log states no timeline; restores are detected only by its offsets", stated)
+		g.logMissing()
 		return 0, false
 	}
 	n, err := strconv.ParseInt(stated, 10, 64)
@@ -130,6 +131,14 @@
 	return t, true
 }
 
+// logMissing logs once that answers state no timeline. g.mu must be held.
+func (g *Guard) logMissing() {
+	if !g.missingLogged {
+		g.missingLogged = true
+		g.logger.Info("the log states no timeline; restores are detected only by its offsets")
+	}
+}
+
 // logOnce logs a value unless it has been logged before. g.mu must be held.
 func (g *Guard) logOnce(message, stated string) {
 	if g.logged[stated] || len(g.logged) >= maxLoggedValues {
