--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -101,7 +101,7 @@
 	header := x.q.Header.Clone()
 	attempt := AttemptHeaders{
 		ServerID: s.ID, Remaining: max(x.remaining(), time.Millisecond),
-		Organisation: x.q.Organisation, Priority: x.q.Priority,
+		Organisation: x.q.Organisation, Priority: x.priority(time.Now()),
 	}
 	if x.started {
 		attempt.LastEventID = x.lastEventID
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -71,13 +71,17 @@
 	LastEventID    string
 }
 
+// LowestPriority is the priority of the least urgent requests; 0 is the most urgent one.
+const LowestPriority = 9
+
 // AttemptHeaders holds the properties of one attempt that are sent to the backend server.
 type AttemptHeaders struct {
 	ServerID string
 	// Remaining is the time until the response is no longer needed.
 	Remaining    time.Duration
 	Organisation string
-	Priority     int
+	// Priority is from 0, the most urgent, to LowestPriority.
+	Priority int
 	// LastEventID is the event after which a stream is to be resumed; empty for a new stream.
 	LastEventID string
 }
@@ -322,8 +326,7 @@
 	if reason := x.balancer.WaitReason(now, x.q.Service); reason != "" {
 		return reason
 	}
-	target := x.q.Route.TargetLatency
-	if x.holdsLateSlot || x.started || x.possibleRuns > 0 || target <= 0 || now.Sub(x.q.Arrived)+firstEventTime <= target {
+	if x.holdsLateSlot || x.possibleRuns > 0 || !x.isLate(now) {
 		return ""
 	}
 	x.holdsLateSlot = x.balancer.AcquireLateSlot(now, x.q.Service)
@@ -333,6 +336,23 @@
 	return balance.WaitLateLimit
 }
 
+// isLate reports whether the first event of an attempt that begins now is expected after the target
+// latency.
+func (x *exchange) isLate(now time.Time) bool {
+	target := x.q.Route.TargetLatency
+	return !x.started && target > 0 && now.Sub(x.q.Arrived)+firstEventTime > target
+}
+
+// priority returns the priority of an attempt that begins now. A late request to an engine yields to
+// all others: after an outage a backlog of them would take the slots from requests that can still be
+// on time.
+func (x *exchange) priority(now time.Time) int {
+	if x.q.Service.Engine != nil && x.isLate(now) {
+		return LowestPriority
+	}
+	return x.q.Priority
+}
+
 // waitForBudget waits until the service's retry budget allows another attempt. Only a request to an
 // engine that has certainly not run waits: it can still be refused.
 func (x *exchange) waitForBudget(ctx context.Context) bool {
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -27,6 +27,7 @@
 func (testCodec) EncodeAttempt(h http.Header, a relay.AttemptHeaders) {
 	h.Set("Server", a.ServerID)
 	h.Set("Left", strconv.FormatInt(a.Remaining.Milliseconds(), 10))
+	h.Set("Priority", strconv.Itoa(a.Priority))
 	if a.LastEventID != "" {
 		h.Set("Last", a.LastEventID)
 	}
@@ -494,7 +495,8 @@
 
 // TestLateRequestsYieldToNewOnes: after an outage, 30 requests have waited for the group until they
 // are late, and new ones arrive. A new request is sent immediately. Most late ones wait, but are
-// sent at the latest one second before their callers disconnect.
+// sent at the latest one second before their callers disconnect. The late ones have the lowest priority
+// at the engine.
 func TestLateRequestsYieldToNewOnes(t *testing.T) {
 	release := make(chan struct{})
 	a := newBackend(t, func(c *net.TCPConn, r *http.Request, n int) bool {
@@ -534,4 +536,15 @@
 	}
 	close(release)
 	all.Wait()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, request := range a.requests {
+		want := strconv.Itoa(relay.LowestPriority)
+		if request.Header.Get("Id") == "new" {
+			want = "0"
+		}
+		if got := request.Header.Get("Priority"); got != want {
+			t.Errorf("request %s has priority %s, want %s", request.Header.Get("Id"), got, want)
+		}
+	}
 }
