--- a/pkg/popularity/popularity.go
+++ b/pkg/popularity/popularity.go
@@ -21,8 +21,6 @@
 	decayedAt time.Time
 	// pending holds the windows observed since the last MergeWindows, by rank.
 	pending map[int]Window
-	// shiftIgnoredUntil is the time before which windows are no sign of a shift of the demand.
-	shiftIgnoredUntil time.Time
 	// usualDistance is a moving average of the distance of the windows from the demand, as a
 	// fraction of the choices.
 	usualDistance float64
@@ -108,7 +106,7 @@
 		}
 	}
 	observedTotal, knownTotal := sum(observed), sum(known)
-	if observedTotal < minShiftChoices || knownTotal < minShiftChoices || e.decayedAt.Before(e.shiftIgnoredUntil) {
+	if observedTotal < minShiftChoices || knownTotal < minShiftChoices {
 		return false
 	}
 	distance := 0.0
@@ -126,42 +124,6 @@
 	return false
 }
 
-// Shares returns each expert's share of the choices of all experts, set after set; nil if there are
-// none.
-func (e *Estimator) Shares() []float64 {
-	shares := make([]float64, len(e.demand[0]))
-	total := 0.0
-	for _, demand := range e.demand {
-		for i, d := range demand {
-			shares[i] += d
-			total += d
-		}
-	}
-	if total == 0 {
-		return nil
-	}
-	for i := range shares {
-		shares[i] /= total
-	}
-	return shares
-}
-
-// Seed adds a number of choices, distributed over the experts by shares that Shares returned earlier,
-// and evenly over the ranks. Shares of another number of experts are ignored. The first windows after
-// a seed hold the prompts of few requests, which differ from the demand as much as after a shift: until
-// trustedUntil they are added to the seed and do not replace it.
-func (e *Estimator) Seed(shares []float64, choices float64, trustedUntil time.Time) {
-	if len(shares) != len(e.demand[0]) {
-		return
-	}
-	e.shiftIgnoredUntil = trustedUntil
-	for _, demand := range e.demand {
-		for i, share := range shares {
-			demand[i] += share * choices / float64(len(e.demand))
-		}
-	}
-}
-
 // TotalChoices returns the decayed number of choices.
 func (e *Estimator) TotalChoices() float64 {
 	total := 0.0
--- a/pkg/rankagent/planner.go
+++ b/pkg/rankagent/planner.go
@@ -73,10 +73,6 @@
 	engine          *fleet.Engine
 	// version is the version of the configuration that engine is part of.
 	version int64
-	// savedDemand holds the demand that earlier planners have saved, by demandKey.
-	savedDemand map[string][]float64
-	// saves are the writes of the demand in progress.
-	saves sync.WaitGroup
 
 	// ranks holds the control of each rank by the address of its engine.
 	ranks map[string]*remoteRank
@@ -95,12 +91,10 @@
 	currentVersion int64
 	// next is the map that the ranks are preparing; nil if there is none. nextVersion is its
 	// version, and nextSentAt the time when the orders to prepare it had been sent.
-	next        rankcontrol.Map
-	nextVersion int64
-	nextSentAt  time.Time
-	lastChange  time.Time
-	// demandSavedAt is when the demand was last written to the shared log.
-	demandSavedAt  time.Time
+	next           rankcontrol.Map
+	nextVersion    int64
+	nextSentAt     time.Time
+	lastChange     time.Time
 	passTimer      passTimer
 	armingEstimate armingEstimate
 	formingPhase   formingPhase
@@ -113,8 +107,7 @@
 		agent:   a,
 		log:     a.log.With(zap.Int64("timeline", int64(o.Timeline)), zap.Int64("generation", o.Generation)),
 		fences:  mapswitch.NewFenceCounter(o.Timeline, o.Generation),
-		servers: make(map[string]fleet.Server), restoredServers: make(map[string]time.Time),
-		savedDemand: make(map[string][]float64), ranks: make(map[string]*remoteRank),
+		servers: make(map[string]fleet.Server), restoredServers: make(map[string]time.Time), ranks: make(map[string]*remoteRank),
 	}
 }
 
@@ -131,8 +124,6 @@
 	topics.Go(func() {
 		follow.Run(ctx, p.agent.shared, follow.Options{Topic: sharedlog.Servers, Wait: topicPollTimeout}, (*rankSink)(p), p.log)
 	})
-	topics.Go(func() { p.loadDemand(ctx) })
-	defer p.saves.Wait()
 	defer topics.Wait()
 	defer cancel()
 	defer p.closeRanks()
@@ -215,7 +206,7 @@
 		return nil
 	}
 	if epoch := statuses[0].Report.Epoch; g.epoch != epoch || g.shape != shape {
-		*g = group{name: g.name, epoch: epoch, shape: shape, armingEstimate: g.armingEstimate, demandSavedAt: g.demandSavedAt, demand: p.initialDemand(now, g, shape)}
+		*g = group{name: g.name, epoch: epoch, shape: shape, armingEstimate: g.armingEstimate, demand: popularity.New(len(servers), engine.Sets, engine.Experts, DemandHalfLife)}
 		g.formingPhase.begin(now, statuses[0].Report.Map)
 	}
 	if g.formingPhase.active(now) {
@@ -230,7 +221,6 @@
 	if g.demand.MergeWindows() {
 		p.log.Info("expert demand has shifted; earlier counts are discarded", zap.String("group", g.name))
 	}
-	p.saveDemand(ctx, g, now)
 	err = p.advance(ctx, g, servers, statuses, engine)
 	if digest.State == fleet.GroupForming && !g.formingPhase.active(time.Now()) {
 		digest.State = fleet.GroupOpen
--- a/pkg/sharedlog/sharedlog.go
+++ b/pkg/sharedlog/sharedlog.go
@@ -22,13 +22,10 @@
 	Servers
 	// Entries holds the addresses of the entries, keyed by name.
 	Entries
-	// Demand holds the demand for the experts of the groups of engines, keyed by service and
-	// group. A planner leaves it to its successors.
-	Demand
 )
 
 // String returns the topic's name for logs.
-func (t Topic) String() string { return [...]string{"operators", "servers", "entries", "demand"}[t] }
+func (t Topic) String() string { return [...]string{"operators", "servers", "entries"}[t] }
 
 // Record is one record of a topic. An empty Value deletes the key.
 type Record struct {
