--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -86,14 +86,18 @@
 var errUnresponsive = errors.New("backend server is unresponsive while others respond")
 
 // cancelIfUnresponsive starts a timer that cancels the attempt if its server is unresponsive and has
-// not begun to respond to it, the request may be repeated and another attempt is left.
+// not begun to respond to it, the request may be repeated, another attempt is left, and the retry budget
+// allows it: an attempt that cannot be repeated is left to end, because its server may still respond.
 func (x *exchange) cancelIfUnresponsive(s fleet.Server, responding *atomic.Bool, cancel context.CancelCauseFunc) *time.Timer {
 	// The timer runs on another goroutine, so it must not read the state of the exchange.
 	mayRepeat := x.repeatable && !x.started && x.possibleRuns+1 < x.q.Route.MaxAttempts
 	return time.AfterFunc(unresponsiveTimeout, func() {
-		if mayRepeat && !responding.Load() && x.balancer.ShouldAbandon(time.Now(), s.ID) {
-			cancel(errUnresponsive)
+		now := time.Now()
+		if !mayRepeat || responding.Load() || !x.balancer.ShouldAbandon(now, s.ID) || !x.budget.Acquire(now, x.q.Service.Name) {
+			return
 		}
+		x.retryAcquired.Store(true)
+		cancel(errUnresponsive)
 	})
 }
 
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -254,6 +255,8 @@
 	lastProgress time.Time
 	// groupFault is true if the last attempt or check found the group broken.
 	groupFault bool
+	// retryAcquired is true if the retry budget was acquired for the next attempt.
+	retryAcquired atomic.Bool
 	// cancelAttempt cancels the current attempt.
 	cancelAttempt context.CancelCauseFunc
 	// holdsLateSlot is true once the request has acquired a late slot of the balancer.
@@ -279,7 +282,7 @@
 		}
 		if len(x.report.Attempts) == 0 {
 			x.report.Waited = time.Since(x.q.Arrived)
-		} else if !x.waitForBudget(ctx) {
+		} else if !x.retryAcquired.Swap(false) && !x.waitForBudget(ctx) {
 			x.finish(ctx, "retry budget exhausted")
 			return
 		}
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -548,3 +548,37 @@
 		}
 	}
 }
+
+// TestAttemptWithoutRetryBudgetIsNotCancelled guards against work that is given up although it cannot be
+// started elsewhere: a server is silent for 1.6 s while another one responds. With retry budget the
+// request moves to the other server, without it it waits for the answer.
+func TestAttemptWithoutRetryBudgetIsNotCancelled(t *testing.T) {
+	for _, c := range []struct {
+		floor   float64
+		repeats int
+	}{{0, 0}, {94, 1}} {
+		silent := newBackend(t, func(conn *net.TCPConn, r *http.Request, n int) bool {
+			time.Sleep(1600 * time.Millisecond)
+			return complete(conn, r, n)
+		})
+		responsive := newBackend(t, complete)
+		r := route(fleet.Safe)
+		r.Timeout = 4 * time.Second
+		s := newTestRelay(t, r, fleet.Service{}, c.floor, silent.server("a"), responsive.server("b"))
+		s.balancer.Begin(time.Now(), "b", 0) // the first request goes to the silent server
+		s.balancer.Begin(time.Now(), "b", 0)
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			if status, body, _, err := s.send(context.Background(), "first"); err != nil || status != 200 || body != "whole" {
+				t.Errorf("retry floor %v: got %d %q %v, want 200", c.floor, status, body, err)
+			}
+		}()
+		time.Sleep(900 * time.Millisecond)
+		s.balancer.ResponseStarted(time.Now(), "b", time.Now())
+		<-done
+		if repeats, _ := responsive.count(); repeats != c.repeats {
+			t.Errorf("retry floor %v: %d repeats at the other server, want %d", c.floor, repeats, c.repeats)
+		}
+	}
+}
