--- a/pkg/rankagent/planner.go
+++ b/pkg/rankagent/planner.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/fescuehub/fescuehub/pkg/evenplan"
 	"github.com/fescuehub/fescuehub/pkg/fleet"
@@ -36,6 +37,10 @@
 	// share the planner's link. Each round asks the same ranks, so that a window of counts covers
 	// no more than one round.
 	MaxWindowRanks = 16
+	// maxConcurrentRanks bounds the ranks of the groups that are reconciled at the same time. The
+	// answers and orders of more ranks delay each other on the planner's link, so that a larger
+	// group is reconciled alone.
+	maxConcurrentRanks int64 = 24
 	// resolveTimeout bounds one switch, and the recovery of a group after a failed switch.
 	resolveTimeout = 3 * time.Second
 	// topicPollTimeout is how long a read of a topic waits for a new record.
@@ -74,6 +79,8 @@
 	// version is the version of the configuration that engine is part of.
 	version int64
 
+	// concurrency bounds the ranks of the groups that are reconciled at the same time.
+	concurrency *semaphore.Weighted
 	// ranks holds the control of each rank by the address of its engine.
 	ranks map[string]*remoteRank
 }
@@ -104,10 +111,11 @@
 
 func newPlanner(a *Agent, o sharedlog.Ownership) *planner {
 	return &planner{
-		agent:   a,
-		log:     a.log.With(zap.Int64("timeline", int64(o.Timeline)), zap.Int64("generation", o.Generation)),
-		fences:  mapswitch.NewFenceCounter(o.Timeline, o.Generation),
-		servers: make(map[string]fleet.Server), restoredServers: make(map[string]time.Time), ranks: make(map[string]*remoteRank),
+		agent:       a,
+		concurrency: semaphore.NewWeighted(maxConcurrentRanks),
+		log:         a.log.With(zap.Int64("timeline", int64(o.Timeline)), zap.Int64("generation", o.Generation)),
+		fences:      mapswitch.NewFenceCounter(o.Timeline, o.Generation),
+		servers:     make(map[string]fleet.Server), restoredServers: make(map[string]time.Time), ranks: make(map[string]*remoteRank),
 	}
 }
 
@@ -155,8 +163,8 @@
 	return members
 }
 
-// runGroup plans one group until ctx ends. The groups are planned concurrently: while the ranks of one
-// copy experts, another may need a new map. An error means that this planner must stop.
+// runGroup plans one group until ctx ends. Small groups are planned concurrently: while the ranks of
+// one copy experts, another may need a new map. An error means that this planner must stop.
 func (p *planner) runGroup(ctx context.Context, name string) error {
 	g := &group{name: name}
 	for ctx.Err() == nil {
@@ -183,6 +191,12 @@
 	if engine == nil || engine.Sets == 0 || len(servers) == 0 {
 		return nil
 	}
+	// All groups share this planner's link and processor.
+	ranks := min(int64(len(servers)), maxConcurrentRanks)
+	if err := p.concurrency.Acquire(ctx, ranks); err != nil {
+		return nil // ctx has ended
+	}
+	defer p.concurrency.Release(ranks)
 	return p.reconcileGroup(ctx, g, servers, engine)
 }
 
