--- a/pkg/rankagent/elect.go
+++ b/pkg/rankagent/elect.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/fescuehub/fescuehub/pkg/follow"
 	"github.com/fescuehub/fescuehub/pkg/mapswitch"
 	"github.com/fescuehub/fescuehub/pkg/sharedlog"
 	"github.com/fescuehub/fescuehub/pkg/telemetry"
@@ -46,21 +47,26 @@
 	election := electionPrefix + a.settings.Service
 	var last sharedlog.Ownership
 	var term *term
-	lost, member, formerResigned := false, false, false
+	lost, member := false, false
+	resignFailures, formerResigned := 0, false
 	for ctx.Err() == nil {
 		if !a.isCandidate(ctx) {
 			if member && term == nil {
-				a.resign(ctx, election)
+				a.leave(ctx, election)
 				member = false
 			}
 			wait.For(ctx, electionInterval)
 			continue
 		}
 		if !formerResigned {
-			if formerResigned = a.resign(ctx, election); !formerResigned {
-				wait.For(ctx, unsettledElectionInterval)
+			if err := a.resign(ctx, election); err != nil {
+				if resignFailures++; resignFailures == 1 {
+					a.log.Warn("failed to resign the membership of a former process; retrying until it succeeds", telemetry.Err(err))
+				}
+				wait.For(ctx, follow.Backoff(resignFailures))
 				continue
 			}
+			formerResigned = true
 		}
 		member = true
 		call, cancel := context.WithTimeout(ctx, electionTimeout)
@@ -77,7 +83,7 @@
 			}
 			last = ownership
 			if term != nil && term.fencesExhausted() {
-				a.resign(ctx, election)
+				a.leave(ctx, election)
 				last = sharedlog.Ownership{}
 			}
 			term = a.updateTerm(ctx, term, last)
@@ -88,7 +94,7 @@
 		term.end()
 	}
 	if member {
-		a.resign(context.WithoutCancel(ctx), election)
+		a.leave(context.WithoutCancel(ctx), election)
 	}
 }
 
@@ -116,15 +122,17 @@
 	return time.Since(a.plannerSeenAt) > timeout
 }
 
-// resign leaves the election and reports whether the shared log has confirmed it.
-func (a *Agent) resign(ctx context.Context, election string) bool {
+func (a *Agent) resign(ctx context.Context, election string) error {
 	ctx, cancel := context.WithTimeout(ctx, resignTimeout)
 	defer cancel()
-	if err := a.shared.Resign(ctx, election, a.memberID); err != nil {
+	return a.shared.Resign(ctx, election, a.memberID)
+}
+
+// leave resigns once. If that fails, the membership ends when its TTL expires.
+func (a *Agent) leave(ctx context.Context, election string) {
+	if err := a.resign(ctx, election); err != nil {
 		a.log.Warn("failed to resign from the election; this membership ends when its TTL expires", telemetry.Err(err))
-		return false
 	}
-	return true
 }
 
 // term is a period in which this agent plans.
