--- /dev/null
+++ b/pkg/relay/wait.go
@@ -0,0 +1,142 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/fescuehub/fescuehub/pkg/balance"
+	"github.com/fescuehub/fescuehub/pkg/fleet"
+	"github.com/fescuehub/fescuehub/pkg/wait"
+)
+
+const (
+	// pollInterval is the time between checks of a broken group's state or of an exhausted retry
+	// budget. Reports arrive five times per second.
+	pollInterval = 50 * time.Millisecond
+	// A caller is assumed to disconnect from a stream after the longest of minIdleTimeout,
+	// idleTargetLatencies times the target latency and idleTargetGaps times the target gap without
+	// an event.
+	minIdleTimeout      = 2 * time.Second
+	idleTargetLatencies = 4
+	idleTargetGaps      = 8
+	// firstEventTime is the usual time from an attempt to its first event.
+	firstEventTime = 250 * time.Millisecond
+	// lateSendMargin is the time before its caller disconnects at which a late request is sent in
+	// any case: first events take up to 0.9 s in the seconds after an outage.
+	lateSendMargin = 1000 * time.Millisecond
+)
+
+// waitForGroup waits while the group of engines accepts no requests, and reports whether enough
+// time for an attempt remains.
+func (x *exchange) waitForGroup(ctx context.Context) bool {
+	if x.q.Service.Engine == nil {
+		return x.remaining() > minAttemptTime
+	}
+	x.groupFault = false
+	for {
+		reason := x.waitReason(time.Now())
+		if reason == "" {
+			break
+		}
+		x.report.WaitedFor = string(reason)
+		x.groupFault = reason == balance.WaitGroupBroken
+		if !x.worthWaiting(ctx) {
+			return false
+		}
+		wait.For(ctx, pollInterval)
+	}
+	x.groupFault = false
+	return ctx.Err() == nil && x.remaining() > minAttemptTime
+}
+
+// waitReason returns why the request has to wait: for the group, or, if the request is late, for a
+// late slot. Requests whose caller is expected to disconnect within lateSendMargin are sent without
+// a slot.
+func (x *exchange) waitReason(now time.Time) balance.WaitReason {
+	if reason := x.balancer.WaitReason(now, x.q.Service); reason != "" {
+		return reason
+	}
+	if x.holdsLateSlot || x.possibleRuns > 0 || !x.isLate(now) {
+		return ""
+	}
+	x.holdsLateSlot = x.balancer.AcquireLateSlot(now, x.q.Service)
+	if x.holdsLateSlot || x.callerDisconnectsAt().Sub(now) <= lateSendMargin {
+		return ""
+	}
+	return balance.WaitLateLimit
+}
+
+// isLate reports whether the first event of an attempt that begins now is expected after the target
+// latency.
+func (x *exchange) isLate(now time.Time) bool {
+	target := x.q.Route.TargetLatency
+	return !x.started && target > 0 && now.Sub(x.q.Arrived)+firstEventTime > target
+}
+
+// priority returns the priority of an attempt that begins now. A late request to an engine yields to
+// all others: after an outage a backlog of them would take the slots from requests that can still be
+// on time.
+func (x *exchange) priority(now time.Time) int {
+	if x.q.Service.Engine != nil && x.isLate(now) {
+		return LowestPriority
+	}
+	return x.q.Priority
+}
+
+// waitForBudget waits until the service's retry budget allows another attempt. Only a request to an
+// engine that has certainly not run waits: it can still be refused.
+func (x *exchange) waitForBudget(ctx context.Context) bool {
+	for !x.budget.Acquire(time.Now(), x.q.Service.Name) {
+		if x.possibleRuns > 0 || x.q.Service.Engine == nil || !x.worthWaiting(ctx) {
+			return false
+		}
+		wait.For(ctx, pollInterval)
+	}
+	return true
+}
+
+// worthWaiting reports whether the first event of an attempt that begins after one more
+// pollInterval would reach the caller before it disconnects.
+func (x *exchange) worthWaiting(ctx context.Context) bool {
+	return ctx.Err() == nil && time.Until(x.callerDisconnectsAt())-firstEventTime-pollInterval > 0
+}
+
+// callerDisconnectsAt returns when the caller is expected to disconnect if it gets no data.
+func (x *exchange) callerDisconnectsAt() time.Time {
+	deadline := x.q.Deadline()
+	r := x.q.Route
+	if r.Kind != fleet.Streaming {
+		return deadline
+	}
+	if at := x.lastProgress.Add(x.callerPatience()); at.Before(deadline) {
+		return at
+	}
+	return deadline
+}
+
+// callerPatience returns how long a caller is expected to wait for the next event of a stream.
+func (x *exchange) callerPatience() time.Duration {
+	r := x.q.Route
+	return max(minIdleTimeout, idleTargetLatencies*r.TargetLatency, idleTargetGaps*r.TargetGap)
+}
+
+// refusalReason returns why a request that has certainly not run should be refused; empty if it
+// should be sent. It is refused if its first event is expected after the caller disconnects, or if
+// it would join a standing queue, in which all requests are late.
+func (x *exchange) refusalReason(s fleet.Server) string {
+	target := x.q.Route.TargetLatency
+	if x.started || x.possibleRuns > 0 || target <= 0 || x.q.Service.Engine == nil {
+		return ""
+	}
+	now := time.Now()
+	slotWait := x.balancer.ExpectedWait(now, x.q.Service, s.ID)
+	limits := balance.QueueLimits{MaxWait: target, MaxWaitStanding: max(target-firstEventTime, 0)}
+	if x.balancer.ShouldRefuse(now, x.q.Service.Name, slotWait, limits) {
+		return fmt.Sprintf("standing queue at the engines: the expected wait for a slot is %v", slotWait.Round(time.Millisecond))
+	}
+	if now.Add(slotWait + firstEventTime).After(x.callerDisconnectsAt()) {
+		return fmt.Sprintf("expected wait of %v for a slot exceeds the time until the caller leaves", slotWait.Round(time.Millisecond))
+	}
+	return ""
+}
