--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -106,7 +106,9 @@
 	// peerAddresses holds the peer port addresses of the other entries by entry name.
 	peerAddresses map[string]netip.AddrPort
 	// planners holds the current planner of each service.
-	planners    map[string]planner
+	planners map[string]planner
+	// digests skips digests that arrive after newer ones.
+	digests     digestOrder
 	incarnation string
 	sequence    int64
 	serversRead bool
--- a/pkg/gateway/message_test.go
+++ b/pkg/gateway/message_test.go
@@ -2,28 +2,41 @@
 
 import (
 	"context"
-	"encoding/json"
+	"math"
 	"net/netip"
 	"testing"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/fescuehub/fescuehub/pkg/balance"
 	"github.com/fescuehub/fescuehub/pkg/gossip"
+	"github.com/fescuehub/fescuehub/pkg/retrybudget"
 	"github.com/fescuehub/fescuehub/pkg/settings"
 	"github.com/fescuehub/fescuehub/pkg/telemetry"
 )
 
 // FuzzMessages checks that no message of a peer makes an entry panic.
 func FuzzMessages(f *testing.F) {
-	for _, text := range []string{
-		`{"entry":{"name":"b","seq":1,"ready":true,"next":{"servers":-5},"tl":{"servers":9223372036854775807},"load":{"x":{"n":-1}},"budget":{"s":{"Requests":-1}}}}`,
-		`{"entry":{"name":"b","leave":{"x":1,"":0}}}`,
-		`{"planner":{"service":"s","peer":"127.0.0.1:1"}}`, `{"planner":{"peer":"x"}}`,
-		`{"digest":{"service":"s","peer":"127.0.0.1:1","state":"odd","ranks":[{"a":"h:1","r":-4,"p":-1}]}}`,
-		`{"digest":{}}`, `{"subscribe":{}}`, `{}`,
+	for _, m := range []gossip.Message{
+		{Entry: &gossip.EntryState{
+			Name: "b", Sequence: 1, Ready: true, NextOffsets: map[string]int64{"servers": -5}, Timelines: map[string]int64{"servers": math.MaxInt64},
+			InFlight: map[string]balance.Load{"x": {Requests: -1}}, Budget: map[string]retrybudget.Counts{"s": {Requests: -1}},
+		}},
+		{Entry: &gossip.EntryState{Name: "b", Leaving: map[string]int64{"x": 1, "": 0}}},
+		{Planner: &gossip.Planner{Service: "s", PeerAddress: "127.0.0.1:1"}},
+		{Planner: &gossip.Planner{PeerAddress: "x"}},
+		{Digest: &gossip.Digest{
+			Service: "s", PeerAddress: "127.0.0.1:1", State: "odd", Ranks: []gossip.RankState{{Address: "h:1", Running: -4, Slowdown: -1}},
+			Relay: make([]netip.AddrPort, 2*gossip.MaxRelay),
+		}},
+		{Digest: &gossip.Digest{}}, {Subscribe: &gossip.Subscription{}}, {},
 	} {
-		f.Add(text)
+		data, err := gossip.Encode(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
 	}
 	socket, err := gossip.Open(context.Background(), "127.0.0.1:0", zap.NewNop())
 	if err != nil {
@@ -31,9 +44,8 @@
 	}
 	g := New(settings.Instance{Name: "a", Bounds: settings.Bounds{RetryWindow: 10 * time.Second}}, nil, nil, zap.NewNop(), telemetry.NewMetrics())
 	g.socket = socket
-	f.Fuzz(func(_ *testing.T, text string) {
-		var m gossip.Message
-		if json.Unmarshal([]byte(text), &m) == nil {
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		if m, err := gossip.Decode(data); err == nil {
 			g.handleMessage(netip.MustParseAddrPort("127.0.0.1:1"), m)
 		}
 	})
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -92,7 +93,11 @@
 		}
 	}
 	g.mu.Unlock()
-	g.socket.Send(gossip.Message{Subscribe: &gossip.Subscription{Entry: g.settings.Name}}, to...)
+	g.socket.Send(gossip.Message{Subscribe: g.subscription()}, to...)
+}
+
+func (g *Gateway) subscription() *gossip.Subscription {
+	return &gossip.Subscription{Entry: g.settings.Name, FailureDomain: g.settings.FailureDomain}
 }
 
 // planner is the last known planner of a service.
@@ -123,12 +128,35 @@
 	return g.planners[service].peer
 }
 
-// handleDigest passes the engine loads of a planner's digest to the balancer.
+// relayDigest passes a digest on to the entries that it names, as far as this entry knows them.
+func (g *Gateway) relayDigest(d *gossip.Digest) {
+	if len(d.Relay) == 0 {
+		return
+	}
+	named := d.Relay[:min(len(d.Relay), gossip.MaxRelay)]
+	var to []netip.AddrPort
+	g.mu.Lock()
+	for _, address := range g.peerAddresses {
+		if slices.Contains(named, address) {
+			to = append(to, address)
+		}
+	}
+	g.mu.Unlock()
+	relayed := *d
+	relayed.Relay = nil
+	g.socket.Send(gossip.Message{Digest: &relayed}, to...)
+}
+
+// handleDigest passes the engine loads of a planner's digest to the balancer. Digests that are passed
+// on take several ways, so that an older one may arrive after a newer one: it is skipped.
 func (g *Gateway) handleDigest(now time.Time, d *gossip.Digest) {
 	g.setPlanner(now, d.Service, d.PeerAddress)
+	if !g.digests.isNewer(now, d) {
+		return
+	}
 	engines := make([]balance.EngineLoad, len(d.Ranks))
 	for i, r := range d.Ranks {
-		engines[i] = balance.EngineLoad{Address: r.Address, Incarnation: r.Incarnation, Running: r.Running, Waiting: r.Waiting, Slowdown: r.Slowdown}
+		engines[i] = balance.EngineLoad{Address: string(r.Address), Incarnation: r.Incarnation, Running: r.Running, Waiting: r.Waiting, Slowdown: r.Slowdown}
 	}
 	g.balancer.UpdateGroup(now, d.Service, d.Group, d.State, engines)
 }
@@ -154,8 +182,9 @@
 		g.handleEntryState(now, from, m.Entry)
 	case m.Planner != nil:
 		g.setPlanner(now, m.Planner.Service, m.Planner.PeerAddress)
-		g.socket.Send(gossip.Message{Subscribe: &gossip.Subscription{Entry: g.settings.Name}}, g.plannerAddress(m.Planner.Service))
+		g.socket.Send(gossip.Message{Subscribe: g.subscription()}, g.plannerAddress(m.Planner.Service))
 	case m.Digest != nil:
+		g.relayDigest(m.Digest)
 		g.handleDigest(now, m.Digest)
 	}
 }
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
 	"net/netip"
 
@@ -54,18 +53,21 @@
 // Subscription asks a planner to send digests for a limited time.
 type Subscription struct {
 	Entry string `json:"entry"`
+	// FailureDomain is the entry's own. Digests are passed on within one failure domain.
+	FailureDomain string `json:"dom,omitempty"`
 }
 
-// RankState is what a planner knows about one engine. The JSON names are short because a digest
+// RankState is what a planner knows about one engine. It is encoded as an array because a digest
 // holds many of these.
 type RankState struct {
+	_ struct{} `cbor:",toarray"`
 	// Address is the address of the engine for requests.
-	Address     string `json:"a"`
-	Incarnation int64  `json:"b"`
-	Running     int    `json:"r"`
-	Waiting     int    `json:"w"`
+	Address     Address
+	Incarnation int64
+	Running     int
+	Waiting     int
 	// Slowdown above 1 means that the engine is slower than normal.
-	Slowdown float64 `json:"p"`
+	Slowdown float64
 }
 
 // Digest is the state that a planner sends to the entries about one group of engines.
@@ -78,6 +80,10 @@
 	State       fleet.GroupState `json:"state"`
 	Epoch       int64            `json:"epoch"`
 	Ranks       []RankState      `json:"ranks"`
+	// Sequence orders the digests of one planner.
+	Sequence int64 `json:"seq"`
+	// Relay holds the entries to which the receiver passes the digest on.
+	Relay []netip.AddrPort `json:"relay,omitempty"`
 }
 
 // Planner names the agent that plans for a service.
@@ -112,7 +118,7 @@
 
 // Send sends one message to each address. A datagram that cannot be sent is treated as lost.
 func (s *Socket) Send(m Message, to ...netip.AddrPort) {
-	data, err := json.Marshal(m)
+	data, err := Encode(m)
 	if err != nil || len(data) > maxMessageBytes {
 		s.log.Error("gossip message dropped: not encodable, or larger than a datagram", zap.Int("bytes", len(data)), telemetry.Err(err))
 		return
@@ -138,8 +144,8 @@
 			}
 			continue
 		}
-		var m Message
-		if err := json.Unmarshal(buf[:n], &m); err != nil {
+		m, err := Decode(buf[:n])
+		if err != nil {
 			s.log.Warn("skipped a gossip message that cannot be decoded", zap.Stringer("from", from), telemetry.Err(err))
 			continue
 		}
--- a/pkg/gossip/gossip_test.go
+++ b/pkg/gossip/gossip_test.go
@@ -43,10 +43,20 @@
 		t.Fatal(err)
 	}
 	defer peer.Close()
-	for _, text := range []string{
-		"", "{", "null", `{"entry":5}`, `{"entry":{"name":"panic"}}`, strings.Repeat("x", 50_000), `{"entry":{"name":"sound"}}`,
+	encode := func(m gossip.Message) string {
+		data, err := gossip.Encode(m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return string(data)
+	}
+	sound := encode(gossip.Message{Entry: &gossip.EntryState{Name: "sound"}})
+	for _, datagram := range []string{
+		"", "{", "null", `{"entry":5}`, strings.Repeat("x", 50_000),
+		sound[:1], sound[:len(sound)-1], "\x01" + sound[1:], "\x02\xff", "\x02\xa1\x65entry\x05", "\x02" + strings.Repeat("\x81", 1000),
+		encode(gossip.Message{}), encode(gossip.Message{Entry: &gossip.EntryState{Name: "panic"}}), sound,
 	} {
-		if _, err := peer.Write([]byte(text)); err != nil {
+		if _, err := peer.Write([]byte(datagram)); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/pkg/rankagent/agent.go
+++ b/pkg/rankagent/agent.go
@@ -80,8 +80,10 @@
 	highestFence int64
 
 	mu          sync.Mutex
-	subscribers map[netip.AddrPort]time.Time
-	engineLost  bool
+	subscribers map[netip.AddrPort]subscriber
+	// digests counts the digests that were sent.
+	digests    int64
+	engineLost bool
 	// planner is the peer address of the planner that called last, at plannerSeenAt. If none has
 	// called, plannerSeenAt is the start of the agent.
 	planner       string
@@ -104,7 +106,7 @@
 		settings: s, decoder: d, shared: sharedlog.NewGuard(shared, log), control: control, local: control(s.BackendAddress),
 		log: log, metrics: metrics, scope: metrics.Scope,
 		memberID:      s.Name + "/" + net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)),
-		subscribers:   make(map[netip.AddrPort]time.Time),
+		subscribers:   make(map[netip.AddrPort]subscriber),
 		maps:          make(map[int64]rankcontrol.Map),
 		plannerSeenAt: time.Now(),
 		draining:      make(chan struct{}),
@@ -174,7 +176,7 @@
 	}
 	now := time.Now()
 	a.mu.Lock()
-	a.subscribers[from] = now
+	a.subscribers[from] = subscriber{m.Subscribe.FailureDomain, now}
 	planner, seenAt := a.planner, a.plannerSeenAt
 	a.mu.Unlock()
 	if !a.planning.Load() && planner != "" && now.Sub(seenAt) < plannerTimeout {
@@ -182,26 +184,38 @@
 	}
 }
 
-// sendDigest sends the digest of a group to the entries with an active subscription.
+// subscriber is an entry that is sent digests.
+type subscriber struct {
+	failureDomain string
+	subscribedAt  time.Time
+}
+
+// sendDigest sends the digest of a group to the entries with an active subscription. In a large
+// fleet, some of them pass it on to the others.
 func (a *Agent) sendDigest(d *gossip.Digest) {
-	if to := a.activeSubscribers(time.Now()); len(to) > 0 {
-		a.socket.Send(gossip.Message{Digest: d}, to...)
+	receivers, sequence := a.activeSubscribers(time.Now())
+	for _, hop := range gossip.FanOut(receivers) {
+		copied := *d
+		copied.Sequence, copied.Relay = sequence, hop.Relay
+		a.socket.Send(gossip.Message{Digest: &copied}, hop.To)
 	}
 }
 
-// activeSubscribers returns the entries whose subscription has not expired, and removes the others.
-func (a *Agent) activeSubscribers(now time.Time) []netip.AddrPort {
+// activeSubscribers returns the entries whose subscription has not expired, with their failure
+// domains, and the sequence number of the next digest. It removes the other entries.
+func (a *Agent) activeSubscribers(now time.Time) (receivers map[netip.AddrPort]string, sequence int64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	var to []netip.AddrPort
-	for address, subscribedAt := range a.subscribers {
-		if now.Sub(subscribedAt) > subscriptionLifetime {
+	a.digests++
+	receivers = make(map[netip.AddrPort]string)
+	for address, s := range a.subscribers {
+		if now.Sub(s.subscribedAt) > subscriptionLifetime {
 			delete(a.subscribers, address)
 			continue
 		}
-		to = append(to, address)
+		receivers[address] = s.failureDomain
 	}
-	return to
+	return receivers, a.digests
 }
 
 // recordEngineResult logs when the engine becomes unreachable or reachable again.
--- a/pkg/rankagent/planner.go
+++ b/pkg/rankagent/planner.go
@@ -272,7 +272,7 @@
 		if r.State == fleet.GroupBroken {
 			d.State = fleet.GroupBroken
 		}
-		d.Ranks = append(d.Ranks, gossip.RankState{Address: m.server.Address, Incarnation: r.Incarnation, Running: r.Running, Waiting: r.Waiting, Slowdown: r.Slowdown})
+		d.Ranks = append(d.Ranks, gossip.RankState{Address: gossip.Address(m.server.Address), Incarnation: r.Incarnation, Running: r.Running, Waiting: r.Waiting, Slowdown: r.Slowdown})
 	}
 	return d
 }
