--- a/pkg/cli/site.go
+++ b/pkg/cli/site.go
@@ -58,7 +58,7 @@
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			return a.runSite(cmd.Context(), "agent", platform.LoadAgent, func(s settings.Instance, log *zap.Logger) siteProcess {
 				control := func(address string) rankcontrol.Rank { return platform.NewRankClient(address) }
-				return rankagent.New(s, platform.Codec{}, platform.NewStoreClient(s.SharedLogAddress), control, log, telemetry.NewMetrics())
+				return rankagent.New(s, platform.Codec{}, platform.NewStoreClient(s.SharedLogAddress), platform.NewLocalRankClient(s.BackendAddress), control, log, telemetry.NewMetrics())
 			})
 		},
 	}
--- a/pkg/rankagent/agent.go
+++ b/pkg/rankagent/agent.go
@@ -100,10 +100,11 @@
 	draining  chan struct{}
 }
 
-// New returns an agent that has not been started.
-func New(s settings.Instance, d Decoder, shared sharedlog.Log, control func(address string) rankcontrol.Rank, log *zap.Logger, metrics *telemetry.Metrics) *Agent {
+// New returns an agent that has not been started. It controls its own engine through local, and those
+// of other instances through control while their agents cannot be reached.
+func New(s settings.Instance, d Decoder, shared sharedlog.Log, local rankcontrol.Rank, control func(address string) rankcontrol.Rank, log *zap.Logger, metrics *telemetry.Metrics) *Agent {
 	return &Agent{
-		settings: s, decoder: d, shared: sharedlog.NewGuard(shared, log), control: control, local: control(s.BackendAddress),
+		settings: s, decoder: d, shared: sharedlog.NewGuard(shared, log), control: control, local: local,
 		log: log, metrics: metrics, scope: metrics.Scope,
 		memberID:      s.Name + "/" + net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)),
 		subscribers:   make(map[netip.AddrPort]subscriber),
@@ -302,20 +303,6 @@
 	return verdict, err
 }
 
-// orderFenced passes an order on to the local engine unless its fence is lower than that of an earlier
-// order. An engine need not check the fences itself.
-func (a *Agent) orderFenced(ctx context.Context, o rankcontrol.Order) (rankcontrol.Verdict, error) {
-	a.orderMu.Lock()
-	defer a.orderMu.Unlock()
-	if o.Fence < a.highestFence {
-		return rankcontrol.Fenced, nil
-	}
-	a.highestFence = o.Fence
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	return a.local.Order(ctx, o)
-}
-
 // fullMap returns the full map of an order to prepare, and keeps it as the base of later changes.
 // It returns false if the base is unknown or the changes do not fit it.
 func (a *Agent) fullMap(o rankcontrol.Order) (rankcontrol.Map, bool) {
--- a/pkg/rankagent/fence_test.go
+++ b/pkg/rankagent/fence_test.go
@@ -5,6 +5,7 @@
 	"sync"
 	"testing"
 
+	"github.com/fescuehub/fescuehub/pkg/fleet"
 	"github.com/fescuehub/fescuehub/pkg/rankcontrol"
 )
 
@@ -22,6 +23,10 @@
 	return rankcontrol.Accepted, nil
 }
 
+func (e *engine) Report(context.Context) (fleet.EngineReport, error) {
+	return fleet.EngineReport{}, nil
+}
+
 // TestAgentFencesOffEarlierPlanner guards against two planners that both act around a hand-over, at an
 // engine that does not check who gives it an order: once the agent has passed on an order of the new
 // planner, it refuses those of the old one, also if they arrive at the same time.
--- a/pkg/rankcontrol/rankcontrol.go
+++ b/pkg/rankcontrol/rankcontrol.go
@@ -148,6 +148,24 @@
 	Fence int64 `json:"fence"`
 }
 
+// InEffect reports whether a rank's report shows the state that the order asks for. An order to
+// prepare takes effect later, when the experts have been copied.
+func (o Order) InEffect(r fleet.EngineReport) bool {
+	switch o.Operation {
+	case Prepare:
+		return r.Prepared == o.Version || r.Map == o.Version
+	case Arm:
+		return r.Armed == o.Version && r.ArmedStep == o.Step || r.Map == o.Version
+	case Disarm:
+		return r.Armed != o.Version
+	case Hold:
+		return r.HeldStep == o.Step
+	case Release:
+		return r.HeldStep != o.Step
+	}
+	return false
+}
+
 // Verdict is a rank's answer to an order.
 type Verdict string
 
