--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -43,14 +43,18 @@
 	Topic sharedlog.Topic
 	// Wait is how long the long poll of a leader waits for a record.
 	Wait time.Duration
-	// Pause is the time between the reads of a reader that is not a leader.
-	Pause time.Duration
+	// Pause returns the time between the reads of a reader that is not a leader; nil means that
+	// there is none.
+	Pause func() time.Duration
 	// IsLeader reports whether this process is one of the leaders, which poll the
 	// log on behalf of all processes. The others read when woken. Nil means that
 	// this process is a leader.
 	IsLeader func() bool
-	// Wake signals to a reader that is not a leader that new records exist.
-	Wake <-chan struct{}
+	// Wake signals to a reader that is not a leader that new records exist. WakePause returns the
+	// time from the signal to the read, so that one call reads records that arrive close together;
+	// nil means that there is none.
+	Wake      <-chan struct{}
+	WakePause func() time.Duration
 	// OnProgress is called with the position to read from next; it may be nil.
 	OnProgress func(next sharedlog.Position)
 }
@@ -101,7 +105,7 @@
 		}
 		return
 	}
-	timer := time.NewTimer(jittered(f.o.Pause))
+	timer := time.NewTimer(pause(f.o.Pause))
 	defer timer.Stop()
 	leaderCheck := time.NewTicker(leaderCheckInterval)
 	defer leaderCheck.Stop()
@@ -110,6 +114,7 @@
 		case <-ctx.Done():
 			return
 		case <-f.o.Wake:
+			wait.For(ctx, pause(f.o.WakePause))
 			return
 		case <-timer.C:
 			return
@@ -121,6 +126,14 @@
 	}
 }
 
+// pause returns a jittered pause; a missing one is 0.
+func pause(length func() time.Duration) time.Duration {
+	if length == nil {
+		return 0
+	}
+	return jittered(length())
+}
+
 type follower struct {
 	log     sharedlog.Log
 	o       Options
--- a/pkg/follow/follow_test.go
+++ b/pkg/follow/follow_test.go
@@ -205,7 +205,7 @@
 	var mu sync.Mutex
 	isLeader := false
 	s := start(t, l, follow.Options{
-		Wait: 50 * time.Millisecond, Pause: time.Hour, Wake: wake,
+		Wait: 50 * time.Millisecond, Pause: func() time.Duration { return time.Hour }, Wake: wake,
 		IsLeader: func() bool { mu.Lock(); defer mu.Unlock(); return isLeader },
 	})
 	waitForText(t, "map[a:1]", s)
@@ -223,6 +223,35 @@
 	waitForText(t, "map[a:3]", s)
 }
 
+// TestWakesAreCoalesced checks that records that arrive close together, each with a signal, are read
+// by few calls: otherwise all readers of a large fleet would read each record by itself.
+func TestWakesAreCoalesced(t *testing.T) {
+	const records, interval, wakePause, maxReads = 40, 10 * time.Millisecond, 200 * time.Millisecond, 4
+	l := &log{}
+	l.put("a", "0")
+	wake := make(chan struct{}, 1)
+	s := start(t, l, follow.Options{
+		Wait: 50 * time.Millisecond, Pause: func() time.Duration { return time.Hour }, Wake: wake,
+		WakePause: func() time.Duration { return wakePause }, IsLeader: func() bool { return false },
+	})
+	waitForText(t, "map[a:0]", s)
+	for n := range records {
+		l.put("a", fmt.Sprint(n+1))
+		select {
+		case wake <- struct{}{}:
+		default:
+		}
+		time.Sleep(interval)
+	}
+	waitForText(t, fmt.Sprintf("map[a:%d]", records), s)
+	reads := 0
+	l.set(func(l *log) { reads = l.reads })
+	// 0.4 s of records, a pause of at least 0.15 s before each read, and one for the last record
+	if reads > maxReads {
+		t.Errorf("%d reads of %d records, want at most %d", reads, records, maxReads)
+	}
+}
+
 // TestRestoredLogIsReadAgain guards against records that are missed after the log was restored from
 // an earlier copy: offsets go back and are assigned again to other records. The follower must read a
 // snapshot whether the log has grown past the follower's offset again (told by the timeline), is
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -48,6 +48,8 @@
 	// entriesPollInterval is the time between two reads of the entries' records, which find
 	// entries that have sent no message yet.
 	entriesPollInterval = 20 * time.Second
+	// maxPollingEntries is the number of other entries up to which each polls at these intervals.
+	maxPollingEntries = 36
 	// gossipInterval is the time between two state messages to the other entries in a small
 	// fleet. It bounds the age of the counts that the balancer uses.
 	gossipInterval = 120 * time.Millisecond
@@ -350,7 +352,7 @@
 // followEntries polls the records of the other entries. The poll finds entries that gossip has not
 // reached.
 func (g *Gateway) followEntries(ctx context.Context) {
-	follow.Run(ctx, g.sharedLog, follow.Options{Topic: sharedlog.Entries, Pause: entriesPollInterval}, (*entriesSink)(g), g.log)
+	follow.Run(ctx, g.sharedLog, follow.Options{Topic: sharedlog.Entries, Pause: g.pollInterval(entriesPollInterval)}, (*entriesSink)(g), g.log)
 }
 
 // republishRecord makes publishRecord write this entry's record again.
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -48,7 +48,12 @@
 	if socket != nil {
 		socket.Send(gossip.Message{Entry: state}, to...)
 	}
-	return time.Duration(max(len(to), smallFleetEntries)) * gossipInterval / smallFleetEntries
+	return stateInterval(len(to))
+}
+
+// stateInterval returns the time between two state messages to a number of other entries.
+func stateInterval(others int) time.Duration {
+	return time.Duration(max(others, smallFleetEntries)) * gossipInterval / smallFleetEntries
 }
 
 // sampleLeaving returns at most gossip.MaxLeaving of the leaving servers, chosen at random, so that
--- a/pkg/gateway/topics.go
+++ b/pkg/gateway/topics.go
@@ -51,11 +51,29 @@
 func (g *Gateway) topicOptions(name sharedlog.Topic) follow.Options {
 	t := g.topics[name]
 	return follow.Options{
-		Topic: name, Wait: longPollWait, Pause: topicPollInterval,
-		IsLeader: g.isLogReader, Wake: t.wake, OnProgress: t.setPosition,
+		Topic: name, Wait: longPollWait, Pause: g.pollInterval(topicPollInterval),
+		IsLeader: g.isLogReader, Wake: t.wake, WakePause: g.wakePause, OnProgress: t.setPosition,
 	}
 }
 
+// pollInterval returns the time between two polls that only make up for lost messages. Beyond
+// maxPollingEntries it grows with the fleet, so that the total rate of these calls stays constant.
+func (g *Gateway) pollInterval(interval time.Duration) func() time.Duration {
+	return func() time.Duration {
+		return interval * time.Duration(max(g.otherEntries(), maxPollingEntries)) / maxPollingEntries
+	}
+}
+
+// wakePause returns the time from the message that reports newer records to the read of them: half of
+// the time between the messages of one entry.
+func (g *Gateway) wakePause() time.Duration { return stateInterval(g.otherEntries()) / 2 }
+
+func (g *Gateway) otherEntries() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.peerAddresses)
+}
+
 // isLogReader reports whether this entry is one of those that long-poll the shared log.
 func (g *Gateway) isLogReader() bool {
 	g.mu.Lock()
--- a/pkg/rankagent/agent.go
+++ b/pkg/rankagent/agent.go
@@ -36,7 +36,8 @@
 	// ms.
 	prepareTimeout      = 800 * time.Millisecond
 	preparePollInterval = 20 * time.Millisecond
-	// plannerTimeout is how long no planner may call before the other agents join the election.
+	// plannerTimeout is how long no planner may call before the other agents join the election, each
+	// after its joinDelay.
 	plannerTimeout = 2500 * time.Millisecond
 	// subscriptionLifetime is how long an entry is sent reports after it subscribed.
 	subscriptionLifetime = 3500 * time.Millisecond
@@ -88,7 +89,9 @@
 	// called, plannerSeenAt is the start of the agent.
 	planner       string
 	plannerSeenAt time.Time
-	counter       popularity.WindowTracker
+	// joinDelay is drawn anew after each call of a planner.
+	joinDelay time.Duration
+	counter   popularity.WindowTracker
 	// maps holds the maps that were prepared last, by version.
 	maps map[int64]rankcontrol.Map
 
@@ -109,8 +112,8 @@
 		memberID:      s.Name + "/" + net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)),
 		subscribers:   make(map[netip.AddrPort]subscriber),
 		maps:          make(map[int64]rankcontrol.Map),
-		plannerSeenAt: time.Now(),
-		draining:      make(chan struct{}),
+		plannerSeenAt: time.Now(), joinDelay: joinDelay(),
+		draining: make(chan struct{}),
 	}
 }
 
@@ -243,7 +246,7 @@
 	if peer != a.planner {
 		a.log.Info("planner changed", zap.String("planner", peer))
 	}
-	a.planner, a.plannerSeenAt = peer, time.Now()
+	a.planner, a.plannerSeenAt, a.joinDelay = peer, time.Now(), joinDelay()
 }
 
 // statusRequest asks for a rank's state.
--- a/pkg/rankagent/elect.go
+++ b/pkg/rankagent/elect.go
@@ -104,7 +104,7 @@
 	if a.planning.Load() {
 		return true
 	}
-	if a.plannerSilent(plannerTimeout) {
+	if a.plannerSilent(plannerTimeout + a.currentJoinDelay()) {
 		return true
 	}
 	call, cancel := context.WithTimeout(ctx, localTimeout)
@@ -122,6 +122,12 @@
 	return time.Since(a.plannerSeenAt) > timeout
 }
 
+func (a *Agent) currentJoinDelay() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.joinDelay
+}
+
 func (a *Agent) resign(ctx context.Context, election string) error {
 	ctx, cancel := context.WithTimeout(ctx, resignTimeout)
 	defer cancel()
