--- a/pkg/rankagent/planner.go
+++ b/pkg/rankagent/planner.go
@@ -40,7 +40,7 @@
 	// maxConcurrentRanks bounds the ranks of the groups that are reconciled at the same time. The
 	// answers and orders of more ranks delay each other on the planner's link, so that a larger
 	// group is reconciled alone.
-	maxConcurrentRanks int64 = 24
+	maxConcurrentRanks int64 = 64
 	// resolveTimeout bounds one switch, and the recovery of a group after a failed switch.
 	resolveTimeout = 3 * time.Second
 	// topicPollTimeout is how long a read of a topic waits for a new record.
