--- a/pkg/gossip/fanout_test.go
+++ b/pkg/gossip/fanout_test.go
@@ -91,26 +91,35 @@
 	}
 }
 
-// TestDigestBytes bounds the bytes that a planner sends for one digest. Half of a link of 6 Mbit/s is
-// 75 KB in a round of 0.2 s; digests may take two thirds of that, statuses and orders the rest.
+// TestDigestBytes bounds the bytes that a planner sends for one digest: half of its link in a round of
+// 0.2 s, of which digests may take two thirds, statuses and orders the rest.
 func TestDigestBytes(t *testing.T) {
-	const ranks, entries, maxBytes = 129, 149, 50_000
-	digest := gossip.Digest{Service: "assistant", Group: "assistant-0", PeerAddress: "10.10.10.10:7000", State: fleet.GroupOpen, Epoch: 3}
-	for r := range ranks {
-		digest.Ranks = append(digest.Ranks, gossip.RankState{Address: gossip.Address(fmt.Sprintf("10.10.20.%d:8080", r)), Incarnation: math.MaxInt32 + int64(r), Running: 6, Waiting: 2, Slowdown: 1.25})
-	}
-	total := 0
-	for _, hop := range gossip.FanOut(receivers(entries, 5)) {
-		digest.Relay = hop.Relay
-		data, err := gossip.Encode(gossip.Message{Digest: &digest})
-		if err != nil {
-			t.Fatal(err)
+	for _, c := range []struct{ ranks, entries, linkBitsPerSecond int }{
+		{8, 9, 20e6},
+		{32, 46, 8e6},
+		{63, 35, 8e6},
+		{129, 149, 6e6},
+	} {
+		digest := gossip.Digest{Service: "assistant", Group: "assistant-0", PeerAddress: "10.10.10.10:7000", State: fleet.GroupOpen, Epoch: 3}
+		for r := range c.ranks {
+			digest.Ranks = append(digest.Ranks, gossip.RankState{
+				Address: gossip.Address(fmt.Sprintf("10.10.20.%d:8080", r)), Incarnation: math.MaxInt32 + int64(r), Running: 6, Waiting: 2, Slowdown: 1.25,
+			})
+		}
+		total := 0
+		for _, hop := range gossip.FanOut(receivers(c.entries, 5)) {
+			digest.Relay = hop.Relay
+			data, err := gossip.Encode(gossip.Message{Digest: &digest})
+			if err != nil {
+				t.Fatal(err)
+			}
+			total += len(data)
+		}
+		maxBytes := c.linkBitsPerSecond / 8 / 2 / 5 * 2 / 3
+		t.Logf("%d bytes for a digest of %d ranks to %d entries, of %d allowed", total, c.ranks, c.entries, maxBytes)
+		if total > maxBytes {
+			t.Errorf("a digest of %d ranks to %d entries takes %d bytes of the planner's link, want at most %d", c.ranks, c.entries, total, maxBytes)
 		}
-		total += len(data)
-	}
-	t.Logf("%d bytes for a digest of %d ranks to %d entries", total, ranks, entries)
-	if total > maxBytes {
-		t.Errorf("a digest takes %d bytes of the planner's link, want at most %d", total, maxBytes)
 	}
 }
 
