--- a/pkg/mapswitch/mapswitch.go
+++ b/pkg/mapswitch/mapswitch.go
@@ -57,6 +57,10 @@
 // ErrFenced means that a rank has seen a higher fence: another planner has taken over.
 var ErrFenced = errors.New("fenced off: another planner has taken over")
 
+// ErrNotSwitched means that a switch failed without a trace: no rank is armed, and the group is not
+// held. The same map can be switched to later.
+var ErrNotSwitched = errors.New("the switch was reverted")
+
 // errStateConflict means that a rank's state does not allow the order.
 var errStateConflict = errors.New("the rank's state does not allow the order")
 
@@ -135,16 +139,15 @@
 	return g.forEachRank(ctx, func(ctx context.Context, r int) error { return g.sendOrder(ctx, r, order) })
 }
 
-// Switch makes every rank use a prepared map from the same pass on. After an error no rank is armed
-// and the group is released, unless the error is ErrFenced or the revert failed: Resolve must be
-// called then.
+// Switch makes every rank use a prepared map from the same pass on. After any error but ErrNotSwitched,
+// ranks may be armed or hold the group: Resolve must be called then.
 func (g *Group) Switch(ctx context.Context, version int64) error {
 	began := time.Now()
 	arming, cancel := context.WithTimeout(ctx, armTimeout)
 	defer cancel()
 	step, err := g.hold(arming)
 	if step == 0 {
-		return err
+		return errors.Mark(err, ErrNotSwitched)
 	}
 	if err == nil {
 		err = g.forEachRank(arming, func(ctx context.Context, r int) error {
@@ -161,7 +164,7 @@
 	if revertErr := g.abort(ctx, version, step); revertErr != nil {
 		return errors.WithSecondaryError(revertErr, err)
 	}
-	return errors.Wrap(err, "the switch was reverted")
+	return errors.Mark(errors.Wrap(err, "the switch was reverted"), ErrNotSwitched)
 }
 
 // hold holds the group at one of the next passes and returns that pass. After an error the returned
--- a/pkg/rankagent/planner.go
+++ b/pkg/rankagent/planner.go
@@ -442,21 +442,19 @@
 // switchWhenPrepared switches to the next map once every rank has prepared it, and abandons the map
 // after nextMapTimeout.
 func (p *planner) switchWhenPrepared(ctx context.Context, g *group, f *mapswitch.Group, statuses []rankStatus) error {
-	for _, s := range statuses {
-		if s.Report.Prepared == g.nextVersion {
-			continue
-		}
-		if time.Since(g.nextSentAt) > nextMapTimeout {
-			p.log.Warn("expert map abandoned: not every rank has prepared it in time", zap.String("group", g.name), zap.Int64("version", g.nextVersion))
-			g.next = nil
-		}
+	if time.Since(g.nextSentAt) > nextMapTimeout {
+		p.log.Warn("expert map abandoned: not every rank could switch to it in time", zap.String("group", g.name), zap.Int64("version", g.nextVersion))
+		g.next = nil
+		return nil
+	}
+	if slices.ContainsFunc(statuses, func(s rankStatus) bool { return s.Report.Prepared != g.nextVersion }) {
 		return nil
 	}
 	return p.switchOver(ctx, g, f)
 }
 
 // switchOver switches to the next map. If a rank has not prepared the map yet, the switch is
-// reverted, which costs only a few orders.
+// reverted, which costs only a few orders, and tried again once the ranks report that they have.
 func (p *planner) switchOver(ctx context.Context, g *group, f *mapswitch.Group) error {
 	ctx, cancel := context.WithTimeout(ctx, resolveTimeout)
 	defer cancel()
@@ -467,6 +465,9 @@
 		zap.Duration("took", time.Since(began)), zap.Duration("armingTime", f.LastArmingTime), zap.Duration("passTime", f.PassTime),
 		zap.Int64("unansweredOrders", f.Unanswered()), telemetry.Err(err))
 	g.lastChange = time.Now()
+	if errors.Is(err, mapswitch.ErrNotSwitched) {
+		return onlyFinal(err)
+	}
 	if err != nil {
 		g.resolved, g.next = false, nil
 		return onlyFinal(err)
