--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -114,6 +114,7 @@
 	entries      map[string]entryLoads
 	faults       map[groupKey]*fault
 	groupStates  map[groupKey]groupState
+	progress     map[groupKey]*groupProgress
 	// lastResponse is when a server of a service last began to respond.
 	lastResponse map[string]time.Time
 	// meanLatency is the mean time to the response headers by service.
@@ -145,6 +146,7 @@
 		entries:        make(map[string]entryLoads),
 		faults:         make(map[groupKey]*fault),
 		groupStates:    make(map[groupKey]groupState),
+		progress:       make(map[groupKey]*groupProgress),
 		lastResponse:   make(map[string]time.Time),
 		meanLatency:    make(map[string]time.Duration),
 		meanStreamTime: make(map[string]time.Duration),
@@ -176,11 +178,12 @@
 		members[s.Service][state.key()] = append(members[s.Service][state.key()], state)
 	}
 	b.servers, b.services, b.groupMembers = servers, services, members
+	b.forgetGroups()
 }
 
 // Begin records that a request is sent to a server.
 func (b *Balancer) Begin(now time.Time, id string, tokens int) {
-	b.addLoad(id, Load{Requests: 1, Tokens: tokens})
+	b.addLoad(now, id, Load{Requests: 1, Tokens: tokens})
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if s := b.servers[id]; s != nil && s.silentSince.IsZero() {
@@ -199,6 +202,7 @@
 			s.silentSince = now
 		}
 		b.lastResponse[s.Service] = now
+		b.recordProgress(now, s)
 		usual := b.meanLatency[s.Service]
 		b.meanLatency[s.Service] = usual + time.Duration(latencyWeight*float64(now.Sub(began)-usual))
 	}
@@ -230,7 +234,7 @@
 
 // End records the end of a request and updates the server's statistics from its result.
 func (b *Balancer) End(now time.Time, id string, tokens int, r Result) {
-	b.addLoad(id, Load{Requests: -1, Tokens: -tokens})
+	b.addLoad(now, id, Load{Requests: -1, Tokens: -tokens})
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.servers[id]
@@ -252,10 +256,11 @@
 	}
 }
 
-func (b *Balancer) addLoad(id string, l Load) {
+func (b *Balancer) addLoad(now time.Time, id string, l Load) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if s := b.servers[id]; s != nil {
+		b.beforeLoadChange(now, s, l.Requests < 0)
 		s.sentSinceReport += max(l.Requests, 0)
 		s.ownLoad.Requests = max(s.ownLoad.Requests+l.Requests, 0)
 		s.ownLoad.Tokens = max(s.ownLoad.Tokens+l.Tokens, 0)
@@ -376,7 +381,7 @@
 		}
 	}
 	if service.Engine != nil {
-		candidates = b.skipBrokenGroups(now, candidates)
+		candidates = b.skipStalledGroups(now, b.skipBrokenGroups(now, candidates))
 	}
 	if len(candidates) <= maxFullComparison {
 		return b.cheapest(now, service, candidates, loads, random)
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -273,6 +273,7 @@
 		}
 		if !e.Comment {
 			stall.reset()
+			x.balancer.Progress(time.Now(), s.ID)
 		}
 		if !x.started {
 			x.startResponse(response)
