--- a/pkg/gateway/digests.go
+++ b/pkg/gateway/digests.go
@@ -18,7 +18,9 @@
 type receivedDigest struct {
 	planner  string
 	sequence int64
-	at       time.Time
+	// engineVersion is the version of the configuration that it was made with.
+	engineVersion int64
+	at            time.Time
 }
 
 // digestOrder recognises digests that arrive after newer ones. It is safe for concurrent use.
@@ -40,6 +42,19 @@
 	if o.newest == nil {
 		o.newest = make(map[groupName]receivedDigest)
 	}
-	o.newest[key] = receivedDigest{d.PeerAddress, d.Sequence, now}
+	o.newest[key] = receivedDigest{d.PeerAddress, d.Sequence, d.EngineVersion, now}
 	return true
 }
+
+// plannerHasEngine reports whether a digest of a group of the service was received after a time that was
+// made with a version of the configuration or a newer one.
+func (o *digestOrder) plannerHasEngine(since time.Time, service string, version int64) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for key, last := range o.newest {
+		if key.service == service && last.at.After(since) && last.engineVersion >= version {
+			return true
+		}
+	}
+	return false
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -60,8 +60,10 @@
 	// asked for the current planner; agentsPerQuery is the number of agents asked at a time.
 	plannerTimeout = 1500 * time.Millisecond
 	agentsPerQuery = 2
-	// subscribeInterval is the time between two digest subscriptions at the planners.
-	subscribeInterval = time.Second
+	// subscribeInterval is the time between two digest subscriptions at the planners, and
+	// firstSubscribeInterval the time between two checks whether any engine is known.
+	subscribeInterval      = time.Second
+	firstSubscribeInterval = 100 * time.Millisecond
 	// idleSweepInterval is the time between two sweeps that close idle backend connections.
 	idleSweepInterval = 500 * time.Millisecond
 )
@@ -222,7 +224,11 @@
 			wait.For(ctx, g.sendState())
 		}
 	})
-	startTask(func(ctx context.Context) { runEvery(ctx, subscribeInterval, g.subscribe) })
+	startTask(func(ctx context.Context) {
+		for ctx.Err() == nil {
+			wait.For(ctx, g.subscribe())
+		}
+	})
 	startTask(func(ctx context.Context) { runEvery(ctx, idleSweepInterval, func() { g.pools.CloseIdle(time.Now()) }) })
 	for _, s := range servers {
 		group.Go(func() {
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -70,11 +70,11 @@
 
 // subscribe renews the digest subscription at each service's planner. Where no planner is
 // known, it subscribes at random agents on the hosts of engines, which answer with the planner's
-// address.
-func (g *Gateway) subscribe() {
+// address. It returns the time until the next subscription.
+func (g *Gateway) subscribe() time.Duration {
 	table := g.table.Load()
 	if table == nil {
-		return
+		return firstSubscribeInterval
 	}
 	now := time.Now()
 	agents := make(map[string][]netip.AddrPort)
@@ -87,22 +87,37 @@
 			agents[s.Service] = append(agents[s.Service], address)
 		}
 	}
-	var to []netip.AddrPort
+	to := make(map[string][]netip.AddrPort)
 	for service, list := range agents {
 		if p, ok := g.planners[service]; ok && now.Sub(p.lastConfirmed) < plannerTimeout {
-			to = append(to, p.peer)
+			to[service] = append(to[service], p.peer)
 			continue
 		}
 		for range agentsPerQuery {
-			to = append(to, list[rand.IntN(len(list))])
+			to[service] = append(to[service], list[rand.IntN(len(list))])
 		}
 	}
 	g.mu.Unlock()
-	g.socket.Send(gossip.Message{Subscribe: g.subscription()}, to...)
+	for service, agents := range to {
+		g.socket.Send(gossip.Message{Subscribe: g.subscription(now, service)}, agents...)
+	}
+	if len(to) == 0 {
+		return firstSubscribeInterval
+	}
+	return subscribeInterval
 }
 
-func (g *Gateway) subscription() *gossip.Subscription {
-	return &gossip.Subscription{Entry: g.settings.Name, FailureDomain: g.settings.FailureDomain}
+// subscription returns the subscription for the digests of a service.
+func (g *Gateway) subscription(now time.Time, service string) *gossip.Subscription {
+	s := &gossip.Subscription{Entry: g.settings.Name, FailureDomain: g.settings.FailureDomain}
+	table := g.table.Load()
+	if table == nil || g.digests.plannerHasEngine(now.Add(-plannerTimeout), service, table.Version) {
+		return s
+	}
+	if configured, ok := table.Service(service); ok && configured.Engine != nil {
+		s.Engine = &gossip.EngineConfiguration{Service: service, Version: table.Version, Engine: *configured.Engine}
+	}
+	return s
 }
 
 // planner is the last known planner of a service.
@@ -187,7 +202,7 @@
 		g.handleEntryState(now, from, m.Entry)
 	case m.Planner != nil:
 		g.setPlanner(now, m.Planner.Service, m.Planner.PeerAddress)
-		g.socket.Send(gossip.Message{Subscribe: g.subscription()}, g.plannerAddress(m.Planner.Service))
+		g.socket.Send(gossip.Message{Subscribe: g.subscription(now, m.Planner.Service)}, g.plannerAddress(m.Planner.Service))
 	case m.Digest != nil:
 		g.relayDigest(m.Digest)
 		g.handleDigest(now, m.Digest)
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -55,6 +55,18 @@
 	Entry string `json:"entry"`
 	// FailureDomain is the entry's own. Digests are passed on within one failure domain.
 	FailureDomain string `json:"dom,omitempty"`
+	// Engine is the service's engine configuration. It is set while the entry receives no digests, or
+	// digests that were made with an older one: a planner would otherwise have to read the whole
+	// configuration, over a link that it shares with the control of the ranks.
+	Engine *EngineConfiguration `json:"engine,omitempty"`
+}
+
+// EngineConfiguration is the part of an accepted configuration that describes the engines of a service.
+type EngineConfiguration struct {
+	Service string `json:"service"`
+	// Version is the version of the configuration.
+	Version int64        `json:"version"`
+	Engine  fleet.Engine `json:"engine"`
 }
 
 // RankState is what a planner knows about one engine. It is encoded as an array because a digest
@@ -80,6 +92,8 @@
 	State       fleet.GroupState `json:"state"`
 	Epoch       int64            `json:"epoch"`
 	Ranks       []RankState      `json:"ranks"`
+	// EngineVersion is the version of the configuration that the planner uses.
+	EngineVersion int64 `json:"ver"`
 	// Sequence orders the digests of one planner.
 	Sequence int64 `json:"seq"`
 	// Relay holds the entries to which the receiver passes the digest on.
--- a/pkg/rankagent/agent.go
+++ b/pkg/rankagent/agent.go
@@ -82,6 +82,8 @@
 
 	mu          sync.Mutex
 	subscribers map[netip.AddrPort]subscriber
+	// engine is the newest engine configuration that an entry has sent; nil if there is none.
+	engine *gossip.EngineConfiguration
 	// digests counts the digests that were sent.
 	digests    int64
 	engineLost bool
@@ -181,6 +183,9 @@
 	now := time.Now()
 	a.mu.Lock()
 	a.subscribers[from] = subscriber{m.Subscribe.FailureDomain, now}
+	if e := m.Subscribe.Engine; e != nil && e.Service == a.settings.Service && (a.engine == nil || e.Version >= a.engine.Version) {
+		a.engine = e
+	}
 	planner, seenAt := a.planner, a.plannerSeenAt
 	a.mu.Unlock()
 	if !a.planning.Load() && planner != "" && now.Sub(seenAt) < plannerTimeout {
@@ -249,6 +254,13 @@
 	a.planner, a.plannerSeenAt, a.joinDelay = peer, time.Now(), joinDelay()
 }
 
+// recordOrder records that a planner is at work. During a switch it sends orders only.
+func (a *Agent) recordOrder() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.plannerSeenAt = time.Now()
+}
+
 // statusRequest asks for a rank's state.
 type statusRequest struct {
 	// Planner is the peer address of the calling planner.
@@ -282,6 +294,9 @@
 		}),
 		methodOrder: rpc.Typed(func(ctx context.Context, _ *rpc.Conn, o rankcontrol.Order) (any, error) {
 			verdict, err := a.execute(ctx, o)
+			if verdict != rankcontrol.Fenced {
+				a.recordOrder()
+			}
 			a.log.Info("order", zap.String("operation", string(o.Operation)), zap.Int64("version", o.Version), zap.Int64("step", o.Step),
 				zap.Int64("epoch", o.Epoch), zap.Int64("fence", o.Fence), zap.String("verdict", string(verdict)), telemetry.Err(err))
 			return orderReply{verdict}, err
--- a/pkg/rankagent/elect.go
+++ b/pkg/rankagent/elect.go
@@ -30,8 +30,17 @@
 	// electionTimeout bounds one election call, and resignTimeout one call to resign.
 	electionTimeout = 900 * time.Millisecond
 	resignTimeout   = 400 * time.Millisecond
-	// candidateRanks is the number of lowest ranks whose agents always take part in the election.
+	// candidateRanks is the number of lowest ranks whose agents take part in the election after a short
+	// silence of the planner: before the membership of a planner that has failed expires.
 	candidateRanks = 3
+	// standbyTimeout is that silence for rank 0, and standbyInterval the additional one for each
+	// further rank.
+	standbyTimeout  = time.Second
+	standbyInterval = 100 * time.Millisecond
+	// firstCallTimeout and firstCallInterval are used instead by an agent that no planner has called
+	// since its start. After a start of all instances, a planner first has to read the servers.
+	firstCallTimeout  = 300 * time.Millisecond
+	firstCallInterval = 800 * time.Millisecond
 	// electionPrefix precedes the service name in the name of the election.
 	electionPrefix = "expert-maps-"
 )
@@ -50,7 +59,7 @@
 	lost, member := false, false
 	resignFailures, formerResigned := 0, false
 	for ctx.Err() == nil {
-		if !a.isCandidate(ctx) {
+		if !a.isCandidate(ctx, member) {
 			if member && term == nil {
 				a.leave(ctx, election)
 				member = false
@@ -98,19 +107,35 @@
 	}
 }
 
-// isCandidate reports whether this agent takes part in the election. The planner and the agents of
-// the lowest ranks always do, the others only while no planner calls.
-func (a *Agent) isCandidate(ctx context.Context) bool {
+// isCandidate reports whether this agent takes part in the election: the planner always does, an agent
+// of one of the lowest ranks after a short silence of the planner, and the others after a long one. Of
+// these, the others leave when a planner calls, and the former stay.
+func (a *Agent) isCandidate(ctx context.Context, member bool) bool {
 	if a.planning.Load() {
 		return true
 	}
 	if a.plannerSilent(plannerTimeout + a.currentJoinDelay()) {
 		return true
 	}
+	if !member && !a.plannerSilent(a.standbyDelay(0)) {
+		return false
+	}
 	call, cancel := context.WithTimeout(ctx, localTimeout)
 	defer cancel()
 	report, err := a.local.Report(call)
-	return err == nil && report.Ranks > 0 && report.Rank < candidateRanks
+	return err == nil && report.Ranks > 0 && report.Rank < candidateRanks && (member || a.plannerSilent(a.standbyDelay(report.Rank)))
+}
+
+// standbyDelay returns how long no planner may call before the agent of one of the lowest ranks joins the
+// election. They join one after the other, because each member that joins may become the owner in
+// place of a planner that has just begun.
+func (a *Agent) standbyDelay(rank int) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.planner == "" {
+		return firstCallTimeout + time.Duration(rank)*firstCallInterval
+	}
+	return standbyTimeout + time.Duration(rank)*standbyInterval
 }
 
 // plannerSilent reports whether no planner has called for longer than a timeout. The start of the
--- a/pkg/rankagent/planner.go
+++ b/pkg/rankagent/planner.go
@@ -43,6 +43,10 @@
 	maxConcurrentRanks int64 = 64
 	// resolveTimeout bounds one switch, and the recovery of a group after a failed switch.
 	resolveTimeout = 3 * time.Second
+	// entryEngineTimeout is how long a planner waits for the engine configuration from an entry before
+	// it reads the operators' topic itself. Entries renew their subscriptions each second. The topic
+	// may hold a megabyte, which the links of some instances transmit in more than a second.
+	entryEngineTimeout = 1500 * time.Millisecond
 	// topicPollTimeout is how long a read of a topic waits for a new record.
 	topicPollTimeout = 2 * time.Second
 	// DemandHalfLife is the time in which the weight of a counted expert choice halves.
@@ -127,7 +131,11 @@
 	p.ctx = ctx
 	var topics sync.WaitGroup
 	topics.Go(func() {
-		follow.Run(ctx, p.agent.shared, follow.Options{Topic: sharedlog.Operators, Wait: topicPollTimeout}, (*configurationSink)(p), p.log)
+		wait.For(ctx, entryEngineTimeout)
+		if engine, _ := p.newestEngine(); engine == nil && ctx.Err() == nil {
+			p.log.Info("no entry has sent the engine configuration; it is read from the shared log")
+			follow.Run(ctx, p.agent.shared, follow.Options{Topic: sharedlog.Operators, Wait: topicPollTimeout}, (*configurationSink)(p), p.log)
+		}
 	})
 	topics.Go(func() {
 		follow.Run(ctx, p.agent.shared, follow.Options{Topic: sharedlog.Servers, Wait: topicPollTimeout}, (*rankSink)(p), p.log)
@@ -185,9 +193,7 @@
 // round reconciles a group once. An error means that this planner must stop.
 func (p *planner) round(ctx context.Context, g *group) error {
 	servers := p.members()[g.name]
-	p.mu.Lock()
-	engine := p.engine
-	p.mu.Unlock()
+	engine, _ := p.newestEngine()
 	if engine == nil || engine.Sets == 0 || len(servers) == 0 {
 		return nil
 	}
@@ -200,6 +206,20 @@
 	return p.reconcileGroup(ctx, g, servers, engine)
 }
 
+// newestEngine returns the engine configuration of the newest version that this planner has read or an
+// entry has sent, and the version; nil if there is none.
+func (p *planner) newestEngine() (*fleet.Engine, int64) {
+	p.mu.Lock()
+	engine, version := p.engine, p.version
+	p.mu.Unlock()
+	p.agent.mu.Lock()
+	defer p.agent.mu.Unlock()
+	if sent := p.agent.engine; sent != nil && (engine == nil || sent.Version > version) {
+		return &sent.Engine, sent.Version
+	}
+	return engine, version
+}
+
 // reconcileGroup reads the status of all ranks of a group, sends the group's digest to the entries
 // and advances the group's expert map.
 func (p *planner) reconcileGroup(ctx context.Context, g *group, servers []fleet.Server, engine *fleet.Engine) error {
@@ -260,7 +280,8 @@
 
 // digest returns the state of a group that is sent to the entries.
 func (p *planner) digest(name string, members []member) *gossip.Digest {
-	d := &gossip.Digest{Service: p.agent.settings.Service, Group: name, PeerAddress: p.peer(), State: fleet.GroupOpen}
+	_, version := p.newestEngine()
+	d := &gossip.Digest{Service: p.agent.settings.Service, Group: name, PeerAddress: p.peer(), State: fleet.GroupOpen, EngineVersion: version}
 	for _, m := range members {
 		r := m.status.Report
 		if m.err != nil {
