--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -1,6 +1,6 @@
 // Package gossip exchanges the state that entries and agents send each other several times a
-// second. Messages are UDP datagrams. Each holds the complete state of its sender, so the next one
-// replaces one that was lost.
+// second. Messages are UDP datagrams in CBOR, with the keys of the json tags. Each holds the complete
+// state of its sender, so the next one replaces one that was lost.
 package gossip
 
 import (
