--- a/pkg/entry/links.go
+++ b/pkg/entry/links.go
@@ -27,6 +27,9 @@
 type link struct {
 	instance instancelist.Instance
 	cancel   context.CancelFunc
+	// earlyStatus is a status that arrived before the reply to the hello was processed; nil if none
+	// did. The agent sends a changed status only once.
+	earlyStatus *agentlink.Status
 }
 
 // rowAddress identifies the addresses and the pool of a row.
@@ -166,6 +169,9 @@
 	if r.link != l {
 		return false
 	}
+	if l.earlyStatus != nil {
+		status = *l.earlyStatus
+	}
 	r.conn = conn
 	r.configRevision = noConfigAccepted
 	r.rtt = rtt
@@ -194,27 +200,40 @@
 	rs.table.LinkDown(time.Now(), l.instance.Name, rand.Uint64())
 }
 
-// storeStatus stores a status that arrived on an open link.
+// storeStatus stores a status that arrived on a link.
 func (rs *replicas) storeStatus(r *replica, l *link, status agentlink.Status) {
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
-	if r.link != l || r.conn == nil {
+	if r.link != l {
 		return
 	}
-	now := time.Now()
-	rs.table.HandleReport(now, l.instance.Name, membershipReport(status))
-	r.updateStatus(now, status)
+	if r.conn == nil {
+		l.earlyStatus = &status
+		return
+	}
+	rs.report(r, l, status)
 }
 
-// storeHeartbeat updates the status from a heartbeat, which carries only a part of it.
+// storeHeartbeat updates the status from a heartbeat, which carries only a part of it. One that arrives
+// before the reply to the hello was processed tells less than that.
 func (rs *replicas) storeHeartbeat(r *replica, l *link, heartbeat agentlink.Heartbeat) {
 	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	if r.link != l || r.conn == nil {
+		return
+	}
 	status := r.status
-	rs.mu.Unlock()
 	status.Draining = heartbeat.Draining
 	status.BackendUp = !heartbeat.BackendDown
 	status.Load = routing.Load{Running: heartbeat.Running, Waiting: heartbeat.Waiting, StepMS: heartbeat.StepMS}
-	rs.storeStatus(r, l, status)
+	rs.report(r, l, status)
+}
+
+// report passes a status of an open link to the membership and stores it. rs.mu is held.
+func (rs *replicas) report(r *replica, l *link, status agentlink.Status) {
+	now := time.Now()
+	rs.table.HandleReport(now, l.instance.Name, membershipReport(status))
+	r.updateStatus(now, status)
 }
 
 func (r *replica) updateStatus(now time.Time, status agentlink.Status) {
