--- a/cmd/fescuehub/scenario_site_test.go
+++ b/cmd/fescuehub/scenario_site_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"testing"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -279,34 +280,57 @@
 }
 
 var (
-	addressMu     sync.Mutex
-	usedAddresses = make(map[string]bool)
+	addressMu sync.Mutex
+	// reservations holds a UDP socket on the port of each address that freeAddress has returned.
+	reservations = make(map[string]net.PacketConn)
 )
 
-// freeAddress returns a free loopback address that no script of this test run has used.
+// freeAddress returns a free loopback address for a TCP port, and reserves it until the test process
+// ends. The process that is to use it starts later, so a listener of another test process could take
+// the port meanwhile: the UDP socket on the same port tells those that look for a free one.
 func freeAddress() string {
 	addressMu.Lock()
 	defer addressMu.Unlock()
 	for {
 		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount))
-		if usedAddresses[address] {
-			continue
+		reservation, err := net.ListenPacket("udp4", address)
+		if err != nil {
+			continue // reserved by a script of this or another test process
 		}
 		l, err := net.Listen("tcp", address)
 		if err != nil {
+			_ = reservation.Close()
 			continue
 		}
 		_ = l.Close()
-		usedAddresses[address] = true
+		reservations[address] = reservation
 		return address
 	}
 }
 
+// TestAddressesAreReservedAcrossProcesses guards against two test processes that choose the same port: the
+// process of one of them would answer the requests of the other.
+func TestAddressesAreReservedAcrossProcesses(t *testing.T) {
+	for range 20 {
+		address := freeAddress()
+		if c, err := net.ListenPacket("udp4", address); err == nil {
+			_ = c.Close()
+			t.Fatalf("%s is not reserved: another test process could choose it as well", address)
+		}
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			t.Fatalf("the process that is to use %s cannot: %v", address, err)
+		}
+		_ = l.Close()
+	}
+}
+
 // Ports of the deployments. They are below the kernel's ephemeral port range, so that an outgoing
-// connection cannot take a port before its process starts.
+// connection cannot take a port before its process starts, and apart from those of the tests of
+// platform/standin (20,000 to 25,999) and of the demo (26,000 to 32,767).
 const (
 	firstPort = 10_240
-	portCount = 32_768 - firstPort
+	portCount = 20_000 - firstPort
 )
 
 // relay is a TCP proxy whose connections can be cut.
--- a/pkg/demo/site.go
+++ b/pkg/demo/site.go
@@ -238,7 +238,7 @@
 // Ports of the demo. They are below the kernel's ephemeral port range, so that an outgoing
 // connection cannot take a port before its process opens it.
 const (
-	firstPort       = 10_240
+	firstPort       = 26_000
 	portCount       = 32_768 - firstPort
 	attemptsPerPort = 100
 )
