--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -381,7 +381,9 @@
 		}
 	}
 	if service.Engine != nil {
-		candidates = b.skipStalledGroups(now, b.skipBrokenGroups(now, candidates))
+		candidates = skipGroups(candidates, func(key groupKey) bool { return b.isBroken(now, key) })
+		// If all groups are stalled, this process may have been suspended itself.
+		candidates = skipGroups(candidates, func(key groupKey) bool { return b.groupStalled(now, key) })
 	}
 	if len(candidates) <= maxFullComparison {
 		return b.cheapest(now, service, candidates, loads, random)
--- a/pkg/balance/group.go
+++ b/pkg/balance/group.go
@@ -107,23 +107,22 @@
 	return true
 }
 
-// skipBrokenGroups returns the engines whose group is not known to be broken, or all of them if
-// every group is broken. b.mu is held.
-func (b *Balancer) skipBrokenGroups(now time.Time, candidates []*server) []*server {
-	broken := make(map[groupKey]bool)
-	var open []*server
+// skipGroups returns the engines whose group is not to be skipped, or all of them if every group is.
+func skipGroups(candidates []*server, skip func(groupKey) bool) []*server {
+	skipped := make(map[groupKey]bool)
+	var kept []*server
 	for _, s := range candidates {
-		groupBroken, checked := broken[s.key()]
+		groupSkipped, checked := skipped[s.key()]
 		if !checked {
-			groupBroken = b.isBroken(now, s.key())
-			broken[s.key()] = groupBroken
+			groupSkipped = skip(s.key())
+			skipped[s.key()] = groupSkipped
 		}
-		if !groupBroken {
-			open = append(open, s)
+		if !groupSkipped {
+			kept = append(kept, s)
 		}
 	}
-	if len(open) == 0 {
+	if len(kept) == 0 {
 		return candidates
 	}
-	return open
+	return kept
 }
--- a/pkg/balance/stalledgroup.go
+++ b/pkg/balance/stalledgroup.go
@@ -75,27 +75,6 @@
 	return now.Before(g.avoidUntil) || now.Sub(g.silentSince) > groupStallTime && b.groupRequests(key) >= minStalledRequests
 }
 
-// skipStalledGroups returns the engines whose group is not stalled, or all of them if every group is: this
-// process may have been suspended itself. b.mu is held.
-func (b *Balancer) skipStalledGroups(now time.Time, candidates []*server) []*server {
-	stalled := make(map[groupKey]bool)
-	var moving []*server
-	for _, s := range candidates {
-		groupStalled, checked := stalled[s.key()]
-		if !checked {
-			groupStalled = b.groupStalled(now, s.key())
-			stalled[s.key()] = groupStalled
-		}
-		if !groupStalled {
-			moving = append(moving, s)
-		}
-	}
-	if len(moving) == 0 {
-		return candidates
-	}
-	return moving
-}
-
 // forgetGroups removes the progress of groups without servers. b.mu is held.
 func (b *Balancer) forgetGroups() {
 	for key := range b.progress {
--- a/pkg/cli/arguments_test.go
+++ b/pkg/cli/arguments_test.go
@@ -18,6 +18,10 @@
 		"measure group --plots /does/not/be": "name a directory that exists",
 		"demo --deployment neither":          "write arcos, somes or platform",
 		"soak --seeds x":                     `run "fescuehub soak --help"`,
+		"status":                             `run "fescuehub status --help"`,
+		"config check":                       `run "fescuehub config check --help"`,
+		"config check /does/not/be":          "name a file that can be read",
+		"load compare /does/not/be /nor":     "name a file that can be read",
 	} {
 		var out, errOut bytes.Buffer
 		if code := Main(strings.Fields(line), &out, &errOut); code != 2 || !strings.Contains(errOut.String(), want) {
--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -42,17 +42,27 @@
 	root.SetArgs(args)
 	root.SetOut(out)
 	root.SetErr(errOut)
-	err := root.ExecuteContext(context.Background())
+	cmd, err := root.ExecuteContextC(context.Background())
 	if err == nil {
 		return ExitOK
 	}
-	fmt.Fprintf(errOut, "fescuehub: %v\n", err)
-	if !a.started {
-		return ExitUsage
+	var u *usageError
+	if !a.started && !errors.As(err, &u) {
+		err = usageErrorf("%v; run %q", err, cmd.CommandPath()+" --help")
 	}
+	fmt.Fprintf(errOut, "fescuehub: %v\n", err)
 	return exitCode(err)
 }
 
+// readFile reads a file that an argument names.
+func readFile(path string) ([]byte, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, usageErrorf("%v (remedy: name a file that can be read)", err)
+	}
+	return data, nil
+}
+
 func (a *app) rootCommand() *cobra.Command {
 	root := &cobra.Command{
 		Use:           "fescuehub",
--- a/pkg/cli/config.go
+++ b/pkg/cli/config.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"os"
 	"slices"
 	"time"
 
@@ -46,9 +45,9 @@
 		Example: "  fescuehub config check examples/arcos/tables.json",
 		Args:    cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			data, err := os.ReadFile(args[0])
+			data, err := readFile(args[0])
 			if err != nil {
-				return usageErrorf("%v", err)
+				return err
 			}
 			inForce := configfold.Empty()
 			if logURL != "" {
@@ -97,9 +96,9 @@
 		Example: "  fescuehub config apply tables.json --log http://127.0.0.1:7001 --operator 127.0.0.1:7101",
 		Args:    cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			data, err := os.ReadFile(args[0])
+			data, err := readFile(args[0])
 			if err != nil {
-				return usageErrorf("%v", err)
+				return err
 			}
 			result, err := configclient.New(logURL).Apply(cmd.Context(), data)
 			if err != nil {
--- a/pkg/cli/load.go
+++ b/pkg/cli/load.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"io"
-	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -85,9 +84,9 @@
 		RunE: func(_ *cobra.Command, args []string) error {
 			var results [2]load.Result
 			for i, path := range args {
-				data, err := os.ReadFile(path)
+				data, err := readFile(path)
 				if err != nil {
-					return usageErrorf("%v", err)
+					return err
 				}
 				if err := json.Unmarshal(data, &results[i]); err != nil {
 					return usageErrorf("%s is not a result of load --output json: %v", path, err)
--- a/pkg/cli/standin.go
+++ b/pkg/cli/standin.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"net/http"
-	"os"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -51,9 +50,9 @@
 	}, func(context.Context) (http.Handler, error) {
 		var list peerlist.List
 		if path != "" {
-			data, err := os.ReadFile(path)
+			data, err := readFile(path)
 			if err != nil {
-				return nil, usageErrorf("%v", err)
+				return nil, err
 			}
 			if err := json.Unmarshal(data, &list); err != nil {
 				return nil, usageErrorf("%s: %v", path, err)
