--- a/pkg/cli/config.go
+++ b/pkg/cli/config.go
@@ -14,6 +14,7 @@
 	"github.com/fescuehub/fescuehub/pkg/configpublish"
 	"github.com/fescuehub/fescuehub/pkg/entry"
 	"github.com/fescuehub/fescuehub/pkg/problem"
+	"github.com/fescuehub/fescuehub/pkg/wait"
 )
 
 const (
@@ -204,7 +205,7 @@
 }
 
 // awaitInForce polls the entries at the operator addresses until all of them have the offset
-// in force or inForceTimeout has passed, and returns how many have it.
+// in force, inForceTimeout has passed or ctx ends, and returns how many have it.
 func awaitInForce(ctx context.Context, operators []string, offset int64) int {
 	deadline := time.Now().Add(inForceTimeout)
 	for {
@@ -215,9 +216,9 @@
 				n++
 			}
 		}
-		if n == len(operators) || time.Now().After(deadline) {
+		if n == len(operators) || time.Now().After(deadline) || ctx.Err() != nil {
 			return n
 		}
-		time.Sleep(inForcePollInterval)
+		wait.For(ctx, inForcePollInterval)
 	}
 }
--- a/pkg/departure/departure_test.go
+++ b/pkg/departure/departure_test.go
@@ -34,8 +34,8 @@
 	}
 }
 
-// An entry that has restarted must not count as leaving because of the departure of its old
-// incarnation, which other entries still forward.
+// TestRestartedEntryIsNotLeaving guards against an entry that counts as leaving after its restart because
+// other entries still pass on the departure of its old incarnation.
 func TestRestartedEntryIsNotLeaving(t *testing.T) {
 	k := departure.New()
 	now := time.Unix(1_800_000_000, 0)
--- a/pkg/entry/admission.go
+++ b/pkg/entry/admission.go
@@ -105,6 +105,8 @@
 	}
 }
 
+// reassess refuses the waiting requests of every pool that can no longer meet their deadline, and updates the
+// gauges of the queues.
 func (e *Entry) reassess() {
 	for _, name := range e.admission.pools() {
 		g, _ := e.admission.gate(name)
--- a/pkg/entry/writes_test.go
+++ b/pkg/entry/writes_test.go
@@ -12,8 +12,8 @@
 	"github.com/fescuehub/fescuehub/pkg/writeonce"
 )
 
-// Guards calls to the owner of a key that the entry is not linked to: it must be found in the
-// instance list, and an owner that is not listed must give the outcome NotKnown.
+// TestUnlinkedOwnerIsFoundInInstanceList guards calls with a key whose owner the entry is not linked to:
+// the owner must be found in the instance list, and one that is not listed must give the outcome NotKnown.
 func TestUnlinkedOwnerIsFoundInInstanceList(t *testing.T) {
 	e := &Entry{replicas: newReplicas(zap.NewNop(), "entry-1", "entry-1@1", nil, tally.NoopScope, nil)}
 	e.members = &members{list: instancelist.List{Instances: []instancelist.Instance{
@@ -24,10 +24,10 @@
 		x := &exchange{call: writeonce.NewCall(key, false)}
 		replica, err := e.replicaByIncarnation(x, x.call.Target())
 		if (err == nil) != found || found && replica.Incarnation != key.Owner() {
-			t.Errorf("%s: %v %v", agent, replica, err)
+			t.Errorf("owner %s: found %+v, %v; want it found: %v", agent, replica, err, found)
 		}
 		if err != nil && problem.Of(err).Outcome != problem.NotKnown {
-			t.Errorf("%s: %v", agent, err)
+			t.Errorf("owner %s: %v, want the outcome %v", agent, err, problem.NotKnown)
 		}
 	}
 }
--- a/pkg/peer/agentlink/client.go
+++ b/pkg/peer/agentlink/client.go
@@ -98,6 +98,8 @@
 	return f, nil
 }
 
+// unreachable returns the error of a call that the agent did not answer. The outcome is NotRun if no
+// connection was opened.
 func unreachable(err error) error {
 	p := problem.New(problem.BackendUnreachable, "send the request again if it is idempotent", "the agent did not answer: %v", err)
 	var op *net.OpError
