Log the shared parts of prompts and the ends of servers under requests

The logs of the incident could not tell a request that ends servers from a bystander, nor a caller that repeats itself from many requests with something in common. Change: an entry reads which parts of a prompt a request shares with others and logs them for each request that needed more than one attempt or failed. After an attempt whose connection was closed before the second event it asks the server's address whether anything listens there; if not, it logs that the server ended under that request, with the shared parts and whether the response had begun, and counts it (requests_at_ended_servers). A connection that is accepted is kept for a request. Ranks that break off after a stall of their group are not asked: they have not ended. No decision uses this yet.

--- a/pkg/backendconn/exchange.go
+++ b/pkg/backendconn/exchange.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -117,8 +118,25 @@
 	if err != nil {
 		return nil, false, errors.Wrap(err, "connect to the backend server")
 	}
+	return newConn(server, nc), false, nil
+}
+
+func newConn(server string, nc net.Conn) *conn {
 	bounded := &boundedReader{nc: nc}
-	return &conn{server: server, nc: nc, bounded: bounded, br: bufio.NewReaderSize(bounded, readBufferBytes)}, false, nil
+	return &conn{server: server, nc: nc, bounded: bounded, br: bufio.NewReaderSize(bounded, readBufferBytes)}
+}
+
+// Ended reports whether the process of a server has certainly ended: its host answers that nothing
+// listens at its address. If the server accepts the connection, the connection is kept for a request.
+func (p *Pools) Ended(ctx context.Context, server, address string) bool {
+	nc, err := p.dial(ctx, address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	c := newConn(server, nc)
+	c.idleUntil = time.Now().Add(defaultIdleTimeout)
+	p.put(c)
+	return false
 }
 
 func (c *conn) roundTrip(r *Request) (*Response, error) {
--- a/pkg/gateway/caller.go
+++ b/pkg/gateway/caller.go
@@ -171,5 +171,14 @@
 	g.log.Info("request", zap.String("request", q.ID), zap.String("route", q.Route.Name), zap.String("kind", string(q.Route.Kind)),
 		zap.String("organisation", q.Organisation), zap.String("outcome", outcome), zap.Int("status", report.Status),
 		zap.String("reason", report.Reason), zap.Int("events", report.Events), zap.String("waitedFor", report.WaitedFor), zap.Duration("waited", report.Waited),
-		zap.Duration("took", took), zap.Int64("version", version), zap.Any("attempts", report.Attempts))
+		zap.Duration("took", took), zap.Int64("version", version), zap.Strings("sharedParts", loggedParts(q, report)), zap.Any("attempts", report.Attempts))
+}
+
+// loggedParts returns the shared parts of a request's prompt for its log line. They are of use only if an
+// attempt failed.
+func loggedParts(q *relay.Request, report relay.Report) []string {
+	if len(report.Attempts) == 0 || len(report.Attempts) == 1 && report.Reason == "" {
+		return nil
+	}
+	return q.SharedParts
 }
--- a/pkg/gateway/sinks.go
+++ b/pkg/gateway/sinks.go
@@ -170,6 +170,13 @@
 	}
 }
 
+// Ended implements relay.ServerObserver.
+func (g *Gateway) Ended(s fleet.Server, end relay.ServerEnd) {
+	g.log.Warn("a backend server ended while it had a request", zap.String("server", s.ID), zap.Int64("incarnation", s.Incarnation), zap.String("service", s.Service),
+		zap.String("request", end.RequestID), zap.Strings("sharedParts", end.SharedParts), zap.Bool("responseBegun", end.ResponseBegun))
+	g.scope.Tagged(map[string]string{"service": s.Service}).Counter("requests_at_ended_servers").Inc(1)
+}
+
 // RetryAfterIgnored implements relay.ServerObserver.
 func (g *Gateway) RetryAfterIgnored(server, value string) {
 	if g.malformed.add(value) {
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -47,6 +47,7 @@
 	began := time.Now()
 	tokens := x.q.tokens()
 	x.balancer.Begin(began, s.ID, tokens)
+	x.attemptEvents = 0
 	record := Attempt{Server: s.ID}
 	latency := time.Duration(0)
 	attemptCtx, cancel := context.WithCancelCause(ctx)
@@ -70,6 +71,9 @@
 			record.Error = err.Error()
 		}
 	}
+	if o == notKnown || o == brokenOff {
+		record.ServerEnded = x.checkServer(ctx, s, err, responding.Load())
+	}
 	took := time.Duration(0)
 	if o == answered {
 		took = time.Since(began)
@@ -274,6 +278,7 @@
 		if !e.Comment {
 			stall.reset()
 			x.balancer.Progress(time.Now(), s.ID)
+			x.attemptEvents++
 		}
 		if !x.started {
 			x.startResponse(response)
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -55,6 +55,9 @@
 	// ExpectedTokens is the caller's estimate of the response length; 0 if there is none.
 	ExpectedTokens int
 	LastEventID    string
+	// SharedParts holds the IDs of the parts of the prompt, in their order, without the last part, which
+	// belongs to this request or its session alone. Other requests can have the same parts.
+	SharedParts []string
 }
 
 // LowestPriority is the priority of the least urgent requests; 0 is the most urgent one.
@@ -131,6 +134,8 @@
 // Transport sends requests to backend servers.
 type Transport interface {
 	Start(ctx context.Context, server, address string, r *backendconn.Request) (*backendconn.Response, error)
+	// Ended reports whether the process of a server has certainly ended.
+	Ended(ctx context.Context, server, address string) bool
 }
 
 // ServerObserver is told what responses say about the servers that sent them. Its methods may be
@@ -143,6 +148,19 @@
 	// RetryAfterIgnored is called when a server states a Retry-After that is not a number of
 	// seconds from 0 to MaxServerPause.
 	RetryAfterIgnored(server, value string)
+	// Ended is called when a server ended while it had the request, before it had answered enough of
+	// it to show that it can answer this prompt.
+	Ended(s fleet.Server, end ServerEnd)
+}
+
+// ServerEnd is what a request shows about the end of the server that had it.
+type ServerEnd struct {
+	// RequestID is the ID of the request, and SharedParts are those of its prompt.
+	RequestID   string
+	SharedParts []string
+	// ResponseBegun means that the headers of the response had arrived: the server was at work on the
+	// request. Otherwise the request may have waited there.
+	ResponseBegun bool
 }
 
 // Relay forwards requests. It is safe for concurrent use.
@@ -187,6 +205,8 @@
 	Status  int
 	Took    time.Duration
 	Error   string
+	// ServerEnded means that the server ended under the attempt.
+	ServerEnded bool
 }
 
 // Report is the record of one request, for logs and metrics.
@@ -248,6 +268,8 @@
 	holdsLateSlot bool
 	// failedResponse is the last response that reported a failure of the request.
 	failedResponse *bufferedResponse
+	// attemptEvents counts the events of the current attempt.
+	attemptEvents int
 }
 
 func (x *exchange) run(ctx context.Context) {
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -147,6 +147,8 @@
 	reports  []relay.Report
 	// leaving and ignored record the calls of Leaving and RetryAfterIgnored.
 	leaving, ignored []string
+	// ended records the calls of Ended.
+	ended []relay.ServerEnd
 }
 
 // Misdirected implements relay.ServerObserver.
@@ -159,6 +161,13 @@
 	s.leaving = append(s.leaving, server)
 }
 
+// Ended implements relay.ServerObserver.
+func (s *testRelay) Ended(_ fleet.Server, end relay.ServerEnd) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ended = append(s.ended, end)
+}
+
 // RetryAfterIgnored implements relay.ServerObserver.
 func (s *testRelay) RetryAfterIgnored(_, value string) {
 	s.mu.Lock()
@@ -176,7 +185,7 @@
 	s.front = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		body, _ := io.ReadAll(req.Body) // test clients send complete bodies
 		q := &relay.Request{
-			CallerHeaders: relay.CallerHeaders{ID: req.Header.Get("Id")}, Route: &route, Service: &service,
+			CallerHeaders: relay.CallerHeaders{ID: req.Header.Get("Id"), SharedParts: req.Header["Part"]}, Route: &route, Service: &service,
 			Method: req.Method, Target: req.RequestURI, Host: "h", Header: relay.EndToEndHeaders(req.Header), Body: body, Arrived: time.Now(),
 		}
 		report := r.Serve(req.Context(), w, q)
@@ -191,12 +200,13 @@
 	return s
 }
 
-func (s *testRelay) send(ctx context.Context, id string) (int, string, http.Header, error) {
+func (s *testRelay) send(ctx context.Context, id string, parts ...string) (int, string, http.Header, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, s.front.URL+"/p", strings.NewReader("body"))
 	if err != nil {
 		return 0, "", nil, err
 	}
 	req.Header.Set("Id", id)
+	req.Header["Part"] = parts
 	res, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return 0, "", nil, err
