Refuse parts of prompts under which backend servers crash

An entry took the end of a server for an ordinary failed attempt: it sent the request to the next server, and the next request with the same part of a prompt like any other. Nothing connected the ends of two servers, at one entry or between entries. The class of fault is a request that kills its worker (query of death). Change: - pkg/quarantine, without I/O: the parts of the requests that a server had when it ended are suspects. A part that was answered since is cleared. What is left must have been there at two moments with evidence (how unlikely for a part of its share of the requests) or at three. A first part or a caller's part that is in other requests too is answered by these. - Entries tell each other at once what they saw of a crash, and of answers that clear suspects; periodic messages repeat it. One crash seen by several entries is one crash (server and incarnation). The log keeps the record over a restart of all entries. - A refused request gets 503 at once with the time of the quarantine, also while it waits; attempts in flight are cancelled. After 2 minutes, doubled each time, one request tries the part again. - A request whose server ended is sent to another one only if all its parts are known to be sound. - Operators list and lift the quarantine at the metrics' address; a gauge, counters and log lines name part, crashes and reason.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -25,6 +26,7 @@
 	"github.com/fescuehub/fescuehub/pkg/gossip"
 	"github.com/fescuehub/fescuehub/pkg/httpserver"
 	"github.com/fescuehub/fescuehub/pkg/netconn"
+	"github.com/fescuehub/fescuehub/pkg/quarantine"
 	"github.com/fescuehub/fescuehub/pkg/relay"
 	"github.com/fescuehub/fescuehub/pkg/retrybudget"
 	"github.com/fescuehub/fescuehub/pkg/roster"
@@ -94,6 +96,7 @@
 	pools    *backendconn.Pools
 	balancer *balance.Balancer
 	budget   *retrybudget.Budget
+	prompts  *quarantine.Tracker
 	relay    *relay.Relay
 	table    atomic.Pointer[fleet.Table]
 	drain    *drainState
@@ -123,6 +126,8 @@
 	// servers holds the usable backend servers by ID.
 	servers map[string]fleet.Server
 
+	// quarantineWrites holds the records of parts in quarantine that are to be written to the shared log.
+	quarantineWrites pendingWrites
 	// republish requests that this entry's record be written again.
 	republish chan struct{}
 	// malformed holds the malformed header values of backend servers that have been logged.
@@ -141,6 +146,7 @@
 		pools:         backendconn.NewPools(),
 		balancer:      balance.New(),
 		budget:        retrybudget.New(retryLimits(s.Bounds), time.Now()),
+		prompts:       quarantine.New(rand.Float64),
 		roster:        roster.New(s.Bounds.LeaveGrace),
 		peerAddresses: make(map[string]netip.AddrPort),
 		planners:      make(map[string]planner),
@@ -151,11 +157,13 @@
 		},
 		latency:   make(map[fleet.Kind]tally.Histogram),
 		republish: make(chan struct{}, 1),
+
+		quarantineWrites: newPendingWrites(),
 	}
 	g.startupCtx, g.endStartup = context.WithTimeout(context.Background(), maxStartupWait)
 	g.addressLifetimeNanos.Store(int64(s.Bounds.AddressLifetime))
 	g.directory = directory.New(directory.Entry{Name: s.Name, Address: s.CallerAddress})
-	g.relay = relay.New(codec, g.pools, g.balancer, g.budget, g)
+	g.relay = relay.New(codec, g.pools, g.balancer, g.budget, g.prompts, g)
 	buckets := tally.MustMakeExponentialDurationBuckets(2*time.Millisecond, 1.6, 20)
 	for _, kind := range []fleet.Kind{fleet.Safe, fleet.Unsafe, fleet.Streaming} {
 		g.latency[kind] = metrics.Scope.Tagged(map[string]string{"kind": string(kind)}).Histogram("request_seconds", buckets)
@@ -218,6 +226,8 @@
 		follow.Run(ctx, g.sharedLog, g.topicOptions(sharedlog.Servers), (*serversSink)(g), g.log)
 	})
 	startTask(g.publishRecord)
+	startTask(g.runQuarantine)
+	startTask(g.persistQuarantine)
 	startTask(g.followEntries)
 	startTask(func(ctx context.Context) {
 		for ctx.Err() == nil {
@@ -266,7 +276,7 @@
 		{g.settings.CallerAddress, http.HandlerFunc(g.serveCaller)},
 		{g.settings.ReadyAddress, http.HandlerFunc(g.serveReady)},
 		{g.settings.DirectoryAddress, http.HandlerFunc(g.serveAddresses)},
-		{net.JoinHostPort(g.settings.IP, portText(g.settings.MetricsPort)), g.metrics.Handler},
+		{net.JoinHostPort(g.settings.IP, portText(g.settings.MetricsPort)), g.operatorHandler()},
 	}
 	var servers []server
 	for _, h := range endpoints {
--- a/pkg/gateway/message_test.go
+++ b/pkg/gateway/message_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/fescuehub/fescuehub/pkg/balance"
 	"github.com/fescuehub/fescuehub/pkg/gossip"
+	"github.com/fescuehub/fescuehub/pkg/quarantine"
 	"github.com/fescuehub/fescuehub/pkg/retrybudget"
 	"github.com/fescuehub/fescuehub/pkg/settings"
 	"github.com/fescuehub/fescuehub/pkg/telemetry"
@@ -30,6 +31,11 @@
 			Service: "s", PeerAddress: "127.0.0.1:1", State: "odd", Ranks: []gossip.RankState{{Address: "h:1", Running: -4, Slowdown: -1}},
 			Relay: make([]netip.AddrPort, 2*gossip.MaxRelay),
 		}},
+		{Prompts: &quarantine.Message{
+			Crashes:  []quarantine.CrashReport{{Service: "s", Server: "x", Incarnation: -1, AgeMilliseconds: math.MinInt64, Suspects: []quarantine.SuspectReport{{Part: "p", Depth: math.MaxInt64}}}},
+			Answered: []quarantine.AnswerReport{{AgeMilliseconds: math.MaxInt64}},
+			States:   []quarantine.StateReport{{Part: "p", Version: math.MaxInt64, Strikes: math.MaxInt64, LeftMilliseconds: math.MaxInt64}},
+		}},
 		{Digest: &gossip.Digest{}}, {Subscribe: &gossip.Subscription{}}, {},
 	} {
 		data, err := gossip.Encode(m)
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -39,6 +39,9 @@
 		}
 	}
 	state.Leaving = sampleLeaving(g.roster.Leaving())
+	if prompts := g.prompts.Periodic(now); !prompts.Empty() {
+		state.Prompts = &prompts
+	}
 	if len(to) >= smallFleetEntries {
 		state.InFlight = nil // planners report the engines' load
 	}
@@ -203,6 +206,8 @@
 	case m.Planner != nil:
 		g.setPlanner(now, m.Planner.Service, m.Planner.PeerAddress)
 		g.socket.Send(gossip.Message{Subscribe: g.subscription(now, m.Planner.Service)}, g.plannerAddress(m.Planner.Service))
+	case m.Prompts != nil:
+		g.prompts.Merge(now, *m.Prompts)
 	case m.Digest != nil:
 		g.relayDigest(m.Digest)
 		g.handleDigest(now, m.Digest)
@@ -222,6 +227,9 @@
 	}
 	g.observeProgress(e.NextOffsets, e.Timelines)
 	g.markLeaving(e.Leaving, e.Name)
+	if e.Prompts != nil {
+		g.prompts.Merge(now, *e.Prompts)
+	}
 	g.balancer.SetEntryLoads(now, e.Name, e.InFlight)
 	g.budget.SetEntryCounts(e.Name, e.Budget)
 }
--- a/pkg/gateway/sinks.go
+++ b/pkg/gateway/sinks.go
@@ -170,13 +170,6 @@
 	}
 }
 
-// Ended implements relay.ServerObserver.
-func (g *Gateway) Ended(s fleet.Server, end relay.ServerEnd) {
-	g.log.Warn("a backend server ended while it had a request", zap.String("server", s.ID), zap.Int64("incarnation", s.Incarnation), zap.String("service", s.Service),
-		zap.String("request", end.RequestID), zap.Strings("sharedParts", end.SharedParts), zap.Bool("responseBegun", end.ResponseBegun))
-	g.scope.Tagged(map[string]string{"service": s.Service}).Counter("requests_at_ended_servers").Inc(1)
-}
-
 // RetryAfterIgnored implements relay.ServerObserver.
 func (g *Gateway) RetryAfterIgnored(server, value string) {
 	if g.malformed.add(value) {
@@ -191,7 +184,7 @@
 // Apply implements follow.Sink.
 func (s *entriesSink) Apply(r sharedlog.Record) {
 	g := (*Gateway)(s)
-	if r.Key == g.settings.Name || len(r.Value) == 0 {
+	if r.Key == g.settings.Name || len(r.Value) == 0 || g.restoreQuarantine(r) {
 		return
 	}
 	var record entryRecord
@@ -206,8 +199,15 @@
 	g.peerAddresses[r.Key] = peer
 }
 
-// Restored implements follow.Sink. Entries that the restored log lacks stay known.
-func (s *entriesSink) Restored() { (*Gateway)(s).republishRecord() }
+// Restored implements follow.Sink. Entries that the restored log lacks stay known, and the parts in
+// quarantine are written again.
+func (s *entriesSink) Restored() {
+	g := (*Gateway)(s)
+	g.republishRecord()
+	for _, part := range g.prompts.States(time.Now()) {
+		g.keepQuarantine(part, false)
+	}
+}
 
 // BeginSnapshot implements follow.Sink.
 func (s *entriesSink) BeginSnapshot() {}
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -14,6 +14,7 @@
 	"github.com/fescuehub/fescuehub/pkg/balance"
 	"github.com/fescuehub/fescuehub/pkg/fleet"
 	"github.com/fescuehub/fescuehub/pkg/panics"
+	"github.com/fescuehub/fescuehub/pkg/quarantine"
 	"github.com/fescuehub/fescuehub/pkg/retrybudget"
 	"github.com/fescuehub/fescuehub/pkg/telemetry"
 )
@@ -48,6 +49,8 @@
 	Leaving map[string]int64 `json:"leave,omitempty"`
 	// Budget counts requests and retries by service.
 	Budget map[string]retrybudget.Counts `json:"budget,omitempty"`
+	// Prompts repeats what the entry knows about prompts that crash servers; nil in quiet times.
+	Prompts *quarantine.Message `json:"prompts,omitempty"`
 }
 
 // Subscription asks a planner to send digests for a limited time.
@@ -112,6 +115,8 @@
 	Subscribe *Subscription `json:"subscribe,omitempty"`
 	Planner   *Planner      `json:"planner,omitempty"`
 	Digest    *Digest       `json:"digest,omitempty"`
+	// Prompts is sent to all entries as soon as there is something new.
+	Prompts *quarantine.Message `json:"prompts,omitempty"`
 }
 
 // Socket sends and receives messages.
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -55,6 +55,8 @@
 	var responding atomic.Bool
 	defer x.cancelIfUnresponsive(s, &responding, cancel).Stop()
 	x.cancelAttempt = cancel
+	stopWatch := x.prompts.Watch(x.q.Service.Name, x.q.SharedParts, func() { cancel(errQuarantined) })
+	defer stopWatch()
 	response, err := x.transport.Start(attemptCtx, s.ID, s.Address, x.backendRequest(s))
 	var o outcome
 	if err != nil {
@@ -71,16 +73,20 @@
 			record.Error = err.Error()
 		}
 	}
+	if cause := context.Cause(attemptCtx); errors.Is(cause, errQuarantined) {
+		err = cause
+	}
 	if o == notKnown || o == brokenOff {
 		record.ServerEnded = x.checkServer(ctx, s, err, responding.Load())
 	}
 	took := time.Duration(0)
 	if o == answered {
 		took = time.Since(began)
+		x.prompts.RecordAnswered(time.Now(), x.q.Service.Name, x.q.SharedParts)
 	}
 	x.balancer.End(time.Now(), s.ID, tokens, balance.Result{
 		Latency: latency, Duration: took, Refused: o == notRun,
-		Failed: o != answered && ctx.Err() == nil && !(o == notRun && record.Status != 0),
+		Failed: o != answered && ctx.Err() == nil && !(o == notRun && record.Status != 0) && !errors.Is(err, errQuarantined),
 	})
 	record.Outcome, record.Took = o.String(), time.Since(began)
 	x.report.Attempts = append(x.report.Attempts, record)
@@ -127,7 +133,9 @@
 // classifyError returns the outcome of an attempt that got no response.
 func (x *exchange) classifyError(s fleet.Server, err error) outcome {
 	x.exclude(s.ID)
-	x.balancer.AvoidUntil(s.ID, time.Now().Add(failedServerAvoidTime))
+	if !errors.Is(err, errQuarantined) {
+		x.balancer.AvoidUntil(s.ID, time.Now().Add(failedServerAvoidTime))
+	}
 	var e *backendconn.Error
 	if errors.As(err, &e) && e.NotSent {
 		return notRun
@@ -278,7 +286,7 @@
 		if !e.Comment {
 			stall.reset()
 			x.balancer.Progress(time.Now(), s.ID)
-			x.attemptEvents++
+			x.recordEvent()
 		}
 		if !x.started {
 			x.startResponse(response)
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -15,6 +15,7 @@
 	"github.com/fescuehub/fescuehub/pkg/backendconn"
 	"github.com/fescuehub/fescuehub/pkg/balance"
 	"github.com/fescuehub/fescuehub/pkg/fleet"
+	"github.com/fescuehub/fescuehub/pkg/quarantine"
 	"github.com/fescuehub/fescuehub/pkg/retrybudget"
 	"github.com/fescuehub/fescuehub/pkg/wait"
 )
@@ -169,12 +170,13 @@
 	transport Transport
 	balancer  *balance.Balancer
 	budget    *retrybudget.Budget
+	prompts   *quarantine.Tracker
 	observer  ServerObserver
 }
 
-// New returns a relay.
-func New(codec Codec, t Transport, b *balance.Balancer, budget *retrybudget.Budget, o ServerObserver) *Relay {
-	return &Relay{codec: codec, transport: t, balancer: b, budget: budget, observer: o}
+// New returns a relay. It refuses prompts that prompts has in quarantine.
+func New(codec Codec, t Transport, b *balance.Balancer, budget *retrybudget.Budget, prompts *quarantine.Tracker, o ServerObserver) *Relay {
+	return &Relay{codec: codec, transport: t, balancer: b, budget: budget, prompts: prompts, observer: o}
 }
 
 // outcome is what is certain about an ended attempt.
@@ -231,7 +233,9 @@
 	ctx, cancel := context.WithDeadlineCause(ctx, q.Deadline(), errDeadline)
 	defer cancel()
 	x := &exchange{Relay: r, q: q, w: w, repeatable: q.Route.Repeatable(), lastEventID: q.LastEventID, lastProgress: q.Arrived}
-	r.budget.RecordRequest(time.Now(), q.Service.Name)
+	now := time.Now()
+	r.budget.RecordRequest(now, q.Service.Name)
+	r.prompts.RecordRequest(now, q.Service.Name, q.SharedParts)
 	x.run(ctx)
 	if x.holdsLateSlot {
 		r.balancer.ReleaseLateSlot(q.Service.Name)
@@ -270,11 +274,17 @@
 	failedResponse *bufferedResponse
 	// attemptEvents counts the events of the current attempt.
 	attemptEvents int
+	// refusal is why the prompt is refused; its Part is empty if it is not.
+	refusal quarantine.Refusal
 }
 
 func (x *exchange) run(ctx context.Context) {
 	for {
-		if !x.waitForGroup(ctx) {
+		timeLeft := x.waitForGroup(ctx)
+		if x.refusePrompt(ctx, x.prompts.Refused) {
+			return
+		}
+		if !timeLeft {
 			x.finish(ctx, "too little time left for an attempt, or the group of engines did not open in time")
 			return
 		}
@@ -296,6 +306,9 @@
 		if !x.balancer.Accepts(time.Now(), server) {
 			continue // it left, restarted or paused while the request waited
 		}
+		if x.refusePrompt(ctx, x.prompts.Acquire) {
+			return
+		}
 		o := x.attempt(ctx, server)
 		if o == answered {
 			return
@@ -332,11 +345,13 @@
 			x.abort("response truncated: the backend server failed after part of it was sent")
 			return false
 		}
+		return x.mayRepeatPrompt(ctx)
 	case ran, notKnown:
 		if !x.repeatable || x.possibleRuns >= x.q.Route.MaxAttempts {
 			x.finish(ctx, "the request may have run and must not be retried")
 			return false
 		}
+		return x.mayRepeatPrompt(ctx)
 	case notRun:
 		if x.serversFull() {
 			x.finish(ctx, "backend servers are at capacity")
@@ -411,6 +426,9 @@
 			mean = retryAfterGroupMean
 		}
 		// Callers return when the first paused server accepts requests again, not all at once.
+		if x.refusal.Part != "" {
+			mean = x.refusal.RetryAfter * 4 / 3 // at the earliest when the part may be tried again
+		}
 		retryAfter = x.balancer.PauseLeft(time.Now(), x.q.Service.Name) + mean*3/4 + rand.N(mean/2)
 	}
 	WriteError(x.w, status, reason, retryAfter)
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -17,6 +18,7 @@
 	"github.com/fescuehub/fescuehub/pkg/backendconn"
 	"github.com/fescuehub/fescuehub/pkg/balance"
 	"github.com/fescuehub/fescuehub/pkg/fleet"
+	"github.com/fescuehub/fescuehub/pkg/quarantine"
 	"github.com/fescuehub/fescuehub/pkg/relay"
 	"github.com/fescuehub/fescuehub/pkg/retrybudget"
 )
@@ -143,6 +145,7 @@
 type testRelay struct {
 	front    *httptest.Server
 	balancer *balance.Balancer
+	prompts  *quarantine.Tracker
 	mu       sync.Mutex
 	reports  []relay.Report
 	// leaving and ignored record the calls of Leaving and RetryAfterIgnored.
@@ -180,7 +183,8 @@
 	s := &testRelay{balancer: balance.New()}
 	s.balancer.SetServers(servers)
 	budget := retrybudget.New(retrybudget.Limits{Ratio: 0.2, Floor: floor, Window: 10 * time.Second}, time.Now())
-	r := relay.New(testCodec{}, backendconn.NewPools(), s.balancer, budget, s)
+	s.prompts = quarantine.New(rand.Float64)
+	r := relay.New(testCodec{}, backendconn.NewPools(), s.balancer, budget, s.prompts, s)
 	service.Name = "s"
 	s.front = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		body, _ := io.ReadAll(req.Body) // test clients send complete bodies
--- a/pkg/relay/serverend.go
+++ b/pkg/relay/serverend.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"syscall"
 	"time"
@@ -10,6 +11,8 @@
 
 	"github.com/fescuehub/fescuehub/pkg/eventstream"
 	"github.com/fescuehub/fescuehub/pkg/fleet"
+	"github.com/fescuehub/fescuehub/pkg/quarantine"
+	"github.com/fescuehub/fescuehub/pkg/wait"
 )
 
 const (
@@ -17,6 +20,9 @@
 	// a prompt that crashes engines does so as they begin to write, and one event may already be on its
 	// way then.
 	soundEvents = 2
+	// soundPromptWait bounds the wait for other entries to say that they know the parts of a prompt to
+	// be sound. They do so within 0.15 s, and a message takes some milliseconds.
+	soundPromptWait = 300 * time.Millisecond
 	// endCheckTimeout bounds the check whether a server has ended. A host that is up answers within a
 	// round trip.
 	endCheckTimeout = 400 * time.Millisecond
@@ -41,6 +47,48 @@
 	return true
 }
 
+var errQuarantined = errors.New("a part of the prompt was quarantined: servers crash when they answer it")
+
+func (x *exchange) promptRefused() bool {
+	_, refused := x.prompts.Refused(time.Now(), x.q.Service.Name, x.q.SharedParts)
+	return refused
+}
+
+// refusePrompt ends the request, and reports true, if check refuses a part of its prompt.
+func (x *exchange) refusePrompt(ctx context.Context, check func(time.Time, string, []string) (quarantine.Refusal, bool)) bool {
+	refusal, refused := check(time.Now(), x.q.Service.Name, x.q.SharedParts)
+	if !refused {
+		return false
+	}
+	x.refusal = refusal
+	x.finish(ctx, fmt.Sprintf("part %s of the prompt is refused: servers crash when they answer it", refusal.Part))
+	return true
+}
+
+// recordEvent counts an event of the current attempt. After soundEvents the prompt is known to be sound.
+func (x *exchange) recordEvent() {
+	x.attemptEvents++
+	if x.attemptEvents == soundEvents {
+		x.prompts.RecordAnswered(time.Now(), x.q.Service.Name, x.q.SharedParts)
+	}
+}
+
+// mayRepeatPrompt reports whether a request may be sent to another server after a failed attempt, and ends
+// it if not. If the server ended under it, the prompt must be known to be sound: another server would
+// crash as well.
+func (x *exchange) mayRepeatPrompt(ctx context.Context) bool {
+	if !x.report.Attempts[len(x.report.Attempts)-1].ServerEnded {
+		return true
+	}
+	for end := time.Now().Add(soundPromptWait); ctx.Err() == nil && time.Now().Before(end); wait.For(ctx, soundPromptWait/10) {
+		if x.prompts.MayRepeat(time.Now(), x.q.Service.Name, x.q.SharedParts) {
+			return true
+		}
+	}
+	x.finish(ctx, "the backend server ended under the request, and no server is known to have answered all parts of its prompt")
+	return false
+}
+
 // isConnectionEnd reports whether an error says that the server closed or reset the connection.
 func isConnectionEnd(err error) bool {
 	return errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF, eventstream.ErrTruncated, syscall.ECONNRESET, syscall.EPIPE)
--- a/pkg/relay/wait.go
+++ b/pkg/relay/wait.go
@@ -27,14 +27,14 @@
 	lateSendMargin = 1000 * time.Millisecond
 )
 
-// waitForGroup waits while the group of engines accepts no requests, and reports whether enough
-// time for an attempt remains.
+// waitForGroup waits while the group of engines accepts no requests, but not with a prompt that is
+// refused, and reports whether enough time for an attempt remains.
 func (x *exchange) waitForGroup(ctx context.Context) bool {
 	if x.q.Service.Engine == nil {
 		return x.remaining() > minAttemptTime
 	}
 	x.groupFault = false
-	for {
+	for !x.promptRefused() {
 		reason := x.waitReason(time.Now())
 		if reason == "" {
 			break
@@ -87,7 +87,7 @@
 // waitForBudget waits until the service's retry budget allows another attempt. Only a request to an
 // engine that has certainly not run waits: it can still be refused.
 func (x *exchange) waitForBudget(ctx context.Context) bool {
-	for !x.budget.Acquire(time.Now(), x.q.Service.Name) {
+	for !x.promptRefused() && !x.budget.Acquire(time.Now(), x.q.Service.Name) {
 		if x.possibleRuns > 0 || x.q.Service.Engine == nil || !x.worthWaiting(ctx) {
 			return false
 		}
