Tell a whole answer without length and chunks from one that its server's end cut short

What callers saw: an answer with neither a length nor chunks, whose server ended in the middle (between two events of a stream, or within a plain body), passed for whole; a stream that was closed before its first event became an empty stream with status 200. Cause: both ends close the connection in the same way, and the entry took each orderly close for the end of the answer. Change: at the end of such an answer the entry asks whether anything listens at the server's address. If not, and the server was not about to leave, the answer was broken off: the stream is resumed elsewhere, a repeatable request is sent again, any other is broken off visibly. A stream without any event is not whole. A stream that ends inside an event was broken off before, too. The connection was not used again before and is not now. Why it works: a crash ends the listener with the connection. What stays open: a server that crashes and listens again within a round trip looks alive.

--- a/pkg/backendconn/exchange.go
+++ b/pkg/backendconn/exchange.go
@@ -78,6 +78,9 @@
 	Length int64
 	// Body reads the body; an error other than io.EOF means that it is incomplete.
 	Body io.Reader
+	// Framed means that the body has a length or chunks. A body without ends with its connection, which
+	// also ends when the server does.
+	Framed bool
 
 	pools    *Pools
 	conn     *conn
@@ -157,7 +160,8 @@
 	}
 	return &Response{
 		Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Body: response.Body,
-		conn: c, response: response, written: written,
+		Framed: response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || response.Body == http.NoBody,
+		conn:   c, response: response, written: written,
 		reusable: !response.Close && !skipped,
 	}, nil
 }
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -214,6 +214,10 @@
 		x.exclude(s.ID)
 		return x.brokenOffOr(notKnown), errors.Wrap(err, "read the response body")
 	}
+	if len(body) <= maxBufferedBytes && x.cutShort(ctx, s, response) {
+		x.exclude(s.ID)
+		return x.brokenOffOr(notKnown), errCutShort
+	}
 	if x.started {
 		x.exclude(s.ID)
 		return brokenOff, errors.Newf("resumed stream got a response with status %d instead of events", response.Status)
@@ -226,7 +230,7 @@
 	}
 	x.report.Status = response.Status
 	if len(body) > maxBufferedBytes {
-		return x.relayUnbuffered(ctx, response, buffered)
+		return x.relayUnbuffered(ctx, s, response, buffered)
 	}
 	buffered.write(x.w)
 	return answered, nil
@@ -234,7 +238,7 @@
 
 // relayUnbuffered passes on a response that is too long to be buffered: first the part that has
 // been read, then the remainder as it arrives.
-func (x *exchange) relayUnbuffered(_ context.Context, response *backendconn.Response, buffered *bufferedResponse) (outcome, error) {
+func (x *exchange) relayUnbuffered(ctx context.Context, s fleet.Server, response *backendconn.Response, buffered *bufferedResponse) (outcome, error) {
 	copyHeader(x.w.Header(), buffered.header)
 	if response.Length >= 0 {
 		x.w.Header().Set("Content-Length", strconv.FormatInt(response.Length, 10))
@@ -253,6 +257,9 @@
 	if n > limit {
 		return brokenOff, errResponseTooLong
 	}
+	if x.cutShort(ctx, s, response) {
+		return brokenOff, errCutShort
+	}
 	return answered, nil
 }
 
@@ -263,6 +270,10 @@
 	defer stall.stop()
 	for {
 		e, err := events.Next()
+		if err == io.EOF && x.cutShort(ctx, s, response) {
+			x.exclude(s.ID)
+			return x.brokenOffOr(notKnown), errCutShort
+		}
 		if err == io.EOF {
 			if !x.started {
 				x.startResponse(response)
--- a/pkg/relay/serverend.go
+++ b/pkg/relay/serverend.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/fescuehub/fescuehub/pkg/backendconn"
 	"github.com/fescuehub/fescuehub/pkg/eventstream"
 	"github.com/fescuehub/fescuehub/pkg/fleet"
 	"github.com/fescuehub/fescuehub/pkg/quarantine"
@@ -89,6 +90,24 @@
 	return false
 }
 
+// errCutShort is the end of a response without a length or chunks that was not whole.
+var errCutShort = errors.Wrap(io.ErrUnexpectedEOF, "the response has neither a length nor chunks, and its server ended with it or sent no event")
+
+// cutShort reports whether a response that has been read to the end of its connection was broken off. Only
+// one without a length or chunks can be: its connection ends in the same way when it is whole and when its
+// server ends. A server that was about to leave has ended as planned.
+func (x *exchange) cutShort(ctx context.Context, s fleet.Server, response *backendconn.Response) bool {
+	if response.Framed || !x.balancer.Accepts(time.Now(), s) {
+		return false
+	}
+	if x.q.Route.Kind == fleet.Streaming && response.Status < 300 && x.attemptEvents == 0 && !x.started {
+		return true
+	}
+	checkCtx, cancel := context.WithTimeout(ctx, endCheckTimeout)
+	defer cancel()
+	return x.transport.Ended(checkCtx, s.ID, s.Address)
+}
+
 // isConnectionEnd reports whether an error says that the server closed or reset the connection.
 func isConnectionEnd(err error) bool {
 	return errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF, eventstream.ErrTruncated, syscall.ECONNRESET, syscall.EPIPE)
--- a/pkg/relay/serverend_test.go
+++ b/pkg/relay/serverend_test.go
@@ -5,6 +5,9 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -61,3 +64,76 @@
 
 // chunk encodes text as one chunk of a body.
 func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+
+// TestResponseWithoutFramingEndsWithItsServer guards against a response that has neither a length nor chunks
+// and that passes for whole when its server ends: where the server still runs the response is whole, where
+// it has ended the rest is fetched from another server or the caller sees that the response is broken off.
+func TestResponseWithoutFramingEndsWithItsServer(t *testing.T) {
+	events := event(1) + event(2) + event(3)
+	for name, c := range map[string]struct {
+		kind      fleet.Kind
+		resumable bool
+		head      string
+		body      string
+		survives  bool
+		// want is the whole response; empty if the caller has to see an error.
+		want      string
+		wantSends int
+	}{
+		"stream, server runs":                    {fleet.Streaming, false, streamHead(""), events, true, events, 1},
+		"stream of HTTP/1.0, server runs":        {fleet.Streaming, false, "HTTP/1.0 200 X\r\nId: ID\r\nSeal: first\r\n\r\n", events, true, events, 1},
+		"stream, server ended":                   {fleet.Streaming, false, streamHead(""), event(1) + event(2), false, "", 1},
+		"resumable stream, server ended":         {fleet.Streaming, true, streamHead(""), event(1) + event(2), false, events, 2},
+		"stream ends inside an event":            {fleet.Streaming, false, streamHead(""), event(1) + "id: 2\nda", true, "", 1},
+		"resumable stream ends inside an event":  {fleet.Streaming, true, streamHead(""), event(1) + "id: 2\nda", true, events, 2},
+		"stream without an event, server ended":  {fleet.Streaming, true, streamHead(""), "", false, events, 2},
+		"stream without an event, server runs":   {fleet.Streaming, true, streamHead(""), "", true, events, 2},
+		"plain response, server runs":            {fleet.Safe, false, streamHead(""), "whole", true, "whole", 1},
+		"plain response, server ended":           {fleet.Safe, false, streamHead(""), "who", false, "whole", 2},
+		"unrepeatable response, server ended":    {fleet.Unsafe, false, streamHead(""), "who", false, "", 1},
+		"long plain response, server ended":      {fleet.Safe, false, streamHead(""), strings.Repeat("x", 300<<10), false, "", 1},
+		"long plain response, server still runs": {fleet.Safe, false, streamHead(""), strings.Repeat("x", 300<<10), true, strings.Repeat("x", 300<<10), 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var once sync.Once
+			var a, b *backend
+			respond := func(own **backend) reply {
+				return func(conn *net.TCPConn, r *http.Request, n int) bool {
+					first := false
+					once.Do(func() { first = true })
+					if !first {
+						rest := "whole"
+						if c.kind == fleet.Streaming {
+							last, _ := strconv.Atoi(r.Header.Get("Last")) // 0 if the stream is not resumed
+							rest = strings.Join([]string{event(1), event(2), event(3)}[last:], "")
+						}
+						return respondWith(200, "Seal: second\r\n", rest)(conn, r, n)
+					}
+					end := (*own).crash
+					if c.survives {
+						end = closeConn
+					}
+					return writeRaw(c.head+c.body, end)(conn, r, n)
+				}
+			}
+			a = newBackend(t, respond(&a))
+			b = newBackend(t, respond(&b))
+			r := route(c.kind)
+			r.Resumable = c.resumable
+			s := newTestRelay(t, r, fleet.Service{}, 94, a.server("a"), b.server("b"))
+			status, body, _, err := s.send(context.Background(), "1")
+			if c.want == "" && err == nil && status == 200 {
+				t.Errorf("got status 200 and %d bytes without an error; the response is not whole", len(body))
+			}
+			if c.want != "" && (err != nil || status != 200 || body != c.want) {
+				t.Errorf("got status %d, %d bytes, error %v; want the whole response of %d bytes", status, len(body), err, len(c.want))
+			}
+			sentA, _ := a.count()
+			sentB, _ := b.count()
+			if sentA+sentB != c.wantSends {
+				t.Errorf("%d servers got the request, want %d", sentA+sentB, c.wantSends)
+			}
+		})
+	}
+}
