Judge prompt parts by how unlikely their presence at crashes is

Cause: two moments of crashes were enough for a part that had never been answered, however common; and crashes at which a refused part had been were no evidence against any other. Change: the evidence is the logarithm of the chance that a part of its share is among the requests at each crash, and among those answered meanwhile. Crashes count against a part also where another one explains them, as long as one stays unexplained. A part blamed instead of another is released once servers crash without it. Entries repeat only what they have seen of a crash themselves, for 3 s: at 149 entries less than a tenth of the bytes (computed).

--- a/pkg/quarantine/evidence.go
+++ b/pkg/quarantine/evidence.go
@@ -22,10 +22,11 @@
 	// there at each crash, and each entry judges them by the requests that it has seen itself.
 	minMoments                       = 2
 	minEvidence, minEvidenceAnswered = 6, 10
-	// A part that has never been answered is blamed without further evidence if it was there at
-	// sufficientMoments moments, unless it is in nearly all requests.
-	sufficientMoments = 3
-	maxShare          = 0.9
+	// A part that has never been answered is blamed with some evidence if it was there at severalMoments
+	// moments, and without any at sufficientMoments, unless it is in nearly all requests.
+	severalMoments, someEvidence = 3, 4.5
+	sufficientMoments            = 4
+	maxShare                     = 0.9
 	// crashesPerMoment is the number of crashes that count like a moment if the part was there at every
 	// crash since the first of them. A lost rack has other servers as well.
 	crashesPerMoment = 2
@@ -120,7 +121,7 @@
 
 func (t *Tracker) findCrash(c Crash) *crash {
 	for _, known := range t.crashes {
-		if known.Service == c.Service && known.Server == c.Server && known.Incarnation == c.Incarnation {
+		if known.is(c) {
 			return known
 		}
 	}
@@ -159,8 +160,13 @@
 	return false
 }
 
+// is reports whether two crashes are the same one.
+func (c Crash) is(other Crash) bool {
+	return c.Service == other.Service && c.Server == other.Server && c.Incarnation == other.Incarnation
+}
+
 // moments returns the number of moments of crashes, which are in the order of their times.
-func moments(list []*crash) int {
+func moments(list []Crash) int {
 	n := 0
 	var began time.Time
 	for _, c := range list {
@@ -172,6 +178,15 @@
 	return n
 }
 
+// crashesOf returns crashes without their suspects.
+func crashesOf(list []*crash) []Crash {
+	crashes := make([]Crash, len(list))
+	for i, c := range list {
+		crashes[i] = c.Crash
+	}
+	return crashes
+}
+
 // blame is the evidence against a part.
 type blame struct {
 	part    Part
@@ -238,16 +253,34 @@
 
 // judge returns the evidence against a part, and whether it suffices. t.mu is held.
 func (t *Tracker) judge(p Part, open []*crash) (blame, bool) {
-	answeredAt, answered := t.usage.lastAnswer(p)
-	b := blame{part: p, crashes: t.crashesSince(p, answeredAt)}
+	b := t.assess(p)
 	isOpen := func(c *crash) bool { return slices.Contains(open, c) }
 	if !slices.ContainsFunc(b.crashes, isOpen) {
 		return b, false
 	}
-	b.moments = moments(b.crashes)
 	if explainsAll(b.crashes, open) {
 		b.moments = max(b.moments, len(b.crashes)/crashesPerMoment)
 	}
+	_, answered := t.usage.lastAnswer(p)
+	switch {
+	case b.moments < minMoments:
+		return b, false
+	case answered:
+		return b, b.evidence >= minEvidenceAnswered
+	case b.moments >= sufficientMoments:
+		return b, t.usage.share(p) < maxShare
+	case b.moments >= severalMoments:
+		return b, b.evidence >= someEvidence
+	default:
+		return b, b.evidence >= minEvidence
+	}
+}
+
+// assess returns the evidence against a part since it was last answered. t.mu is held.
+func (t *Tracker) assess(p Part) blame {
+	answeredAt, _ := t.usage.lastAnswer(p)
+	b := blame{part: p, crashes: t.crashesSince(p, answeredAt)}
+	b.moments = moments(crashesOf(b.crashes))
 	share := t.usage.share(p)
 	b.evidence = -math.Log1p(-share) * float64(t.usage.answersSince(p.Service, answeredAt))
 	for _, c := range b.crashes {
@@ -260,14 +293,7 @@
 		}
 		b.evidence -= math.Log(1 - math.Pow(1-share, float64(others)))
 	}
-	switch {
-	case b.moments < minMoments:
-		return b, false
-	case answered:
-		return b, b.evidence >= minEvidenceAnswered
-	default:
-		return b, b.evidence >= minEvidence || b.moments >= sufficientMoments && share < maxShare
-	}
+	return b
 }
 
 // begunCount returns the number of parts of requests that the server had begun to answer.
@@ -316,10 +342,7 @@
 			r = t.newRecord(b.part)
 		}
 		r.quarantine(now, t.random())
-		r.crashes = nil
-		for _, c := range b.crashes {
-			r.crashes = append(r.crashes, c.Crash)
-		}
+		r.blame = b
 		t.addChange(r, Blamed)
 		t.cancelWatches(b.part)
 		t.releaseExplained(now, r)
@@ -327,15 +350,20 @@
 	t.suspected = suspected
 }
 
-// releaseExplained releases the other parts that were blamed only for crashes which a part explains that
-// was there at more of them. t.mu is held.
+// releaseExplained releases the parts that were blamed instead of another one: servers still crashed with
+// that one after they were refused, and it leaves too few of their crashes unexplained. t.mu is held.
 func (t *Tracker) releaseExplained(now time.Time, by *record) {
 	for _, p := range sortedParts(t.records) {
 		r := t.records[p]
-		if r == by || r.released || len(r.crashes) == 0 || len(r.crashes) >= len(by.crashes) {
+		if r == by || r.released || len(r.blame.crashes) == 0 {
 			continue
 		}
-		if !slices.ContainsFunc(r.crashes, func(c Crash) bool { return !slices.Contains(by.crashes, c) }) {
+		without := func(c *crash) bool {
+			_, there := c.suspects[p]
+			return !there && c.At.After(r.changedAt)
+		}
+		left := slices.DeleteFunc(slices.Clone(r.blame.crashes), func(c *crash) bool { return slices.Contains(by.blame.crashes, c) })
+		if slices.ContainsFunc(by.blame.crashes, without) && moments(crashesOf(left)) < minMoments {
 			r.release(now)
 			t.addChange(r, Superseded)
 		}
--- a/pkg/quarantine/exchange.go
+++ b/pkg/quarantine/exchange.go
@@ -5,9 +5,9 @@
 const (
 	// announceDelay gathers what several requests say about the same crash into one message.
 	announceDelay = 20 * time.Millisecond
-	// repeatTime is how long the crashes that an entry has learned of are part of its periodic messages,
-	// which make up for lost ones.
-	repeatTime = 10 * time.Second
+	// repeatTime is how long the periodic messages of an entry repeat what it has seen of a crash itself,
+	// which makes up for lost messages.
+	repeatTime = 3 * time.Second
 	// maxPeriodicCrashes and maxPeriodicStates bound the periodic messages: 2 KB.
 	maxPeriodicCrashes, maxPeriodicStates = 4, 16
 	// maxMessageItems bounds what is read of one list of a message.
@@ -79,7 +79,7 @@
 			next = earlier(next, c.announceAt)
 		default:
 			c.announceAt = time.Time{}
-			m.Crashes = append(m.Crashes, c.report(now, true))
+			m.Crashes = append(m.Crashes, c.report(now))
 		}
 	}
 	for _, p := range sortedParts(t.objections) {
@@ -128,8 +128,8 @@
 	defer t.mu.Unlock()
 	var m Message
 	for i := len(t.crashes) - 1; i >= 0 && len(m.Crashes) < maxPeriodicCrashes; i-- {
-		if c := t.crashes[i]; now.Sub(c.learnedAt) < repeatTime {
-			m.Crashes = append(m.Crashes, c.report(now, false))
+		if r := t.crashes[i].report(now); len(r.Suspects) > 0 && now.Sub(t.crashes[i].learnedAt) < repeatTime {
+			m.Crashes = append(m.Crashes, r)
 		}
 	}
 	for _, r := range t.records { // the order of a map is random, so that all records have their turn
@@ -207,11 +207,11 @@
 	}
 }
 
-// report returns the report of a crash, with only what this entry has seen itself or with all it knows.
-func (c *crash) report(now time.Time, ownOnly bool) CrashReport {
+// report returns what this entry has seen of a crash itself.
+func (c *crash) report(now time.Time) CrashReport {
 	r := CrashReport{Service: c.Service, Server: c.Server, Incarnation: c.Incarnation, AgeMilliseconds: now.Sub(c.At).Milliseconds()}
 	for _, p := range sortedParts(c.suspects) {
-		if s := c.suspects[p]; s.own || !ownOnly {
+		if s := c.suspects[p]; s.own {
 			r.Suspects = append(r.Suspects, SuspectReport{Part: p.ID, Depth: c.suspects[p].depth, Begun: c.suspects[p].begun})
 		}
 	}
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -169,7 +169,7 @@
 		if !answered || t.isRefused(p) {
 			return false
 		}
-		if moments(t.crashesSince(p, answeredAt)) > 1 {
+		if moments(crashesOf(t.crashesSince(p, answeredAt))) > 1 {
 			return false
 		}
 	}
--- a/pkg/quarantine/record.go
+++ b/pkg/quarantine/record.go
@@ -1,9 +1,6 @@
 package quarantine
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 const (
 	// firstQuarantine is how long a part is refused until it is tried again. The time doubles with each
@@ -34,8 +31,8 @@
 	// until is the end of the quarantine or of the trial, and trialAt when this entry may try the part.
 	until, trialAt time.Time
 	changedAt      time.Time
-	// crashes are those that the part was blamed for, as far as this entry knows them.
-	crashes []Crash
+	// blame is the evidence against the part, as far as this entry has it.
+	blame blame
 }
 
 func quarantineTime(strikes int) time.Duration {
@@ -152,7 +149,7 @@
 }
 
 func (r *record) state(now time.Time) State {
-	return State{r.part, r.version, r.strikes, r.released, r.inTrial, max(r.until.Sub(now), 0), slices.Clone(r.crashes)}
+	return State{r.part, r.version, r.strikes, r.released, r.inTrial, max(r.until.Sub(now), 0), crashesOf(r.blame.crashes)}
 }
 
 // States returns the parts in quarantine.
@@ -207,6 +204,8 @@
 		t.usage.recordAnswer(s.Part, now)
 	} else {
 		t.cancelWatches(s.Part)
+		r.blame = t.assess(s.Part)
+		t.releaseExplained(now, r)
 	}
 	if was != !s.Released {
 		t.changes = append(t.changes, Change{r.state(now), reason})
