--- a/pkg/cli/arguments_test.go
+++ b/pkg/cli/arguments_test.go
@@ -11,6 +11,7 @@
 func TestUsageErrorsNameTheRemedy(t *testing.T) {
 	for line, want := range map[string]string{
 		"site entri":                         `run "fescuehub site --help"`,
+		"site quarantine list":               `run "fescuehub site quarantine list --help"`,
 		"demo now":                           `run "fescuehub demo --help"`,
 		"soak --seeds 0":                     "write 1 or more",
 		"soak --length 0s":                   "1s or more",
--- a/pkg/gateway/operator.go
+++ b/pkg/gateway/operator.go
@@ -38,7 +38,8 @@
 	return mux
 }
 
-func (g *Gateway) listQuarantine(w http.ResponseWriter, _ *http.Request) {
+// Quarantine returns the parts in quarantine.
+func (g *Gateway) Quarantine() []QuarantinedPart {
 	list := []QuarantinedPart{}
 	for _, s := range g.prompts.States(time.Now()) {
 		part := QuarantinedPart{Service: s.Service, Part: s.ID, Strikes: s.Strikes, InTrial: s.InTrial, LeftSeconds: s.Left.Seconds()}
@@ -47,8 +48,12 @@
 		}
 		list = append(list, part)
 	}
+	return list
+}
+
+func (g *Gateway) listQuarantine(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(list); err != nil {
+	if err := json.NewEncoder(w).Encode(g.Quarantine()); err != nil {
 		g.log.Debug("the list of parts in quarantine was not sent", telemetry.Err(err))
 	}
 }
