Take a prompt for sound only after a successful response with content

A server that answers 404 or 500 before it begins to write, or a stream without events, cleared the parts of its prompt, so that a part that crashes servers could go on. Cause: each complete response was recorded as an answer. Evidence: TestOnlySuccessfulResponseMakesPromptSound; three of its six cases fail on the code before (404, 500, no events). Change: only 2xx responses count, and streams with an event. The share of a part is bounded below 1, where the evidence was not a number.

--- a/pkg/quarantine/usage.go
+++ b/pkg/quarantine/usage.go
@@ -90,15 +90,19 @@
 	return at, !at.IsZero()
 }
 
-// unseenRequests is added to the requests with a part, because each entry sees only some of all requests:
-// its share is not taken for lower than it is.
-const unseenRequests = 2
+const (
+	// unseenRequests is added to the requests with a part, because each entry sees only some of all
+	// requests: its share is not taken for lower than it is.
+	unseenRequests = 2
+	// maxKnownShare bounds the share: a part in all requests so far may be missing in the next one.
+	maxKnownShare = 0.99
+)
 
-// share returns the share of a service's requests that have a part, at most 1.
+// share returns the share of a service's requests that have a part, at most maxKnownShare.
 func (u *usage) share(p Part) float64 {
 	all := u.current.all[p.Service] + u.previous.all[p.Service]
 	with := u.current.requests[p] + u.previous.requests[p]
-	return min(float64(with+unseenRequests)/float64(all+unseenRequests), 1)
+	return min(float64(with+unseenRequests)/float64(all+unseenRequests), maxKnownShare)
 }
 
 // answersSince returns the number of requests of a service that this entry knows to be answered after a
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -82,7 +82,7 @@
 	took := time.Duration(0)
 	if o == answered {
 		took = time.Since(began)
-		x.prompts.RecordAnswered(time.Now(), x.q.Service.Name, x.q.SharedParts)
+		x.recordAnswer()
 	}
 	x.balancer.End(time.Now(), s.ID, tokens, balance.Result{
 		Latency: latency, Duration: took, Refused: o == notRun,
--- a/pkg/relay/quarantine_test.go
+++ b/pkg/relay/quarantine_test.go
@@ -123,3 +123,32 @@
 		})
 	}
 }
+
+// TestOnlySuccessfulResponseMakesPromptSound guards against a part that crashes servers and is taken for sound
+// because a server answered it with a failure before it began to write, or with a stream without events.
+func TestOnlySuccessfulResponseMakesPromptSound(t *testing.T) {
+	for name, c := range map[string]struct {
+		kind    fleet.Kind
+		respond reply
+		want    bool
+	}{
+		"whole response":        {fleet.Safe, complete, true},
+		"not found":             {fleet.Safe, respondWith(404, "Seal: s\r\n", "no"), false},
+		"server error":          {fleet.Unsafe, respondWith(500, "Seal: s\r\n", "failed"), false},
+		"refused":               {fleet.Unsafe, notRun, false},
+		"whole short stream":    {fleet.Streaming, respondWith(200, "Seal: s\r\n", event(1)), true},
+		"stream without events": {fleet.Streaming, respondWith(200, "Seal: s\r\n", ""), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			a := newBackend(t, c.respond)
+			s := newTestRelay(t, route(c.kind), fleet.Service{}, 2, a.server("a"))
+			if _, _, _, err := s.send(context.Background(), "1", "first", "part"); err != nil {
+				t.Fatal(err)
+			}
+			if got := s.prompts.MayRepeat(time.Now(), "s", []string{"first", "part"}); got != c.want {
+				t.Errorf("the prompt is known to be sound: %v, want %v", got, c.want)
+			}
+		})
+	}
+}
--- a/pkg/relay/serverend.go
+++ b/pkg/relay/serverend.go
@@ -66,6 +66,15 @@
 	}
 }
 
+// recordAnswer records that the prompt is sound after a complete response. A server that reports a failure
+// need not have begun to answer the prompt.
+func (x *exchange) recordAnswer() {
+	if x.report.Status/100 != 2 || x.q.Route.Kind == fleet.Streaming && x.attemptEvents == 0 {
+		return
+	}
+	x.prompts.RecordAnswered(time.Now(), x.q.Service.Name, x.q.SharedParts)
+}
+
 // mayRepeatPrompt reports whether a request may be sent to another server after a failed attempt, and ends
 // it if not. If the server ended under it, the prompt must be known to be sound: another server would
 // crash as well.
