--- a/pkg/quarantine/fleet_test.go
+++ b/pkg/quarantine/fleet_test.go
@@ -1,13 +1,13 @@
 package quarantine_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
 
+	"github.com/fescuehub/fescuehub/pkg/measure/virtualtime"
 	"github.com/fescuehub/fescuehub/pkg/quarantine"
 )
 
@@ -59,27 +59,6 @@
 	return n
 }
 
-type simEvent struct {
-	at  time.Duration
-	seq int
-	run func()
-}
-
-type eventQueue []simEvent
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(e any)   { *q = append(*q, e.(simEvent)) }
-func (q *eventQueue) Pop() any {
-	old := *q
-	e := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return e
-}
-
 // simRequest is a request at a server.
 type simRequest struct {
 	entry  *simEntry
@@ -111,30 +90,25 @@
 type simFleet struct {
 	spec    fleetSpec
 	random  *rand.Rand
-	now     time.Duration
-	queue   eventQueue
-	seq     int
+	queue   *virtualtime.Queue
 	entries []*simEntry
 	servers []*simServer
 	openAt  []time.Duration
 	result  fleetResult
 }
 
-var simStart = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+func (f *simFleet) clock() time.Time { return f.queue.Now() }
 
-func (f *simFleet) clock() time.Time { return simStart.Add(f.now) }
+func (f *simFleet) now() time.Duration { return f.queue.Elapsed() }
 
-func (f *simFleet) after(d time.Duration, run func()) {
-	f.seq++
-	heap.Push(&f.queue, simEvent{f.now + d, f.seq, run})
-}
+func (f *simFleet) after(d time.Duration, run func()) { f.queue.After(d, run) }
 
 func (f *simFleet) interval(rate float64) time.Duration {
 	return time.Duration(f.random.ExpFloat64() / rate * float64(time.Second))
 }
 
 func simulateFleet(spec fleetSpec, seed uint64) *fleetResult {
-	f := &simFleet{result: fleetResult{refusedParts: make(map[string]int)}, spec: spec, random: rand.New(rand.NewPCG(seed, 22)), openAt: make([]time.Duration, spec.groups)}
+	f := &simFleet{result: fleetResult{refusedParts: make(map[string]int)}, spec: spec, queue: virtualtime.NewQueue(), random: rand.New(rand.NewPCG(seed, 22)), openAt: make([]time.Duration, spec.groups)}
 	for range spec.entries {
 		f.entries = append(f.entries, &simEntry{tracker: quarantine.New(f.random.Float64)})
 	}
@@ -152,20 +126,14 @@
 		f.every(1/spec.restartInterval.Seconds(), func() {
 			e := f.entries[f.random.IntN(len(f.entries))]
 			e.generation++
-			e.startedAt = f.now
+			e.startedAt = f.now()
 			e.tracker = quarantine.New(f.random.Float64)
 		})
 	}
 	for _, e := range f.entries {
 		f.after(time.Duration(f.random.Float64()*float64(f.gossipInterval())), func() { f.gossip(e) })
 	}
-	for f.queue.Len() > 0 {
-		next := heap.Pop(&f.queue).(simEvent)
-		if f.now = next.at; f.now > spec.duration {
-			break
-		}
-		next.run()
-	}
+	f.queue.RunUntil(spec.duration)
 	return &f.result
 }
 
@@ -188,7 +156,7 @@
 		if !r.crashing() {
 			f.result.sound++
 		}
-		f.send(r, f.now)
+		f.send(r, f.now())
 	})
 }
 
@@ -231,9 +199,9 @@
 	m, _, next := e.tracker.Advance(f.clock())
 	f.broadcast(e, m)
 	generation := e.generation
-	e.wakeAt = f.now + next
+	e.wakeAt = f.now() + next
 	f.after(next, func() {
-		if e.generation == generation && e.wakeAt <= f.now {
+		if e.generation == generation && e.wakeAt <= f.now() {
 			f.advanceNow(e)
 		}
 	})
@@ -246,7 +214,7 @@
 	if refused {
 		if r.crashing() {
 			if f.result.refusedFrom == 0 {
-				f.result.refusedFrom = f.now
+				f.result.refusedFrom = f.now()
 			}
 		} else {
 			f.result.soundRefused++
@@ -255,16 +223,16 @@
 		return
 	}
 	s := f.servers[f.random.IntN(len(f.servers))]
-	if f.openAt[s.group] > f.now {
-		if f.now-arrived < 2*time.Second {
+	if f.openAt[s.group] > f.now() {
+		if f.now()-arrived < 2*time.Second {
 			f.after(50*time.Millisecond, func() { f.send(r, arrived) })
 		}
 		return
 	}
 	s.requests = append(s.requests, r)
 	// An entry counts as in touch from stableWindow after its start on.
-	if r.crashing() && (r.entry.startedAt == 0 || f.now-r.entry.startedAt > stableWindow) {
-		f.result.arrivals = append(f.result.arrivals, f.now)
+	if r.crashing() && (r.entry.startedAt == 0 || f.now()-r.entry.startedAt > stableWindow) {
+		f.result.arrivals = append(f.result.arrivals, f.now())
 	}
 	f.after(time.Duration(20+200*f.random.Float64())*time.Millisecond, func() { f.begin(s, r) })
 }
@@ -279,7 +247,7 @@
 		switch {
 		case r.ended:
 		case r.crashing():
-			f.result.crashes = append(f.result.crashes, f.now)
+			f.result.crashes = append(f.result.crashes, f.now())
 			f.endServer(s)
 		default:
 			r.events = 2
@@ -304,7 +272,7 @@
 func (f *simFleet) endServer(s *simServer) {
 	crash := quarantine.Crash{Service: "model", Server: s.name, Incarnation: s.incarnation, At: f.clock()}
 	s.incarnation++
-	f.openAt[s.group] = f.now + outage
+	f.openAt[s.group] = f.now() + outage
 	for _, other := range f.servers {
 		if other.group != s.group {
 			continue
@@ -325,7 +293,7 @@
 func (f *simFleet) repeat(r *simRequest) {
 	f.after(300*time.Millisecond, func() {
 		if r.entry.tracker.MayRepeat(f.clock(), "model", r.parts) {
-			f.send(&simRequest{entry: r.entry, parts: r.parts}, f.now)
+			f.send(&simRequest{entry: r.entry, parts: r.parts}, f.now())
 		}
 	})
 }
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/fescuehub/fescuehub/pkg/gossip"
+	"github.com/fescuehub/fescuehub/pkg/measure/virtualtime"
 	"github.com/fescuehub/fescuehub/pkg/quarantine"
 )
 
@@ -16,7 +17,7 @@
 
 func (c *clock) advance(d time.Duration) { c.now = c.now.Add(d) }
 
-func newClock() *clock { return &clock{simStart} }
+func newClock() *clock { return &clock{virtualtime.Epoch} }
 
 // newTracker returns a tracker that has seen 200 answered requests with three subjects.
 func newTracker(c *clock) *quarantine.Tracker {
--- a/pkg/relay/quarantine_test.go
+++ b/pkg/relay/quarantine_test.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"sync"
 	"testing"
 	"time"
 
@@ -96,22 +95,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			// The first server that gets the request fails, whichever of the two it is.
-			var once sync.Once
-			var a, b *backend
-			respond := func(own **backend) reply {
-				return func(conn *net.TCPConn, r *http.Request, n int) bool {
-					end := complete
-					once.Do(func() {
-						if end = (*own).crash; c.survives {
-							end = closeConn
-						}
-					})
-					return end(conn, r, n)
-				}
-			}
-			a = newBackend(t, respond(&a))
-			b = newBackend(t, respond(&b))
+			a, b := failFirst(t, func(own *backend) reply { return own.end(c.survives) }, complete)
 			s := newTestRelay(t, route(fleet.Safe), fleet.Service{}, 94, a.server("a"), b.server("b"))
 			s.prompts.RecordAnswered(time.Now(), "s", []string{"first", "good"})
 			status, _, _, err := s.send(context.Background(), "1", "first", c.part)
--- a/pkg/relay/serverend_test.go
+++ b/pkg/relay/serverend_test.go
@@ -20,6 +20,31 @@
 	return false
 }
 
+// failFirst returns two backends. The one that gets the first request responds to it with the reply that
+// first returns for it, all other requests get the reply then.
+func failFirst(t *testing.T, first func(own *backend) reply, then reply) (a, b *backend) {
+	t.Helper()
+	var once sync.Once
+	respond := func(own **backend) reply {
+		return func(conn *net.TCPConn, r *http.Request, n int) bool {
+			answer := then
+			once.Do(func() { answer = first(*own) })
+			return answer(conn, r, n)
+		}
+	}
+	a = newBackend(t, respond(&a))
+	b = newBackend(t, respond(&b))
+	return a, b
+}
+
+// end returns how a backend ends a response: it closes the connection, and ends itself unless it survives.
+func (b *backend) end(survives bool) reply {
+	if survives {
+		return closeConn
+	}
+	return b.crash
+}
+
 // TestEndOfServerUnderRequestIsReported guards against requests that end one server after the other
 // without a trace of what they have in common: the parts of the prompt must be reported if the server
 // ended before it had answered three events, and must not be if the server still runs or had answered.
@@ -41,11 +66,7 @@
 			t.Parallel()
 			var b *backend
 			b = newBackend(t, func(conn *net.TCPConn, r *http.Request, n int) bool {
-				end := b.crash
-				if c.survives {
-					end = closeConn
-				}
-				return writeRaw(c.text, end)(conn, r, n)
+				return writeRaw(c.text, b.end(c.survives))(conn, r, n)
 			})
 			s := newTestRelay(t, route(fleet.Streaming), fleet.Service{}, 94, b.server("a"))
 			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
@@ -123,29 +144,15 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			var once sync.Once
-			var a, b *backend
-			respond := func(own **backend) reply {
-				return func(conn *net.TCPConn, r *http.Request, n int) bool {
-					first := false
-					once.Do(func() { first = true })
-					if !first {
-						rest := "whole"
-						if c.kind == fleet.Streaming {
-							last, _ := strconv.Atoi(r.Header.Get("Last")) // 0 if the stream is not resumed
-							rest = strings.Join([]string{event(1), event(2), event(3)}[last:], "")
-						}
-						return respondWith(200, "Seal: second\r\n", rest)(conn, r, n)
-					}
-					end := (*own).crash
-					if c.survives {
-						end = closeConn
-					}
-					return writeRaw(c.head+c.body, end)(conn, r, n)
+			first := func(own *backend) reply { return writeRaw(c.head+c.body, own.end(c.survives)) }
+			a, b := failFirst(t, first, func(conn *net.TCPConn, r *http.Request, n int) bool {
+				rest := "whole"
+				if c.kind == fleet.Streaming {
+					last, _ := strconv.Atoi(r.Header.Get("Last")) // 0 if the stream is not resumed
+					rest = strings.Join([]string{event(1), event(2), event(3)}[last:], "")
 				}
-			}
-			a = newBackend(t, respond(&a))
-			b = newBackend(t, respond(&b))
+				return respondWith(200, "Seal: second\r\n", rest)(conn, r, n)
+			})
 			r := route(c.kind)
 			r.Resumable = c.resumable
 			s := newTestRelay(t, r, fleet.Service{}, 94, a.server("a"), b.server("b"))
