Read the records of other entries after writing the own one

What callers saw: nothing was reported. Cause, traced: the two entries did not know each other. Each reads the entries' records once at its start and then each 20 s, and more rarely in larger fleets. Of two that start together each can read before the other has written its record; then neither sends the other a message. For that time they share neither the retry budget nor leaving servers nor refused prompts. Change: an entry reads after its own record was written, so that of two the one that writes last finds the other. If the write fails for a second it reads all the same, and again once the write has succeeded. No further call to the store. With it, wording only: the reason of a change is a short word in logs and metrics; a field that nothing read is gone.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -127,9 +127,11 @@
 	servers map[string]fleet.Server
 
 	// quarantineWrites holds the records of parts in quarantine that are to be written to the shared log.
-	quarantineWrites pendingWrites
+	quarantineWrites *pendingWrites
 	// republish requests that this entry's record be written again.
 	republish chan struct{}
+	// recordWritten tells that this entry's record has been written.
+	recordWritten chan struct{}
 	// malformed holds the malformed header values of backend servers that have been logged.
 	malformed loggedValues
 
@@ -156,7 +158,7 @@
 			sharedlog.Operators: newTopic(), sharedlog.Servers: newTopic(),
 		},
 		latency:   make(map[fleet.Kind]tally.Histogram),
-		republish: make(chan struct{}, 1),
+		republish: make(chan struct{}, 1), recordWritten: make(chan struct{}, 1),
 
 		quarantineWrites: newPendingWrites(),
 	}
@@ -366,9 +368,16 @@
 }
 
 // followEntries polls the records of the other entries. The poll finds entries that gossip has not
-// reached.
+// reached. It reads after this entry's own record was written: of two entries that start at the same
+// time, the one that writes last finds the other and sends it a message. If the write fails at first, it
+// reads again once the record is written.
 func (g *Gateway) followEntries(ctx context.Context) {
-	follow.Run(ctx, g.sharedLog, follow.Options{Topic: sharedlog.Entries, Pause: g.pollInterval(entriesPollInterval)}, (*entriesSink)(g), g.log)
+	select {
+	case <-ctx.Done():
+	case <-g.recordWritten:
+	case <-time.After(recordWriteTimeout):
+	}
+	follow.Run(ctx, g.sharedLog, follow.Options{Topic: sharedlog.Entries, Pause: g.pollInterval(entriesPollInterval), Wake: g.recordWritten}, (*entriesSink)(g), g.log)
 }
 
 // republishRecord makes publishRecord write this entry's record again.
@@ -403,6 +412,10 @@
 		err := g.sharedLog.Put(putCtx, sharedlog.Entries, g.settings.Name, record)
 		cancel()
 		if err == nil {
+			select {
+			case g.recordWritten <- struct{}{}:
+			default: // a read is already due
+			}
 			return
 		}
 		if failures++; failures == 1 {
--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -81,7 +81,7 @@
 	g.log.Warn("quarantine of a prompt part changed", zap.String("service", c.Service), zap.String("part", c.ID), zap.Bool("refused", !c.Released), zap.String("reason", string(c.Reason)),
 		zap.Int("version", c.Version), zap.Int("strikes", c.Strikes), zap.Duration("left", c.Left), zap.Strings("crashedServers", crashes))
 	g.scope.Gauge("prompt_parts_in_quarantine").Update(float64(len(g.prompts.States(time.Now()))))
-	g.scope.Tagged(map[string]string{"reason": reasonTag(c.Reason)}).Counter("quarantine_changes").Inc(1)
+	g.scope.Tagged(map[string]string{"reason": string(c.Reason)}).Counter("quarantine_changes").Inc(1)
 	if c.Reason != quarantine.Restored && c.Reason != quarantine.TrialBegun {
 		g.keepQuarantine(c.State, c.Released || c.Reason == quarantine.Expired)
 	}
@@ -106,30 +106,6 @@
 	g.quarantineWrites.add(key, record)
 }
 
-// reasonTag returns a reason as the value of a metric's tag.
-func reasonTag(r quarantine.Reason) string {
-	switch r {
-	case quarantine.Blamed:
-		return "blamed"
-	case quarantine.TrialBegun:
-		return "trial-begun"
-	case quarantine.TrialFailed:
-		return "trial-failed"
-	case quarantine.Answered:
-		return "answered"
-	case quarantine.Superseded:
-		return "superseded"
-	case quarantine.Lifted:
-		return "lifted"
-	case quarantine.Restored:
-		return "restored"
-	case quarantine.Expired:
-		return "expired"
-	default:
-		return "reported"
-	}
-}
-
 // quarantineRecord is the record of a part in quarantine in the shared log. It holds no time, because
 // the clocks of instances differ: an entry that reads it at its start refuses the part for the whole time.
 type quarantineRecord struct {
@@ -178,16 +154,16 @@
 // pendingWrites holds the newest value to write of each key; a nil value removes the key. It is safe for
 // concurrent use.
 type pendingWrites struct {
-	mu     *sync.Mutex
+	mu     sync.Mutex
 	values map[string][]byte
 	added  chan struct{}
 }
 
-func newPendingWrites() pendingWrites {
-	return pendingWrites{&sync.Mutex{}, make(map[string][]byte), make(chan struct{}, 1)}
+func newPendingWrites() *pendingWrites {
+	return &pendingWrites{values: make(map[string][]byte), added: make(chan struct{}, 1)}
 }
 
-func (p pendingWrites) add(key string, value []byte) {
+func (p *pendingWrites) add(key string, value []byte) {
 	p.mu.Lock()
 	p.values[key] = value
 	p.mu.Unlock()
@@ -198,7 +174,7 @@
 }
 
 // next waits for a write. It reports false if ctx ends first.
-func (p pendingWrites) next(ctx context.Context) (string, []byte, bool) {
+func (p *pendingWrites) next(ctx context.Context) (string, []byte, bool) {
 	for {
 		p.mu.Lock()
 		for key, value := range p.values {
@@ -215,7 +191,7 @@
 }
 
 // done removes a write unless the key has got another value meanwhile.
-func (p pendingWrites) done(key string, value []byte) {
+func (p *pendingWrites) done(key string, value []byte) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if string(p.values[key]) == string(value) {
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -33,8 +33,6 @@
 	Part string
 	// RetryAfter is the time until the part may be tried again.
 	RetryAfter time.Duration
-	// Confirmed is false while other entries may still report that the part has been answered.
-	Confirmed bool
 }
 
 // Tracker holds the evidence and the parts in quarantine of one entry. It is safe for concurrent use.
@@ -134,7 +132,7 @@
 			continue
 		}
 		if now.Before(r.trialAt) {
-			return Refusal{Part: p.ID, RetryAfter: r.trialAt.Sub(now), Confirmed: true}, nil, true
+			return Refusal{Part: p.ID, RetryAfter: r.trialAt.Sub(now)}, nil, true
 		}
 		trials = append(trials, r)
 	}
--- a/pkg/quarantine/record.go
+++ b/pkg/quarantine/record.go
@@ -98,29 +98,29 @@
 	}
 }
 
-// Reason is why a record changed.
+// Reason is why a record changed, as it stands in logs and metrics.
 type Reason string
 
 // The reasons for a change.
 const (
 	// Blamed: servers crashed under requests with the part.
-	Blamed Reason = "servers crashed under requests with the part"
+	Blamed Reason = "blamed"
 	// TrialBegun: one request with the part is sent to a server again.
-	TrialBegun Reason = "the part is tried again"
+	TrialBegun Reason = "trial-begun"
 	// TrialFailed: a server crashed under the trial.
-	TrialFailed Reason = "a server crashed under the trial"
+	TrialFailed Reason = "trial-failed"
 	// Answered: a server answered a request with the part.
-	Answered Reason = "a server answered a request with the part"
+	Answered Reason = "answered"
 	// Superseded: another part was there at the same crashes and at more.
-	Superseded Reason = "another part explains the crashes"
+	Superseded Reason = "superseded"
 	// Lifted: an operator released the part.
-	Lifted Reason = "an operator released the part"
+	Lifted Reason = "lifted"
 	// Reported: another entry has reported the change.
-	Reported Reason = "another entry reported it"
+	Reported Reason = "reported"
 	// Restored: the record was kept outside of the entries.
-	Restored Reason = "its record was kept"
+	Restored Reason = "restored"
 	// Expired: no request has had the part for a long time, or there are too many records.
-	Expired Reason = "the record expired"
+	Expired Reason = "expired"
 )
 
 // Change is a change of a record.
