Log what requests under which a server ended have in common

What callers saw: 502 and 503 while 15 servers of a plain service ended. Cause (of the missing trace): the end of a server was looked for only under requests that name parts of prompts, and no line said whether two requests are alike. The incident's output could not tell one request that comes again from all requests of a route or an organisation. Change: each failed or refused request is logged with a fingerprint, a digest of method, host, path, caller and body, and with whether its server ended; each end of a server is logged with it as well. It reveals neither body nor caller. Requests without prompts are still no evidence: no decision changes. Test: TestEndOfPlainServerIsReported finds no report before this change.

--- a/pkg/gateway/caller.go
+++ b/pkg/gateway/caller.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"github.com/fescuehub/fescuehub/pkg/fleet"
 	"github.com/fescuehub/fescuehub/pkg/relay"
@@ -171,14 +172,24 @@
 	g.log.Info("request", zap.String("request", q.ID), zap.String("route", q.Route.Name), zap.String("kind", string(q.Route.Kind)),
 		zap.String("organisation", q.Organisation), zap.String("outcome", outcome), zap.Int("status", report.Status),
 		zap.String("reason", report.Reason), zap.Int("events", report.Events), zap.String("waitedFor", report.WaitedFor), zap.Duration("waited", report.Waited),
-		zap.Duration("took", took), zap.Int64("version", version), zap.Strings("sharedParts", loggedParts(q, report)), zap.Any("attempts", report.Attempts))
+		zap.Duration("took", took), zap.Int64("version", version), loggedIdentity(q, report), zap.Any("attempts", report.Attempts))
 }
 
-// loggedParts returns the shared parts of a request's prompt for its log line. They are of use only if an
-// attempt failed.
-func loggedParts(q *relay.Request, report relay.Report) []string {
-	if len(report.Attempts) == 0 || len(report.Attempts) == 1 && report.Reason == "" {
-		return nil
+// loggedIdentity returns what a request has in common with others for its log line. It is of use only if
+// the request was refused or an attempt failed.
+func loggedIdentity(q *relay.Request, report relay.Report) zap.Field {
+	if len(report.Attempts) <= 1 && report.Reason == "" {
+		return zap.Skip()
 	}
-	return q.SharedParts
+	return zap.Inline(requestIdentity{q})
+}
+
+// requestIdentity encodes the fingerprint and the shared parts of a request.
+type requestIdentity struct{ *relay.Request }
+
+// MarshalLogObject implements zapcore.ObjectMarshaler.
+func (i requestIdentity) MarshalLogObject(e zapcore.ObjectEncoder) error {
+	e.AddString("fingerprint", i.Fingerprint())
+	zap.Strings("sharedParts", i.SharedParts).AddTo(e)
+	return nil
 }
--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -32,9 +32,9 @@
 	_, usable := g.servers[s.ID]
 	g.mu.Unlock()
 	g.log.Warn("a backend server ended while it had a request", zap.String("server", s.ID), zap.Int64("incarnation", s.Incarnation), zap.String("service", s.Service),
-		zap.String("request", end.RequestID), zap.Strings("sharedParts", end.SharedParts), zap.Bool("responseBegun", end.ResponseBegun), zap.Bool("expected", !usable))
+		zap.String("request", end.RequestID), zap.String("fingerprint", end.Fingerprint), zap.Strings("sharedParts", end.SharedParts), zap.Bool("responseBegun", end.ResponseBegun), zap.Bool("expected", !usable))
 	g.scope.Tagged(map[string]string{"service": s.Service}).Counter("requests_at_ended_servers").Inc(1)
-	if usable {
+	if usable && len(end.SharedParts) > 0 {
 		g.prompts.RecordCrash(now, quarantine.Crash{Service: s.Service, Server: s.ID, Incarnation: s.Incarnation, At: now}, end.SharedParts, end.ResponseBegun)
 	}
 }
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -124,6 +124,12 @@
 	Arrived time.Time
 }
 
+// Fingerprint returns the ID of the request in quarantine and logs. A request that is sent again has the
+// same one.
+func (r *Request) Fingerprint() string {
+	return quarantine.Fingerprint(quarantine.Identity{Method: r.Method, Host: r.Host, Target: r.Target, Caller: r.Organisation, Body: r.Body})
+}
+
 // Deadline returns the time by which the request must have its final response.
 func (r *Request) Deadline() time.Time {
 	limit := r.Route.Timeout
@@ -162,8 +168,10 @@
 
 // ServerEnd is what a request shows about the end of the server that had it.
 type ServerEnd struct {
-	// RequestID is the ID of the request, and SharedParts are those of its prompt.
+	// RequestID is the ID of the request, Fingerprint is the same for all requests that are alike, and
+	// SharedParts are those of its prompt.
 	RequestID   string
+	Fingerprint string
 	SharedParts []string
 	// ResponseBegun means that the headers of the response had arrived: the server was at work on the
 	// request. Otherwise the request may have waited there.
--- a/pkg/relay/serverend.go
+++ b/pkg/relay/serverend.go
@@ -30,13 +30,13 @@
 // unless the attempt had been answered in part. The ranks of a group that has lost another rank break
 // off their requests as well, after a stall, but they still accept connections.
 func (x *exchange) checkServer(ctx context.Context, s fleet.Server, err error, responseBegun bool) bool {
-	if len(x.q.SharedParts) == 0 || x.attemptEvents >= soundEvents || !isConnectionEnd(err) || ctx.Err() != nil {
+	if x.attemptEvents >= soundEvents || !isConnectionEnd(err) || ctx.Err() != nil {
 		return false
 	}
 	if !x.transport.Ended(ctx, s.ID, s.Address) {
 		return false
 	}
-	x.observer.Ended(s, ServerEnd{RequestID: x.q.ID, SharedParts: x.q.SharedParts, ResponseBegun: responseBegun})
+	x.observer.Ended(s, ServerEnd{RequestID: x.q.ID, Fingerprint: x.q.Fingerprint(), SharedParts: x.q.SharedParts, ResponseBegun: responseBegun})
 	return true
 }
 
--- a/pkg/relay/serverend_test.go
+++ b/pkg/relay/serverend_test.go
@@ -171,3 +171,26 @@
 		})
 	}
 }
+
+// TestEndOfPlainServerIsReported guards against servers without prompts that end one after the other under one
+// request without a trace: the end must be reported with a fingerprint that is the same when the request
+// comes again, whether it may be repeated or not.
+func TestEndOfPlainServerIsReported(t *testing.T) {
+	for _, kind := range []fleet.Kind{fleet.Safe, fleet.Unsafe} {
+		t.Run(string(kind), func(t *testing.T) {
+			t.Parallel()
+			var a, b *backend
+			a = newBackend(t, func(c *net.TCPConn, r *http.Request, n int) bool { return a.crash(c, r, n) })
+			b = newBackend(t, func(c *net.TCPConn, r *http.Request, n int) bool { return b.crash(c, r, n) })
+			s := newTestRelay(t, route(kind), fleet.Service{}, 94, a.server("a"), b.server("b"))
+			for n := range 2 {
+				_, _, _, _ = s.send(context.Background(), strconv.Itoa(n)) // the outcome is not what is checked
+			}
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if len(s.ended) != 2 || s.ended[0].Fingerprint == "" || s.ended[0].Fingerprint != s.ended[1].Fingerprint {
+				t.Errorf("reports of ended servers: %+v; want two with the same fingerprint", s.ended)
+			}
+		})
+	}
+}
