Let a trial fail whichever request reports the crash first

What callers would see: a part that crashes servers is tried again 30 s after a trial that crashed one, instead of after the doubled quarantine. Cause: a quarantine was extended only by the first report of a crash. The first report can come from another request at the same server, at this entry or another one; the report of the trial then only added a suspect. Change: each suspect that is new at a crash extends its own quarantine. Test: TestTrialFailsWhicheverRequestReportsTheCrash failed before.

--- a/pkg/quarantine/evidence.go
+++ b/pkg/quarantine/evidence.go
@@ -85,7 +85,6 @@
 	if known == nil {
 		known = &crash{Crash: c, suspects: make(map[Part]suspect), learnedAt: now}
 		t.crashes = append(t.crashes, known)
-		t.extendTrials(now, suspects)
 	}
 	if c.At.Before(known.At) {
 		known.At = c.At
@@ -97,6 +96,9 @@
 		if !found && len(known.suspects) >= maxSuspects {
 			continue
 		}
+		if !found {
+			t.extendTrial(now, p)
+		}
 		merged := suspect{max(s.depth, old.depth), s.begun || old.begun, s.own || old.own}
 		if !found || merged != old {
 			known.suspects[p], changed = merged, true
@@ -128,14 +130,12 @@
 	return nil
 }
 
-// extendTrials quarantines again the parts that were there at a new crash after their quarantine had ended:
-// their trial has failed. t.mu is held.
-func (t *Tracker) extendTrials(now time.Time, suspects map[Part]suspect) {
-	for _, p := range sortedParts(suspects) {
-		if r := t.records[p]; r != nil && !r.released && (r.inTrial || !now.Before(r.until)) {
-			r.quarantine(now, t.random())
-			t.addChange(r, TrialFailed)
-		}
+// extendTrial quarantines a part again if it was there at a crash after its quarantine had ended: its trial
+// has failed. t.mu is held.
+func (t *Tracker) extendTrial(now time.Time, p Part) {
+	if r := t.records[p]; r != nil && !r.released && (r.inTrial || !now.Before(r.until)) {
+		r.quarantine(now, t.random())
+		t.addChange(r, TrialFailed)
 	}
 }
 
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -381,3 +381,21 @@
 		}
 	})
 }
+
+// TestTrialFailsWhicheverRequestReportsTheCrash guards against a part that crashes servers again after each
+// 30 s of a trial: the failure of the trial must count also if another request at the server has reported the
+// crash first.
+func TestTrialFailsWhicheverRequestReportsTheCrash(t *testing.T) {
+	c := newClock()
+	tr := quarantinePart(t, c)
+	c.advance(3 * time.Minute)
+	if _, refused := tr.Acquire(c.now, "model", []string{firstPart, crashingPart}); refused {
+		t.Fatal("the part is not tried again after its quarantine")
+	}
+	crash(tr, c, "trial", firstPart, "b1")
+	crash(tr, c, "trial", firstPart, crashingPart)
+	c.advance(time.Minute)
+	if !refused(tr, c, firstPart, crashingPart) {
+		t.Error("the part may be tried again a minute after its trial has crashed a server")
+	}
+}
