Refuse a request that crashes servers when it comes again

Cause: evidence against requests was kept of parts of prompts only. A request without a prompt left none: each entry sent it on to the next server, and each copy that came later like any other. The class is a request that ends its worker (query of death), multiplied by retries, as in the incident of prompts; there the identity was a part, here it is the request. Change: a request has a fingerprint of method, host, path, caller, parts of its prompt and body, and the quarantine takes it for one more part, the most specific one. Two crashes blame a request that was never answered, three one that was; the first quarantine is 10 s, so that a bystander is soon released by its trial; after three crashes it is one hour, then 8, then as long as the request comes. A request under which a second server ended is not repeated; after the end of a server the repeat takes a new connection, which shows that the next server lived. What is known spreads as before. A request counts as answered when its response is complete, a prompt after three events as before. The check of an end after three events asks for a report without parts, where it asked for none. Why it works: what the second server's end shows is known to all entries some 25 ms later, before the third server gets the request.

--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -25,7 +25,7 @@
 const quarantineKeyPrefix = "quarantine/"
 
 // Ended implements relay.ServerObserver. The end of a server that is leaving is planned and blames no
-// prompt.
+// request.
 func (g *Gateway) Ended(s fleet.Server, end relay.ServerEnd) {
 	now := time.Now()
 	g.mu.Lock()
@@ -34,8 +34,9 @@
 	g.log.Warn("a backend server ended while it had a request", zap.String("server", s.ID), zap.Int64("incarnation", s.Incarnation), zap.String("service", s.Service),
 		zap.String("request", end.RequestID), zap.String("fingerprint", end.Fingerprint), zap.Strings("sharedParts", end.SharedParts), zap.Bool("responseBegun", end.ResponseBegun), zap.Bool("expected", !usable))
 	g.scope.Tagged(map[string]string{"service": s.Service}).Counter("requests_at_ended_servers").Inc(1)
-	if usable && len(end.SharedParts) > 0 {
-		g.prompts.RecordCrash(now, quarantine.Crash{Service: s.Service, Server: s.ID, Incarnation: s.Incarnation, At: now}, end.SharedParts, end.ResponseBegun)
+	if usable {
+		crash := quarantine.Crash{Service: s.Service, Server: s.ID, Incarnation: s.Incarnation, At: now}
+		g.prompts.RecordCrash(now, crash, relay.SuspectIDs(end.SharedParts, end.Fingerprint), end.ResponseBegun)
 	}
 }
 
@@ -78,9 +79,20 @@
 	for _, crash := range c.Crashes {
 		crashes = append(crashes, crash.Server)
 	}
-	g.log.Warn("quarantine of a prompt part changed", zap.String("service", c.Service), zap.String("part", c.ID), zap.Bool("refused", !c.Released), zap.String("reason", string(c.Reason)),
+	message, parts := "quarantine of a prompt part changed", 0
+	if quarantine.IsFingerprint(c.ID) {
+		message = "quarantine of a request changed"
+	}
+	states := g.prompts.States(time.Now())
+	for _, s := range states {
+		if !quarantine.IsFingerprint(s.ID) {
+			parts++
+		}
+	}
+	g.log.Warn(message, zap.String("service", c.Service), zap.String("part", c.ID), zap.Bool("refused", !c.Released), zap.String("reason", string(c.Reason)),
 		zap.Int("version", c.Version), zap.Int("strikes", c.Strikes), zap.Duration("left", c.Left), zap.Strings("crashedServers", crashes))
-	g.scope.Gauge("prompt_parts_in_quarantine").Update(float64(len(g.prompts.States(time.Now()))))
+	g.scope.Gauge("prompt_parts_in_quarantine").Update(float64(parts))
+	g.scope.Gauge("requests_in_quarantine").Update(float64(len(states) - parts))
 	g.scope.Tagged(map[string]string{"reason": string(c.Reason)}).Counter("quarantine_changes").Inc(1)
 	if c.Reason != quarantine.Restored && c.Reason != quarantine.TrialBegun {
 		g.keepQuarantine(c.State, c.Released || c.Reason == quarantine.Expired)
--- a/pkg/quarantine/evidence.go
+++ b/pkg/quarantine/evidence.go
@@ -103,6 +103,7 @@
 		if !found || merged != old {
 			known.suspects[p], changed = merged, true
 			t.scheduleObjection(now, p)
+			t.extendShortQuarantine(now, p)
 		}
 	}
 	if !changed {
@@ -216,20 +217,28 @@
 			open = append(open, c)
 		}
 	}
-	var result []blame
+	result := t.blamedRequests(open)
+	for _, b := range result {
+		open = unexplainedBy(b.part, open)
+	}
 	for {
 		strongest, found := t.strongest(open)
 		if !found {
 			return result
 		}
 		result = append(result, strongest)
-		open = slices.DeleteFunc(open, func(c *crash) bool {
-			_, there := c.suspects[strongest.part]
-			return there
-		})
+		open = unexplainedBy(strongest.part, open)
 	}
 }
 
+// unexplainedBy returns the crashes at which a part was not there.
+func unexplainedBy(p Part, crashes []*crash) []*crash {
+	return slices.DeleteFunc(slices.Clone(crashes), func(c *crash) bool {
+		_, there := c.suspects[p]
+		return there
+	})
+}
+
 // strongest returns the part with the strongest evidence that suffices. It must have been there at one of
 // the open crashes, which no other part explains; the other crashes count as well, because the parts that
 // explain them may have been blamed wrongly. t.mu is held.
@@ -239,7 +248,7 @@
 	tried := make(map[Part]bool)
 	for _, c := range open {
 		for _, p := range sortedParts(c.suspects) {
-			if tried[p] {
+			if tried[p] || p.isRequest() {
 				continue
 			}
 			tried[p] = true
@@ -341,8 +350,11 @@
 		if r == nil {
 			r = t.newRecord(b.part)
 		}
-		r.quarantine(now, t.random())
 		r.blame = b
+		if b.part.isRequest() {
+			r.strikes = max(r.strikes, t.strikesElsewhere(b.part)-1)
+		}
+		r.quarantine(now, t.random())
 		t.addChange(r, Blamed)
 		t.cancelWatches(b.part)
 		t.releaseExplained(now, r)
@@ -355,7 +367,7 @@
 func (t *Tracker) releaseExplained(now time.Time, by *record) {
 	for _, p := range sortedParts(t.records) {
 		r := t.records[p]
-		if r == by || r.released || len(r.blame.crashes) == 0 {
+		if r == by || r.released || len(r.blame.crashes) == 0 || p.Service != by.part.Service {
 			continue
 		}
 		without := func(c *crash) bool {
@@ -363,9 +375,17 @@
 			return !there && c.At.After(r.changedAt)
 		}
 		left := slices.DeleteFunc(slices.Clone(r.blame.crashes), func(c *crash) bool { return slices.Contains(by.blame.crashes, c) })
-		if slices.ContainsFunc(by.blame.crashes, without) && moments(crashesOf(left)) < minMoments {
+		if slices.ContainsFunc(by.blame.crashes, without) && !suffice(p, left) {
 			r.release(now)
 			t.addChange(r, Superseded)
 		}
 	}
 }
+
+// suffice reports whether crashes can be evidence against a part at all.
+func suffice(p Part, crashes []*crash) bool {
+	if p.isRequest() {
+		return len(crashes) >= minRequestCrashes
+	}
+	return moments(crashesOf(crashes)) >= minMoments
+}
--- a/pkg/quarantine/exchange.go
+++ b/pkg/quarantine/exchange.go
@@ -176,13 +176,13 @@
 	if s.Version <= 0 || s.Version > maxVersion || r != nil && (r.version > s.Version || r.version == s.Version && (r.released || !s.Released)) || r == nil && s.Released {
 		return
 	}
-	left := min(age(s.LeftMilliseconds), maxQuarantine)
+	left := age(s.LeftMilliseconds)
 	t.adopt(now, State{Part: p, Version: s.Version, Strikes: s.Strikes, Released: s.Released, InTrial: s.InTrial, Left: left}, Reported)
 }
 
 // age returns an age or a time left from a message, within its bounds.
 func age(milliseconds int64) time.Duration {
-	return time.Duration(min(max(milliseconds, 0), maxQuarantine.Milliseconds())) * time.Millisecond
+	return time.Duration(min(max(milliseconds, 0), maxRequestQuarantine.Milliseconds())) * time.Millisecond
 }
 
 // toldAnswer is an answer that an entry has told the others, and when.
--- a/pkg/quarantine/fingerprint.go
+++ b/pkg/quarantine/fingerprint.go
@@ -23,19 +23,21 @@
 	Target string
 	// Caller is the organisation that sends the request; empty if it is not known.
 	Caller string
-	Body   []byte
+	// SharedParts are those of the prompt, which need not be in the body.
+	SharedParts []string
+	Body        []byte
 }
 
 // Fingerprint returns the ID by which requests that are alike are recognised. It reveals neither the body
 // nor the caller.
 func Fingerprint(i Identity) string {
 	digest := sha256.New()
-	var length [8]byte
-	for _, field := range []string{i.Method, strings.ToLower(i.Host), i.Target, i.Caller} {
-		binary.BigEndian.PutUint64(length[:], uint64(len(field)))
-		digest.Write(length[:])
-		digest.Write([]byte(field))
+	var header []byte
+	for _, field := range append([]string{i.Method, strings.ToLower(i.Host), i.Target, i.Caller}, i.SharedParts...) {
+		header = append(binary.AppendUvarint(header, uint64(len(field))), field...)
 	}
+	digest.Write(binary.AppendUvarint(nil, uint64(len(header))))
+	digest.Write(header)
 	digest.Write(i.Body)
 	return fingerprintPrefix + hex.EncodeToString(digest.Sum(nil)[:fingerprintBytes])
 }
--- a/pkg/quarantine/fingerprint_test.go
+++ b/pkg/quarantine/fingerprint_test.go
@@ -29,6 +29,7 @@
 		"query":                    {change(func(i *quarantine.Identity) { i.Target = "/a/b?c=2" }), false},
 		"caller":                   {change(func(i *quarantine.Identity) { i.Caller = "other" }), false},
 		"body":                     {change(func(i *quarantine.Identity) { i.Body = []byte("bodY") }), false},
+		"parts of the prompt":      {change(func(i *quarantine.Identity) { i.SharedParts = []string{"aa"} }), false},
 		"no body":                  {change(func(i *quarantine.Identity) { i.Body = nil }), false},
 		"bytes moved to the body":  {change(func(i *quarantine.Identity) { i.Caller, i.Body = "or", []byte("gbody") }), false},
 		"bytes moved to the query": {change(func(i *quarantine.Identity) { i.Target, i.Caller = "/a/b?c=1o", "rg" }), false},
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -1,6 +1,7 @@
-// Package quarantine decides which parts of prompts are refused because backend servers crash when they
-// answer them. Prompts consist of parts that other prompts share; a part is identified by the ID that the
-// caller states.
+// Package quarantine decides which requests are refused because backend servers crash when they run them.
+// Prompts consist of parts that other prompts share; a part is identified by the ID that the caller states.
+// A request that comes again, alike, is identified by its fingerprint, which is handled like a part that only
+// the request itself has: it is the last one of the request's IDs.
 //
 // The evidence is the parts of the requests that a server had when it ended. A part that a server has
 // answered since then is not to blame. A part that was there at the ends of several servers is refused at
@@ -24,12 +25,16 @@
 	maxIDBytes = 32
 )
 
-// Part identifies a part of prompts at one service: another service can have other models.
+// Part identifies a part of prompts, or a whole request by its fingerprint, at one service: another service
+// can have other models.
 type Part struct{ Service, ID string }
 
+// isRequest reports whether the part is a whole request.
+func (p Part) isRequest() bool { return IsFingerprint(p.ID) }
+
 // Refusal says why a request is refused.
 type Refusal struct {
-	// Part is the ID of the part.
+	// Part is the ID of the part, or the fingerprint of the request.
 	Part string
 	// RetryAfter is the time until the part may be tried again.
 	RetryAfter time.Duration
@@ -131,6 +136,10 @@
 		if r == nil || r.released {
 			continue
 		}
+		if !now.Before(r.trialAt) && r.trialsUsed() {
+			r.renew(now, t.random())
+			t.addChange(r, Renewed)
+		}
 		if now.Before(r.trialAt) {
 			return Refusal{Part: p.ID, RetryAfter: r.trialAt.Sub(now)}, nil, true
 		}
@@ -158,16 +167,22 @@
 }
 
 // MayRepeat reports whether a request that a server had when it ended may be sent to another one: each of
-// its parts has been answered before, and has been there at no other crash since.
+// its parts has been answered before, and has been there at no other crash since. The request itself need
+// not have been answered.
 func (t *Tracker) MayRepeat(now time.Time, service string, ids []string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, p := range partsOf(service, ids) {
 		answeredAt, answered := t.usage.lastAnswer(p)
-		if !answered || t.isRefused(p) {
+		if t.isRefused(p) {
 			return false
 		}
-		if moments(crashesOf(t.crashesSince(p, answeredAt))) > 1 {
+		crashes := t.crashesSince(p, answeredAt)
+		if p.isRequest() {
+			if len(crashes) > 1 || t.strikesElsewhere(p) > 0 {
+				return false
+			}
+		} else if !answered || moments(crashesOf(crashes)) > 1 {
 			return false
 		}
 	}
--- a/pkg/quarantine/record.go
+++ b/pkg/quarantine/record.go
@@ -15,6 +15,9 @@
 	// request has it, and releasedLifetime how long it stays after its release, so that the release
 	// reaches entries that missed it.
 	recordLifetime, releasedLifetime = 24 * time.Hour, time.Hour
+	// shortRecordLifetime takes the place of recordLifetime for a request that has had only its first
+	// quarantine: many of them ran beside another one and never come again.
+	shortRecordLifetime = 2 * time.Hour
 	// maxRecords bounds the parts on record.
 	maxRecords = 256
 )
@@ -35,21 +38,38 @@
 	blame blame
 }
 
-func quarantineTime(strikes int) time.Duration {
+func quarantineTime(p Part, strikes int) time.Duration {
+	if p.isRequest() {
+		return requestQuarantineTime(strikes)
+	}
 	return min(firstQuarantine<<min(max(strikes-1, 0), 16), maxQuarantine)
 }
 
 func (r *record) quarantine(now time.Time, random float64) {
-	r.version++
 	r.strikes++
+	if r.part.isRequest() {
+		r.strikes = max(r.strikes, strikesAfter(len(r.blame.crashes)))
+	}
+	r.renew(now, random)
+}
+
+// renew begins the quarantine again without another strike.
+func (r *record) renew(now time.Time, random float64) {
+	r.version++
 	r.released, r.inTrial, r.changedAt = false, false, now
-	r.setEnd(now.Add(quarantineTime(r.strikes)), random)
+	r.setEnd(now.Add(quarantineTime(r.part, r.strikes)), random)
 }
 
+// beginTrial refuses the part to other requests for the time of the trial. The trial of a request that has
+// crashed more servers than its first quarantine needs counts as failed until its result is known.
 func (r *record) beginTrial(now time.Time, random float64) {
 	r.version++
 	r.inTrial, r.changedAt = true, now
-	r.setEnd(now.Add(trialTime), random)
+	length := trialTime
+	if r.part.isRequest() && r.strikes > 1 {
+		length = quarantineTime(r.part, r.strikes)
+	}
+	r.setEnd(now.Add(length), random)
 }
 
 func (r *record) release(now time.Time) {
@@ -66,6 +86,9 @@
 	if r.released {
 		return now.Sub(r.changedAt) > releasedLifetime
 	}
+	if r.part.isRequest() && r.strikes <= 1 {
+		return now.Sub(r.until) > shortRecordLifetime
+	}
 	return now.Sub(r.until) > recordLifetime
 }
 
@@ -113,6 +136,8 @@
 	Answered Reason = "answered"
 	// Superseded: another part was there at the same crashes and at more.
 	Superseded Reason = "superseded"
+	// Renewed: the request still comes after all of its trials have failed.
+	Renewed Reason = "renewed"
 	// Lifted: an operator released the part.
 	Lifted Reason = "lifted"
 	// Reported: another entry has reported the change.
@@ -188,7 +213,7 @@
 	if old := t.records[p]; old != nil && old.version >= version || version <= 0 {
 		return
 	}
-	t.adopt(now, State{Part: p, Version: version, Strikes: max(strikes, 1), Left: quarantineTime(strikes)}, Restored)
+	t.adopt(now, State{Part: p, Version: version, Strikes: max(strikes, 1), Left: quarantineTime(p, strikes)}, Restored)
 }
 
 // adopt replaces a record by what is known elsewhere. t.mu is held.
--- a/pkg/quarantine/usage.go
+++ b/pkg/quarantine/usage.go
@@ -9,6 +9,8 @@
 	// maxPartsPerWindow bounds the parts that are counted in one window, and maxAnswersPerGeneration those
 	// in one generation of answers: about 1 MB each.
 	maxPartsPerWindow, maxAnswersPerGeneration = 8 << 10, 8 << 10
+	// maxRequestsPerGeneration bounds the fingerprints in one generation of answers: about 0.5 MB.
+	maxRequestsPerGeneration = 4 << 10
 )
 
 // usage remembers how often this entry gets requests with a part, and when parts were last answered by
@@ -16,9 +18,39 @@
 type usage struct {
 	windowBegan       time.Time
 	current, previous window
-	// answered and answeredBefore are two generations of the times of last answers, so that parts that
-	// are in use are not forgotten.
-	answered, answeredBefore map[Part]time.Time
+	// parts and requests hold when parts and whole requests were last answered. Most requests come only
+	// once, so that those would displace the parts.
+	parts, requests answers
+}
+
+// answers holds the times of last answers in two generations, so that what is in use is not forgotten.
+type answers struct {
+	max               int
+	current, previous map[Part]time.Time
+}
+
+func newAnswers(max int) answers {
+	return answers{max, make(map[Part]time.Time), make(map[Part]time.Time)}
+}
+
+// record records an answer, as far as it is not known yet.
+func (a *answers) record(p Part, at time.Time) {
+	if !at.After(a.current[p]) {
+		return
+	}
+	a.current[p] = at
+	if len(a.current) >= a.max {
+		a.previous, a.current = a.current, make(map[Part]time.Time)
+	}
+}
+
+// last returns the time of the last answer, and false if that is not known.
+func (a *answers) last(p Part) (time.Time, bool) {
+	at := a.current[p]
+	if before := a.previous[p]; before.After(at) {
+		at = before
+	}
+	return at, !at.IsZero()
 }
 
 // window holds the counts of one window.
@@ -35,7 +67,7 @@
 }
 
 func newUsage() usage {
-	return usage{current: newWindow(), previous: newWindow(), answered: make(map[Part]time.Time), answeredBefore: make(map[Part]time.Time)}
+	return usage{current: newWindow(), previous: newWindow(), parts: newAnswers(maxAnswersPerGeneration), requests: newAnswers(maxRequestsPerGeneration)}
 }
 
 // advance begins a new window if the current one is over.
@@ -51,6 +83,7 @@
 	u.current, u.windowBegan = newWindow(), now
 }
 
+// recordRequest counts a request with parts. Fingerprints are not counted.
 func (u *usage) recordRequest(now time.Time, service string, parts []Part) {
 	u.advance(now)
 	u.current.all[service]++
@@ -61,34 +94,30 @@
 	}
 }
 
-// recordOwnAnswer records that a request of this entry was answered.
+// recordOwnAnswer records that a request of this entry was answered. The answers of requests without parts
+// are not counted.
 func (u *usage) recordOwnAnswer(now time.Time, service string, parts []Part) {
 	u.advance(now)
-	u.current.answers[service] = append(u.current.answers[service], now)
+	if !parts[0].isRequest() {
+		u.current.answers[service] = append(u.current.answers[service], now)
+	}
 	for _, p := range parts {
 		u.recordAnswer(p, now)
 	}
 }
 
 // recordAnswer records that a part was answered, as far as it is not known yet.
-func (u *usage) recordAnswer(p Part, at time.Time) {
-	if !at.After(u.answered[p]) {
-		return
-	}
-	u.answered[p] = at
-	if len(u.answered) >= maxAnswersPerGeneration {
-		u.answeredBefore, u.answered = u.answered, make(map[Part]time.Time)
+func (u *usage) recordAnswer(p Part, at time.Time) { u.answers(p).record(p, at) }
+
+func (u *usage) answers(p Part) *answers {
+	if p.isRequest() {
+		return &u.requests
 	}
+	return &u.parts
 }
 
 // lastAnswer returns when a part was last answered, and false if that is not known.
-func (u *usage) lastAnswer(p Part) (time.Time, bool) {
-	at := u.answered[p]
-	if before := u.answeredBefore[p]; before.After(at) {
-		at = before
-	}
-	return at, !at.IsZero()
-}
+func (u *usage) lastAnswer(p Part) (time.Time, bool) { return u.answers(p).last(p) }
 
 const (
 	// unseenRequests is added to the requests with a part, because each entry sees only some of all
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -56,7 +56,7 @@
 	var responding atomic.Bool
 	defer x.cancelIfUnresponsive(s, &responding, cancel).Stop()
 	x.cancelAttempt = cancel
-	stopWatch := x.prompts.Watch(x.q.Service.Name, x.q.SharedParts, func() { cancel(errQuarantined) })
+	stopWatch := x.prompts.Watch(x.q.Service.Name, x.suspects, func() { cancel(errQuarantined) })
 	defer stopWatch()
 	response, err := x.transport.Start(attemptCtx, s.ID, s.Address, x.backendRequest(s))
 	var o outcome
@@ -126,7 +126,8 @@
 		Method: x.q.Method, Target: x.q.Target, Host: x.q.Host, Header: header, Body: x.q.Body,
 		// The server may have closed an idle connection. Whether a request written to it has run is
 		// unknown, so a request that may not be repeated gets a new connection.
-		NewConnection: !x.repeatable,
+		// After the end of a server, a new connection shows that the next one was alive.
+		NewConnection: !x.repeatable || x.serverEnded,
 		Matches:       func(h http.Header) bool { return x.codec.DecodeResponse(0, h).RequestID == x.q.ID },
 	}
 }
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -127,7 +127,9 @@
 // Fingerprint returns the ID of the request in quarantine and logs. A request that is sent again has the
 // same one.
 func (r *Request) Fingerprint() string {
-	return quarantine.Fingerprint(quarantine.Identity{Method: r.Method, Host: r.Host, Target: r.Target, Caller: r.Organisation, Body: r.Body})
+	return quarantine.Fingerprint(quarantine.Identity{
+		Method: r.Method, Host: r.Host, Target: r.Target, Caller: r.Organisation, SharedParts: r.SharedParts, Body: r.Body,
+	})
 }
 
 // Deadline returns the time by which the request must have its final response.
@@ -161,8 +163,8 @@
 	RetryAfterIgnored(server, value string)
 	// RateLimitIgnored is called when a server states a rate limit that cannot be parsed.
 	RateLimitIgnored(server string, err error)
-	// Ended is called when a server ended while it had the request, before it had answered enough of
-	// it to show that it can answer this prompt.
+	// Ended is called when a server ended while it had the request. The end names no parts of the prompt
+	// if the server had answered enough to show that it can answer this prompt.
 	Ended(s fleet.Server, end ServerEnd)
 }
 
@@ -189,7 +191,7 @@
 	observer  ServerObserver
 }
 
-// New returns a relay. It refuses prompts that prompts has in quarantine.
+// New returns a relay. It refuses requests that prompts has in quarantine.
 func New(codec Codec, t Transport, b *balance.Balancer, budget *retrybudget.Budget, prompts *quarantine.Tracker, limits *ratelimit.Limiter, o ServerObserver) *Relay {
 	return &Relay{codec: codec, transport: t, balancer: b, budget: budget, prompts: prompts, limits: limits, observer: o}
 }
@@ -249,7 +251,8 @@
 func (r *Relay) Serve(ctx context.Context, w http.ResponseWriter, q *Request) Report {
 	ctx, cancel := context.WithDeadlineCause(ctx, q.Deadline(), errDeadline)
 	defer cancel()
-	x := &exchange{Relay: r, q: q, w: w, repeatable: q.Route.Repeatable(), lastEventID: q.LastEventID, lastProgress: q.Arrived}
+	x := &exchange{Relay: r, q: q, w: w, fingerprint: q.Fingerprint(), repeatable: q.Route.Repeatable(), lastEventID: q.LastEventID, lastProgress: q.Arrived}
+	x.suspects = SuspectIDs(q.SharedParts, x.fingerprint)
 	now := time.Now()
 	r.budget.RecordRequest(now, q.Service.Name)
 	r.prompts.RecordRequest(now, q.Service.Name, q.SharedParts)
@@ -268,7 +271,11 @@
 	q          *Request
 	w          http.ResponseWriter
 	repeatable bool
-	report     Report
+	// fingerprint is the request's ID in quarantine, and suspects holds it with those of the parts of its
+	// prompt.
+	fingerprint string
+	suspects    []string
+	report      Report
 	// excluded holds the servers that are not tried again.
 	excluded map[string]bool
 	// possibleRuns counts the attempts that may have run.
@@ -293,14 +300,16 @@
 	attemptEvents int
 	// permitDeadline ends the waits for permits before the next attempt; zero if it has not waited for one.
 	permitDeadline time.Time
-	// refusal is why the prompt is refused; its Part is empty if it is not.
+	// serverEnded is true if a server has ended under an attempt.
+	serverEnded bool
+	// refusal is why the request is in quarantine; its Part is empty if it is not.
 	refusal quarantine.Refusal
 }
 
 func (x *exchange) run(ctx context.Context) {
 	for {
 		timeLeft := x.waitForGroup(ctx)
-		if x.refusePrompt(ctx, x.prompts.Refused) {
+		if x.refuseQuarantined(ctx, x.prompts.Refused) {
 			return
 		}
 		if !timeLeft {
@@ -333,7 +342,7 @@
 		if !x.balancer.Accepts(time.Now(), server) {
 			continue // it left, restarted or paused while the request waited
 		}
-		if x.refusePrompt(ctx, x.prompts.Acquire) {
+		if x.refuseQuarantined(ctx, x.prompts.Acquire) {
 			return
 		}
 		x.retryAcquired.Store(false)
@@ -382,13 +391,13 @@
 			x.abort("response truncated: the backend server failed after part of it was sent")
 			return false
 		}
-		return x.mayRepeatPrompt(ctx)
+		return x.mayRepeat(ctx)
 	case ran, notKnown:
 		if !x.repeatable || x.possibleRuns >= x.q.Route.MaxAttempts {
 			x.finish(ctx, "the request may have run and must not be retried")
 			return false
 		}
-		return x.mayRepeatPrompt(ctx)
+		return x.mayRepeat(ctx)
 	case notRun:
 		if x.serversFull() {
 			x.finish(ctx, "backend servers are at capacity")
--- a/pkg/relay/serverend.go
+++ b/pkg/relay/serverend.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
 	"syscall"
 	"time"
 
@@ -26,39 +27,51 @@
 	soundPromptWait = 300 * time.Millisecond
 )
 
-// checkServer reports whether a server has ended under an attempt that failed, and tells the observer
-// unless the attempt had been answered in part. The ranks of a group that has lost another rank break
-// off their requests as well, after a stall, but they still accept connections.
+// checkServer reports whether a server has ended under an attempt that failed, and tells the observer. Once
+// the attempt has been answered in part, the parts of the prompt are not to blame. The ranks of a group that
+// has lost another rank break off their requests as well, after a stall, but they still accept connections.
 func (x *exchange) checkServer(ctx context.Context, s fleet.Server, err error, responseBegun bool) bool {
-	if x.attemptEvents >= soundEvents || !isConnectionEnd(err) || ctx.Err() != nil {
+	if !isConnectionEnd(err) || ctx.Err() != nil || !x.transport.Ended(ctx, s.ID, s.Address) {
 		return false
 	}
-	if !x.transport.Ended(ctx, s.ID, s.Address) {
-		return false
+	end := ServerEnd{RequestID: x.q.ID, Fingerprint: x.fingerprint, SharedParts: x.q.SharedParts, ResponseBegun: responseBegun}
+	if x.attemptEvents >= soundEvents {
+		end.SharedParts = nil
 	}
-	x.observer.Ended(s, ServerEnd{RequestID: x.q.ID, Fingerprint: x.q.Fingerprint(), SharedParts: x.q.SharedParts, ResponseBegun: responseBegun})
+	x.observer.Ended(s, end)
 	return true
 }
 
-var errQuarantined = errors.New("a part of the prompt was quarantined: servers crash when they answer it")
+var errQuarantined = errors.New("the request or a part of its prompt was quarantined: servers crash when they run it")
+
+// SuspectIDs returns the IDs of a request in quarantine: those of the parts of its prompt, and its
+// fingerprint.
+func SuspectIDs(sharedParts []string, fingerprint string) []string {
+	return append(slices.Clip(sharedParts), fingerprint)
+}
 
-func (x *exchange) promptRefused() bool {
-	_, refused := x.prompts.Refused(time.Now(), x.q.Service.Name, x.q.SharedParts)
+func (x *exchange) isQuarantined() bool {
+	_, refused := x.prompts.Refused(time.Now(), x.q.Service.Name, x.suspects)
 	return refused
 }
 
-// refusePrompt ends the request, and reports true, if check refuses a part of its prompt.
-func (x *exchange) refusePrompt(ctx context.Context, check func(time.Time, string, []string) (quarantine.Refusal, bool)) bool {
-	refusal, refused := check(time.Now(), x.q.Service.Name, x.q.SharedParts)
+// refuseQuarantined ends the request, and reports true, if check refuses it or a part of its prompt.
+func (x *exchange) refuseQuarantined(ctx context.Context, check func(time.Time, string, []string) (quarantine.Refusal, bool)) bool {
+	refusal, refused := check(time.Now(), x.q.Service.Name, x.suspects)
 	if !refused {
 		return false
 	}
 	x.refusal = refusal
-	x.finish(ctx, fmt.Sprintf("part %s of the prompt is refused: servers crash when they answer it", refusal.Part))
+	if refusal.Part == x.fingerprint {
+		x.finish(ctx, fmt.Sprintf("the request is refused as %s: servers crash when they run it", refusal.Part))
+	} else {
+		x.finish(ctx, fmt.Sprintf("part %s of the prompt is refused: servers crash when they answer it", refusal.Part))
+	}
 	return true
 }
 
-// recordEvent counts an event of the current attempt. After soundEvents the prompt is known to be sound.
+// recordEvent counts an event of the current attempt. After soundEvents the prompt is known to be sound. The
+// request itself is when its response is complete: an engine can crash at any event.
 func (x *exchange) recordEvent() {
 	x.attemptEvents++
 	if x.attemptEvents == soundEvents {
@@ -66,28 +79,35 @@
 	}
 }
 
-// recordAnswer records that the prompt is sound after a complete response. A server that reports a failure
-// need not have begun to answer the prompt.
+// recordAnswer records that the request is sound after a complete response. A server that reports a failure
+// need not have run it, and need not have begun to answer the prompt.
 func (x *exchange) recordAnswer() {
-	if x.report.Status/100 != 2 || x.q.Route.Kind == fleet.Streaming && x.attemptEvents == 0 {
-		return
+	switch status := x.report.Status; {
+	case status >= 500 || x.q.Route.Kind == fleet.Streaming && x.attemptEvents == 0:
+	case status/100 == 2:
+		x.prompts.RecordAnswered(time.Now(), x.q.Service.Name, x.suspects)
+	default:
+		x.prompts.RecordAnswered(time.Now(), x.q.Service.Name, SuspectIDs(nil, x.fingerprint))
 	}
-	x.prompts.RecordAnswered(time.Now(), x.q.Service.Name, x.q.SharedParts)
 }
 
-// mayRepeatPrompt reports whether a request may be sent to another server after a failed attempt, and ends
-// it if not. If the server ended under it, the prompt must be known to be sound: another server would
-// crash as well.
-func (x *exchange) mayRepeatPrompt(ctx context.Context) bool {
+// mayRepeat reports whether a request may be sent to another server after a failed attempt, and ends it if
+// not. If the server ended under it, another one would crash as well unless the prompt is known to be sound
+// and no other server has ended under the same request.
+func (x *exchange) mayRepeat(ctx context.Context) bool {
 	if !x.report.Attempts[len(x.report.Attempts)-1].ServerEnded {
 		return true
 	}
-	for end := time.Now().Add(soundPromptWait); ctx.Err() == nil && time.Now().Before(end); wait.For(ctx, soundPromptWait/10) {
-		if x.prompts.MayRepeat(time.Now(), x.q.Service.Name, x.q.SharedParts) {
+	x.serverEnded = true
+	for end := time.Now().Add(soundPromptWait); ctx.Err() == nil; wait.For(ctx, soundPromptWait/10) {
+		if x.prompts.MayRepeat(time.Now(), x.q.Service.Name, x.suspects) {
 			return true
 		}
+		if len(x.q.SharedParts) == 0 || !time.Now().Before(end) {
+			break
+		}
 	}
-	x.finish(ctx, "the backend server ended under the request, and no server is known to have answered all parts of its prompt")
+	x.finish(ctx, "the backend server ended under the request, and it or a part of its prompt may end another one")
 	return false
 }
 
--- a/pkg/relay/serverend_test.go
+++ b/pkg/relay/serverend_test.go
@@ -46,21 +46,22 @@
 }
 
 // TestEndOfServerUnderRequestIsReported guards against requests that end one server after the other
-// without a trace of what they have in common: the parts of the prompt must be reported if the server
-// ended before it had answered three events, and must not be if the server still runs or had answered.
+// without a trace of what they have in common: each end must be reported, with the parts of the prompt if the
+// server had not answered three events. Nothing must be reported if the server still runs.
 func TestEndOfServerUnderRequestIsReported(t *testing.T) {
 	for name, c := range map[string]struct {
 		text          string
 		survives      bool
 		wantReport    bool
+		wantParts     int
 		responseBegun bool
 	}{
-		"ended without a response":     {"", false, true, false},
-		"ended after the headers":      {streamHead("Transfer-Encoding: chunked\r\n"), false, true, true},
-		"ended within the first event": {streamHead("") + "id: 1\nda", false, true, true},
-		"ended after two events":       {streamHead("Transfer-Encoding: chunked\r\n") + chunk(event(1)+event(2)), false, true, true},
-		"ended after three events":     {streamHead("Transfer-Encoding: chunked\r\n") + chunk(event(1)+event(2)+event(3)), false, false, true},
-		"closed the connection only":   {"", true, false, false},
+		"ended without a response":     {"", false, true, 2, false},
+		"ended after the headers":      {streamHead("Transfer-Encoding: chunked\r\n"), false, true, 2, true},
+		"ended within the first event": {streamHead("") + "id: 1\nda", false, true, 2, true},
+		"ended after two events":       {streamHead("Transfer-Encoding: chunked\r\n") + chunk(event(1)+event(2)), false, true, 2, true},
+		"ended after three events":     {streamHead("Transfer-Encoding: chunked\r\n") + chunk(event(1)+event(2)+event(3)), false, true, 0, true},
+		"closed the connection only":   {"", true, false, 0, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -77,8 +78,8 @@
 			if got := len(s.ended) == 1; got != c.wantReport {
 				t.Fatalf("%d reports of an ended server, want one: %v", len(s.ended), c.wantReport)
 			}
-			if c.wantReport && (len(s.ended[0].SharedParts) != 2 || s.ended[0].RequestID != "1" || s.ended[0].ResponseBegun != c.responseBegun) {
-				t.Errorf("reported %+v, want request 1 with its two shared parts and ResponseBegun %v", s.ended[0], c.responseBegun)
+			if c.wantReport && (len(s.ended[0].SharedParts) != c.wantParts || s.ended[0].Fingerprint == "" || s.ended[0].RequestID != "1" || s.ended[0].ResponseBegun != c.responseBegun) {
+				t.Errorf("reported %+v, want request 1 with its fingerprint, %d shared parts and ResponseBegun %v", s.ended[0], c.wantParts, c.responseBegun)
 			}
 		})
 	}
--- a/pkg/relay/wait.go
+++ b/pkg/relay/wait.go
@@ -43,7 +43,7 @@
 		return x.remaining() > minAttemptTime
 	}
 	x.groupFault = false
-	for !x.promptRefused() {
+	for !x.isQuarantined() {
 		reason := x.waitReason(time.Now())
 		if reason == "" {
 			break
@@ -96,7 +96,7 @@
 // waitForBudget waits until the service's retry budget allows another attempt. Only a request to an
 // engine that has certainly not run waits: it can still be refused.
 func (x *exchange) waitForBudget(ctx context.Context) bool {
-	for !x.promptRefused() && !x.budget.Acquire(time.Now(), x.q.Service.Name) {
+	for !x.isQuarantined() && !x.budget.Acquire(time.Now(), x.q.Service.Name) {
 		if x.possibleRuns > 0 || x.q.Service.Engine == nil || !x.worthWaiting(ctx) {
 			return false
 		}
