Keep the evidence against parts apart from whole requests

Cause: the chance that an innocent part is at a crash was computed from the number of suspects, which included the fingerprints. Change: only parts count among the suspects of a part; a request explains crashes away from parts once it was at three. Requests that were answered before are judged after those that were not. Test: TestRequestsBesideDoNotWeakenEvidenceAgainstPart failed on, and the model of prompts gives each request a fingerprint.

--- a/pkg/quarantine/evidence.go
+++ b/pkg/quarantine/evidence.go
@@ -151,14 +151,26 @@
 	return list
 }
 
-// explained reports whether a part in quarantine was there at a crash. t.mu is held.
-func (t *Tracker) explained(c *crash) bool {
-	for p := range c.suspects {
-		if r := t.records[p]; r != nil && !r.released {
-			return true
+// unexplained returns the crashes at which nothing in quarantine was there, of what explains accepts. t.mu is
+// held.
+func (t *Tracker) unexplained(explains func(*record) bool) []*crash {
+	var open []*crash
+	for _, c := range t.crashes {
+		explained := false
+		for p := range c.suspects {
+			explained = explained || t.inQuarantine(p) && explains(t.records[p])
+		}
+		if !explained {
+			open = append(open, c)
 		}
 	}
-	return false
+	return open
+}
+
+// inQuarantine reports whether a part is in quarantine. t.mu is held.
+func (t *Tracker) inQuarantine(p Part) bool {
+	r := t.records[p]
+	return r != nil && !r.released
 }
 
 // is reports whether two crashes are the same one.
@@ -211,15 +223,12 @@
 // that no stronger one explains. t.mu is held.
 func (t *Tracker) blamed(now time.Time) []blame {
 	t.crashes = slices.DeleteFunc(t.crashes, func(c *crash) bool { return now.Sub(c.At) > evidenceLifetime })
-	var open []*crash
-	for _, c := range t.crashes {
-		if !t.explained(c) {
-			open = append(open, c)
-		}
-	}
-	result := t.blamedRequests(open)
+	result := t.blamedRequests()
+	open := t.unexplained(func(r *record) bool { return !r.part.isRequest() || provesCause(len(r.blame.crashes)) })
 	for _, b := range result {
-		open = unexplainedBy(b.part, open)
+		if provesCause(len(b.crashes)) {
+			open = unexplainedBy(b.part, open)
+		}
 	}
 	for {
 		strongest, found := t.strongest(open)
@@ -295,21 +304,21 @@
 	for _, c := range b.crashes {
 		s := c.suspects[p]
 		b.depth = max(b.depth, s.depth)
-		others := len(c.suspects)
+		others := c.partCount(s.begun)
 		if s.begun {
 			b.begun++
-			others = c.begunCount()
 		}
 		b.evidence -= math.Log(1 - math.Pow(1-share, float64(others)))
 	}
 	return b
 }
 
-// begunCount returns the number of parts of requests that the server had begun to answer.
-func (c *crash) begunCount() int {
+// partCount returns the number of parts of the requests that the server had, or of those that it had begun to
+// answer.
+func (c *crash) partCount(begunOnly bool) int {
 	n := 0
-	for _, s := range c.suspects {
-		if s.begun {
+	for p, s := range c.suspects {
+		if !p.isRequest() && (s.begun || !begunOnly) {
 			n++
 		}
 	}
--- a/pkg/quarantine/fleet_test.go
+++ b/pkg/quarantine/fleet_test.go
@@ -61,8 +61,10 @@
 
 // simRequest is a request at a server.
 type simRequest struct {
-	entry  *simEntry
-	parts  []string
+	entry *simEntry
+	parts []string
+	// id is the fingerprint of the request; no two are alike.
+	id     string
 	begun  bool
 	events int
 	ended  bool
@@ -70,6 +72,9 @@
 
 func (r *simRequest) crashing() bool { return r.parts[1] == crashingPart }
 
+// suspects returns the IDs of the request.
+func (r *simRequest) suspects() []string { return append(slices.Clip(r.parts), r.id) }
+
 type simServer struct {
 	name        string
 	incarnation int64
@@ -151,7 +156,7 @@
 
 func (f *simFleet) generate(rate float64, parts func() []string) {
 	f.every(rate, func() {
-		r := &simRequest{entry: f.entries[f.random.IntN(len(f.entries))], parts: parts()}
+		r := &simRequest{entry: f.entries[f.random.IntN(len(f.entries))], parts: parts(), id: fingerprint(fmt.Sprint(f.random.Uint64()))}
 		r.entry.tracker.RecordRequest(f.clock(), "model", r.parts)
 		if !r.crashing() {
 			f.result.sound++
@@ -209,7 +214,7 @@
 
 // send sends a request to a server of an open group, or waits up to two seconds for one.
 func (f *simFleet) send(r *simRequest, arrived time.Duration) {
-	refusal, refused := r.entry.tracker.Acquire(f.clock(), "model", r.parts)
+	refusal, refused := r.entry.tracker.Acquire(f.clock(), "model", r.suspects())
 	f.advance(r.entry)
 	if refused {
 		if r.crashing() {
@@ -280,7 +285,7 @@
 		for _, r := range other.requests {
 			r.ended = true
 			if other == s && r.events < 2 {
-				r.entry.tracker.RecordCrash(f.clock(), crash, r.parts, r.begun)
+				r.entry.tracker.RecordCrash(f.clock(), crash, r.suspects(), r.begun)
 				f.advance(r.entry)
 				f.repeat(r)
 			}
@@ -292,8 +297,8 @@
 // repeat sends a request that a server had when it ended again, if its entry lets it.
 func (f *simFleet) repeat(r *simRequest) {
 	f.after(300*time.Millisecond, func() {
-		if r.entry.tracker.MayRepeat(f.clock(), "model", r.parts) {
-			f.send(&simRequest{entry: r.entry, parts: r.parts}, f.now())
+		if r.entry.tracker.MayRepeat(f.clock(), "model", r.suspects()) {
+			f.send(&simRequest{entry: r.entry, parts: r.parts, id: r.id}, f.now())
 		}
 	})
 }
@@ -306,6 +311,7 @@
 // sound, at most half of them, which is the operators' bound.
 func TestRandomFleetsRefuseOnlyTheCrashingPart(t *testing.T) {
 	const maxArrivals, maxSoundRefused, maxSoundRefusedFresh = 3, 0.01, 0.5
+	crashes, refused := 0, 0
 	random := rand.New(rand.NewPCG(1, 1))
 	pick := func(values ...float64) float64 { return values[random.IntN(len(values))] }
 	seconds := func(values ...float64) time.Duration { return time.Duration(pick(values...) * float64(time.Second)) }
@@ -323,6 +329,7 @@
 		if n := r.arrivalsAfterLimit(); n > maxArrivals {
 			t.Errorf("seed %d, %+v: %d requests with the part reached servers later than %v after the fifth crash, want at most %d; %d crashes, first refused at %v", seed, spec, n, stableWindow, maxArrivals, len(r.crashes), r.refusedFrom)
 		}
+		crashes, refused = crashes+len(r.crashes), refused+r.soundRefused
 		limit := maxSoundRefused
 		if spec.calm == 0 {
 			limit = maxSoundRefusedFresh
@@ -331,4 +338,5 @@
 			t.Errorf("seed %d, %+v: %.3f of %d sound requests were refused, want at most %.2f: %v", seed, spec, share, r.sound, limit, r.refusedParts)
 		}
 	}
+	t.Logf("%d crashes and %d sound requests refused in all fleets", crashes, refused)
 }
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -191,9 +191,8 @@
 
 // isRefused reports whether a part is suspected or in quarantine. t.mu is held.
 func (t *Tracker) isRefused(p Part) bool {
-	r := t.records[p]
 	_, suspected := t.suspected[p]
-	return suspected || r != nil && !r.released
+	return suspected || t.inQuarantine(p)
 }
 
 // Watch calls cancel if one of the parts is quarantined before stop is called.
--- a/pkg/quarantine/request.go
+++ b/pkg/quarantine/request.go
@@ -40,47 +40,48 @@
 
 // strikesAfter returns the strikes of a request after a number of crashes.
 func strikesAfter(crashes int) int {
-	if crashes > minRequestCrashes {
+	if provesCause(crashes) {
 		return 2
 	}
 	return 1
 }
 
+// provesCause reports whether crashes under a request suffice to look for no other cause of them. Requests
+// that ran beside another one are blamed as well after fewer crashes.
+func provesCause(crashes int) bool { return crashes > minRequestCrashes }
+
 // trialsUsed reports whether the part is not tried again.
 func (r *record) trialsUsed() bool { return r.part.isRequest() && r.strikes > maxTrialStrikes }
 
-// blamedRequests returns the requests that the evidence suffices against. t.mu is held.
-func (t *Tracker) blamedRequests(open []*crash) []blame {
-	var result []blame
-	tried := make(map[Part]bool)
+// blamedRequests returns the requests that the evidence suffices against. One that was answered before is
+// blamed only for crashes that no other request explains. t.mu is held.
+func (t *Tracker) blamedRequests() []blame {
+	open := t.unexplained(func(r *record) bool { return r.part.isRequest() })
+	suspects := make(map[Part]bool)
 	for _, c := range open {
-		for _, p := range sortedParts(c.suspects) {
-			if !p.isRequest() || tried[p] {
-				continue
-			}
-			tried[p] = true
-			if b := t.assess(p); t.isBlamed(b, open) {
-				result = append(result, b)
+		for p := range c.suspects {
+			if p.isRequest() && !t.inQuarantine(p) {
+				suspects[p] = true
 			}
 		}
 	}
-	return result
-}
-
-// isBlamed reports whether the evidence against a request suffices. t.mu is held.
-func (t *Tracker) isBlamed(b blame, open []*crash) bool {
-	if !slices.ContainsFunc(b.crashes, func(c *crash) bool { return slices.Contains(open, c) }) {
-		return false
+	var result, answeredBefore []blame
+	for _, p := range sortedParts(suspects) {
+		b := t.assess(p)
+		if _, answered := t.usage.lastAnswer(p); answered && t.strikesElsewhere(p) == 0 {
+			answeredBefore = append(answeredBefore, b)
+		} else if len(b.crashes) >= minRequestCrashes || len(b.crashes) > 0 && t.strikesElsewhere(p) > 0 {
+			result = append(result, b)
+			open = unexplainedBy(p, open)
+		}
 	}
-	_, answered := t.usage.lastAnswer(b.part)
-	switch {
-	case t.strikesElsewhere(b.part) > 0:
-		return true
-	case !answered:
-		return len(b.crashes) >= minRequestCrashes
-	default:
-		return len(b.crashes) >= minAnsweredCrashes && b.moments >= minMoments && thereAtAll(b, open)
+	for _, b := range answeredBefore {
+		isOpen := func(c *crash) bool { return slices.Contains(open, c) }
+		if len(b.crashes) >= minAnsweredCrashes && b.moments >= minMoments && slices.ContainsFunc(b.crashes, isOpen) && thereAtAll(b, open) {
+			result = append(result, b)
+		}
 	}
+	return result
 }
 
 // thereAtAll reports whether a request was there at all open crashes of its service since its first one.
@@ -110,7 +111,7 @@
 		return
 	}
 	answeredAt, _ := t.usage.lastAnswer(p)
-	if crashes := t.crashesSince(p, answeredAt); len(crashes) > minRequestCrashes {
+	if crashes := t.crashesSince(p, answeredAt); provesCause(len(crashes)) {
 		r.blame.crashes = crashes
 		r.quarantine(now, t.random())
 		t.addChange(r, Blamed)
--- a/pkg/quarantine/request_test.go
+++ b/pkg/quarantine/request_test.go
@@ -355,3 +355,29 @@
 	}
 	t.Logf("most crashes in a fleet: %d; largest share of sound requests refused: %.4f", most, worst)
 }
+
+// TestRequestsBesideDoNotWeakenEvidenceAgainstPart guards against a part of prompts that is blamed later the
+// more requests its servers had: each of them has a fingerprint of its own, which says nothing about parts.
+func TestRequestsBesideDoNotWeakenEvidenceAgainstPart(t *testing.T) {
+	for _, fingerprints := range []bool{false, true} {
+		c := newClock()
+		tr := newTracker(c)
+		for server := range 2 {
+			for n := range 30 {
+				ids := []string{firstPart, fmt.Sprint("b", n%3)}
+				if n == 0 {
+					ids[1] = crashingPart
+				}
+				if fingerprints {
+					ids = append(ids, fingerprint(fmt.Sprint(server, "-", n)))
+				}
+				crash(tr, c, fmt.Sprint("s", server), ids...)
+			}
+			c.advance(time.Second)
+		}
+		settle(tr, c)
+		if !refused(tr, c, firstPart, crashingPart) {
+			t.Errorf("the part is not refused after two crashes with 30 requests each; fingerprints: %v", fingerprints)
+		}
+	}
+}
