Do not send a request twice on one connection

What operators of other systems saw: callers were told 'not run, try again' for requests that a replica ran, or these ran at a second replica, after a faulty replica had written an earlier refusal once more on a kept connection. Here: a response is matched by the ID of its request, so a copy for another request is skipped. A request that a server had refused could come back to it on the same connection after the backoff; the copy has its ID then and passed for the answer. Requests that may not be repeated always take a new connection, so that they were not affected. Change: an attempt does not use a connection that has carried a response to the same request.

--- a/pkg/backendconn/exchange.go
+++ b/pkg/backendconn/exchange.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -40,6 +41,9 @@
 	Body   []byte
 	// NewConnection forbids the use of an idle connection.
 	NewConnection bool
+	// Excluded holds the connections on which the request has been sent before. A server may write its
+	// earlier response once more, which could not be told from the next one.
+	Excluded []ConnectionID
 	// Matches reports whether a response with the given headers belongs to the request; nil accepts
 	// any.
 	Matches func(http.Header) bool
@@ -60,8 +64,15 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Cause }
 
+// ConnectionID identifies a connection within this process.
+type ConnectionID uint64
+
+// lastConnection is the ID of the newest connection.
+var lastConnection atomic.Uint64
+
 // conn is one connection. It carries one request at a time.
 type conn struct {
+	id        ConnectionID
 	server    string
 	nc        net.Conn
 	bounded   *boundedReader
@@ -77,6 +88,8 @@
 	Length int64
 	// Body reads the body; an error other than io.EOF means that it is incomplete.
 	Body io.Reader
+	// Connection is the connection that carried the response.
+	Connection ConnectionID
 	// Framed means that the body has a length or chunks. A body without ends with its connection, which
 	// also ends when the server does.
 	Framed bool
@@ -92,7 +105,7 @@
 // Start sends a request and returns after reading the response headers. If ctx ends before Close,
 // the connection is reset.
 func (p *Pools) Start(ctx context.Context, server, address string, r *Request) (*Response, error) {
-	c, reused, err := p.connect(ctx, server, address, r.NewConnection)
+	c, reused, err := p.connect(ctx, server, address, r)
 	if err != nil {
 		return nil, &Error{NotSent: true, Cause: err}
 	}
@@ -110,9 +123,9 @@
 	return response, nil
 }
 
-func (p *Pools) connect(ctx context.Context, server, address string, fresh bool) (*conn, bool, error) {
-	if !fresh {
-		if c := p.get(server, time.Now()); c != nil {
+func (p *Pools) connect(ctx context.Context, server, address string, r *Request) (*conn, bool, error) {
+	if !r.NewConnection {
+		if c := p.get(server, time.Now(), r.Excluded); c != nil {
 			return c, true, nil
 		}
 	}
@@ -125,7 +138,7 @@
 
 func newConn(server string, nc net.Conn) *conn {
 	bounded := &boundedReader{nc: nc}
-	return &conn{server: server, nc: nc, bounded: bounded, br: bufio.NewReaderSize(bounded, readBufferBytes)}
+	return &conn{id: ConnectionID(lastConnection.Add(1)), server: server, nc: nc, bounded: bounded, br: bufio.NewReaderSize(bounded, readBufferBytes)}
 }
 
 func (c *conn) roundTrip(r *Request) (*Response, error) {
@@ -146,8 +159,8 @@
 	}
 	return &Response{
 		Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Body: response.Body,
-		Framed: response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || response.Body == http.NoBody,
-		conn:   c, response: response, written: written,
+		Framed:     response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || response.Body == http.NoBody,
+		Connection: c.id, conn: c, response: response, written: written,
 		reusable: !response.Close && !skipped,
 	}, nil
 }
--- a/pkg/backendconn/pool.go
+++ b/pkg/backendconn/pool.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -72,10 +73,10 @@
 	closeAll(old)
 }
 
-// get returns a usable idle connection, or nil if there is none.
-func (p *Pools) get(server string, now time.Time) *conn {
+// get returns a usable idle connection that is not excluded, or nil if there is none.
+func (p *Pools) get(server string, now time.Time, excluded []ConnectionID) *conn {
 	for {
-		c := p.pop(server)
+		c := p.pop(server, excluded)
 		if c == nil {
 			return nil
 		}
@@ -86,16 +87,18 @@
 	}
 }
 
-func (p *Pools) pop(server string) *conn {
+// pop removes the most recently used idle connection that is not excluded and returns it, nil if there is none.
+func (p *Pools) pop(server string, excluded []ConnectionID) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	conns := p.idle[server]
-	if len(conns) == 0 {
-		return nil
+	for i, c := range slices.Backward(conns) {
+		if !slices.Contains(excluded, c.id) {
+			p.idle[server] = slices.Delete(conns, i, i+1)
+			return c
+		}
 	}
-	c := conns[len(conns)-1]
-	p.idle[server] = conns[:len(conns)-1]
-	return c
+	return nil
 }
 
 func (p *Pools) put(c *conn) {
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -68,6 +68,7 @@
 		latency = time.Since(began)
 		x.balancer.ResponseStarted(time.Now(), s.ID, began)
 		record.Status = response.Status
+		x.connections = append(x.connections, response.Connection)
 		o, err = x.receive(ctx, s, response, began, &record)
 		response.Close()
 		if err != nil {
@@ -127,8 +128,8 @@
 		// The server may have closed an idle connection. Whether a request written to it has run is
 		// unknown, so a request that may not be repeated gets a new connection.
 		// After the end of a server, a new connection shows that the next one was alive.
-		NewConnection: !x.repeatable || x.serverEnded,
-		Matches:       func(h http.Header) bool { return x.codec.DecodeResponse(0, h).RequestID == x.q.ID },
+		NewConnection: !x.repeatable || x.serverEnded, Excluded: x.connections,
+		Matches: func(h http.Header) bool { return x.codec.DecodeResponse(0, h).RequestID == x.q.ID },
 	}
 }
 
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -300,6 +300,8 @@
 	attemptEvents int
 	// permitDeadline ends the waits for permits before the next attempt; zero if it has not waited for one.
 	permitDeadline time.Time
+	// connections are those that have carried a response to the request.
+	connections []backendconn.ConnectionID
 	// serverEnded is true if a server has ended under an attempt.
 	serverEnded bool
 	// refusal is why the request is in quarantine; its Part is empty if it is not.
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -606,3 +606,39 @@
 		}
 	}
 }
+
+// TestLateCopyOfRefusalIsNotTakenForResponse guards against a request that is reported as not run, or sent to a
+// second server, while a server runs it: a faulty server writes its earlier refusal once more on a kept
+// connection, when the same request has come back on it.
+func TestLateCopyOfRefusalIsNotTakenForResponse(t *testing.T) {
+	for _, kind := range []fleet.Kind{fleet.Safe, fleet.Unsafe} {
+		t.Run(string(kind), func(t *testing.T) {
+			t.Parallel()
+			refused := make(map[net.Conn]bool)
+			var mu sync.Mutex
+			a := newBackend(t, func(c *net.TCPConn, r *http.Request, n int) bool {
+				mu.Lock()
+				again := refused[c]
+				refused[c] = true
+				mu.Unlock()
+				if n == 0 || again {
+					notRun(c, r, n)
+				}
+				if n == 0 {
+					return true
+				}
+				time.Sleep(50 * time.Millisecond)
+				return complete(c, r, n)
+			})
+			r := route(kind)
+			s := newTestRelay(t, r, fleet.Service{}, 94, a.server("a"))
+			status, body, _, err := s.send(context.Background(), "1")
+			if err != nil || status != http.StatusOK || body != "whole" {
+				t.Errorf("got status %d, %q, error %v; want the response of the run", status, body, err)
+			}
+			if sent, _ := a.count(); sent != 2 {
+				t.Errorf("the server got the request %d times, want 2: refused once, run once", sent)
+			}
+		})
+	}
+}
