Do not continue a stream with an engine's error

What operators of other systems saw: a stream had begun and broke off, the next replica answered with an error, and clients found the error's text in the middle of their stream, or the stream ended as if it were complete. Here, in the product's own deployments: the status of a continued answer was ignored once part of it had been sent, so that the body of an error with an empty line in it was passed on as an event, and one that looked like the end marker ended the stream. Change: an answer is continued only by one with the same status.

--- a/pkg/answer/answer.go
+++ b/pkg/answer/answer.go
@@ -4,6 +4,7 @@
 package answer
 
 import (
+	"fmt"
 	"net/http"
 
 	"github.com/fescuehub/fescuehub/pkg/frame"
@@ -97,6 +98,9 @@
 		return Output{}, problem.New(problem.BrokenFrame, "fix the backend server",
 			"%d is not the status code of a final answer", f.Status).WithOutcome(problem.NotKnown)
 	}
+	if a.committed && f.Status != 0 && f.Status != a.head.Status {
+		return Output{}, truncatedError(fmt.Sprintf("the answer was to be continued, but the backend server answered with status %d", f.Status))
+	}
 	if f.Status != 0 && !a.committed {
 		a.head.Status = f.Status
 		a.head.Header = f.Header
--- a/pkg/answer/answer_test.go
+++ b/pkg/answer/answer_test.go
@@ -113,3 +113,29 @@
 		t.Fatalf("got %v", err)
 	}
 }
+
+// TestErrorAfterBeginOfStreamIsNotForwarded guards against the text of an error in the middle of a stream, and
+// against a stream that ends as if it were complete, when the next engine answers a resumed stream with an
+// error.
+func TestErrorAfterBeginOfStreamIsNotForwarded(t *testing.T) {
+	for name, data := range map[string][]string{
+		"text":                  {"internal error\n\n"},
+		"document":              {`{"error":"overloaded"}`, "\n\n"},
+		"looks like an event":   {"data: {\"error\":\"failed\"}\n\n"},
+		"looks like the end":    {done},
+		"a whole head and text": {"HTTP/1.1 500 Internal Server Error\r\n\r\nfailed\r\n\r\n"},
+	} {
+		for n, status := range []int{400, 404, 429, 500, 503} {
+			a := answer.New(true, 100)
+			a.BeginAttempt(first)
+			if _, _, err := feed(t, a, first, 200, false, event); err != nil {
+				t.Fatal(err)
+			}
+			a.BeginAttempt(second)
+			got, complete, err := feed(t, a, second, status, n%2 == 0, data...)
+			if got != "" || complete || err == nil {
+				t.Errorf("%s with status %d after the begin of a stream: forwarded %q, complete %v, error %v; want nothing and an error", name, status, got, complete, err)
+			}
+		}
+	}
+}
