Do not continue a stream with another server's error

What operators of other systems saw: a stream had begun and broke off, the next replica answered with an error, and clients found the error's text or head in the middle of their stream, or it ended as if it were complete. Here, on the operators' platform: failures, refusals and responses without a seal were noticed. A success of another media type, or without content, was taken for the rest of the stream: its text was passed on as an event without an ID, and an empty one ended the stream. An event without an ID, such as an error event or the head of a response inside the body, was passed on as well. Change: a resumed stream goes on only with status 200 and, where one is stated, the media type of the first response, and only with events that have the next IDs.

--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -48,7 +49,7 @@
 	began := time.Now()
 	tokens := x.q.tokens()
 	x.balancer.Begin(began, s.ID, tokens)
-	x.attemptEvents = 0
+	x.attemptEvents, x.resumed = 0, x.started
 	record := Attempt{Server: s.ID}
 	latency := time.Duration(0)
 	attemptCtx, cancel := context.WithCancelCause(ctx)
@@ -173,6 +174,10 @@
 		x.exclude(s.ID)
 		return x.brokenOffOr(notKnown), errors.New("successful response has a Content-Encoding, which is not accepted")
 	}
+	if x.resumed && !x.continuesStream(response) {
+		x.exclude(s.ID)
+		return brokenOff, errors.Newf("resumed stream got a response with status %d and type %q instead of events", response.Status, mediaType(response.Header))
+	}
 	if success && x.q.Route.Kind == fleet.Streaming {
 		return x.relayStream(ctx, s, response)
 	}
@@ -234,10 +239,6 @@
 		x.exclude(s.ID)
 		return x.brokenOffOr(notKnown), errCutShort
 	}
-	if x.started {
-		x.exclude(s.ID)
-		return brokenOff, errors.Newf("resumed stream got a response with status %d instead of events", response.Status)
-	}
 	buffered := &bufferedResponse{status: response.Status, header: response.Header, body: body}
 	if !success && x.repeatable && response.Status >= 500 {
 		x.exclude(s.ID)
@@ -324,16 +325,32 @@
 	}
 }
 
-// isNextEvent reports whether an event is the successor of the last one. Events without a numeric
-// ID are always accepted.
+// isNextEvent reports whether an event is the successor of the last one. Events without a numeric ID are
+// accepted only from the server that began the stream: others can be an error of the server that continues it.
 func (x *exchange) isNextEvent(e eventstream.Event) bool {
 	last, errLast := strconv.ParseInt(x.lastEventID, 10, 64)
 	id, errID := strconv.ParseInt(e.ID, 10, 64)
+	if errLast == nil && errID != nil && x.resumed {
+		return e.Comment
+	}
 	return errLast != nil || errID != nil || id == last+1
 }
 
+// continuesStream reports whether a response can continue the stream that another one has started. One that
+// states no media type can.
+func (x *exchange) continuesStream(response *backendconn.Response) bool {
+	t := mediaType(response.Header)
+	return response.Status == http.StatusOK && (t == "" || t == x.streamType)
+}
+
+// mediaType returns the media type of a response without its parameters.
+func mediaType(h http.Header) string {
+	name, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(name))
+}
+
 func (x *exchange) startResponse(response *backendconn.Response) {
-	x.started = true
+	x.started, x.streamType = true, mediaType(response.Header)
 	copyHeader(x.w.Header(), response.Header)
 	x.w.WriteHeader(response.Status)
 }
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -284,6 +284,10 @@
 	// started is true once the response headers have been sent to the caller.
 	started     bool
 	lastEventID string
+	// streamType is the media type of the response that has been started.
+	streamType string
+	// resumed is true if the current attempt continues a response that another one has started.
+	resumed bool
 	// lastProgress is when data was last sent to the caller; initially the request's arrival.
 	lastProgress time.Time
 	// groupFault is true if the last attempt or check found the group broken.
--- a/pkg/relay/serverend_test.go
+++ b/pkg/relay/serverend_test.go
@@ -195,3 +195,42 @@
 		})
 	}
 }
+
+// TestErrorAfterBeginOfStreamIsNotForwarded guards against the text or the head of an error in the middle of a
+// stream, and against a stream that ends as if it were complete, when a stream has begun and broken off and the
+// next server answers with an error.
+func TestErrorAfterBeginOfStreamIsNotForwarded(t *testing.T) {
+	for name, then := range map[string]reply{
+		"server error":                 respondWith(500, "Seal: second\r\n", "internal error\n\n"),
+		"server error without a seal":  respondWith(502, "", "bad gateway\n\n"),
+		"not found":                    respondWith(404, "Seal: second\r\n", "no such stream\n\n"),
+		"redirect":                     respondWith(302, "Seal: second\r\nLocation: /x\r\n", "moved\n\n"),
+		"refused":                      respondWith(503, "Not-Run: 1\r\n", "full\n\n"),
+		"too many requests":            respondWith(429, "", "slow down\n\n"),
+		"success without a seal":       respondWith(200, "", event(3)),
+		"text in place of events":      respondWith(200, "Seal: second\r\nContent-Type: text/plain\r\n", "failed\n\n"),
+		"empty document":               respondWith(200, "Seal: second\r\nContent-Type: application/json\r\n", ""),
+		"no content":                   writeRaw("HTTP/1.1 204 X\r\nId: ID\r\nSeal: second\r\n\r\n", closeConn),
+		"error without a length":       writeRaw("HTTP/1.1 500 X\r\nId: ID\r\nSeal: second\r\n\r\nfailed\n\n", closeConn),
+		"bytes that are no response":   writeRaw("failed\r\n\r\n", closeConn),
+		"two heads":                    writeRaw("HTTP/1.1 200 X\r\nId: ID\r\nSeal: second\r\nContent-Type: text/event-stream\r\n\r\nHTTP/1.1 500 X\r\n\r\nfailed", closeConn),
+		"an error event without an ID": respondWith(200, "Seal: second\r\nContent-Type: text/event-stream\r\n", "event: error\ndata: failed\n\n"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			head := streamHead("Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n")
+			first := func(*backend) reply { return writeRaw(head+chunk(event(1)+event(2)), closeConn) }
+			a, b := failFirst(t, first, then)
+			r := route(fleet.Streaming)
+			r.Resumable = true
+			s := newTestRelay(t, r, fleet.Service{}, 94, a.server("a"), b.server("b"))
+			status, body, _, err := s.send(context.Background(), "1")
+			if begin := event(1) + event(2); status != 200 || body != begin {
+				t.Errorf("got status %d and %q, want the two events that had come", status, body)
+			}
+			if err == nil {
+				t.Error("the stream ended as if it were complete")
+			}
+		})
+	}
+}
