Do not charge the retry budget for connections that are refused

Cause: each attempt after the first one was charged, also where the ones before had reached no server. Only arrivals load a service, and only they are counted in the operators' budget. Change: attempts are free until one has reached a server, up to three refused connections a request, so that a large service that is down is not flooded with connections.

--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -65,6 +65,7 @@
 		o = x.classifyError(s, err)
 		record.Error = err.Error()
 	} else {
+		x.sent++
 		responding.Store(true)
 		latency = time.Since(began)
 		x.balancer.ResponseStarted(time.Now(), s.ID, began)
@@ -144,6 +145,7 @@
 	if errors.As(err, &e) && e.NotSent {
 		return notRun
 	}
+	x.sent++
 	x.possibleRuns++
 	if x.started {
 		return brokenOff
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -278,6 +278,8 @@
 	report      Report
 	// excluded holds the servers that are not tried again.
 	excluded map[string]bool
+	// sent counts the attempts that reached a server.
+	sent int
 	// possibleRuns counts the attempts that may have run.
 	possibleRuns int
 	refusals     int
@@ -336,11 +338,10 @@
 		}
 		if len(x.report.Attempts) == 0 {
 			x.report.Waited = time.Since(x.q.Arrived)
-		} else if !x.retryAcquired.Load() && !x.waitForBudget(ctx) {
+		}
+		if !x.acquireRetry(ctx) {
 			x.finish(ctx, "retry budget exhausted")
 			return
-		} else {
-			x.retryAcquired.Store(true)
 		}
 		if !x.takePermit(ctx, server) {
 			continue // the server is at its rate limit
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -642,3 +642,21 @@
 		})
 	}
 }
+
+// TestRefusedConnectionsDoNotUseRetryBudget guards against requests that are refused for lack of retry budget
+// although no server has got them: servers that have ended refuse the connection, and another one is up.
+func TestRefusedConnectionsDoNotUseRetryBudget(t *testing.T) {
+	up := newBackend(t, complete)
+	servers := []fleet.Server{up.server("up")}
+	for n := range 2 {
+		ended := newBackend(t, complete)
+		_ = ended.listener.Close()
+		servers = append(servers, ended.server(fmt.Sprint("ended-", n)))
+	}
+	s := newTestRelay(t, route(fleet.Unsafe), fleet.Service{}, 0, servers...)
+	for n := range 20 {
+		if status, _, _, err := s.send(context.Background(), strconv.Itoa(n)); err != nil || status != http.StatusOK {
+			t.Errorf("request %d: status %d, error %v; want the response of the server that is up", n, status, err)
+		}
+	}
+}
--- a/pkg/relay/wait.go
+++ b/pkg/relay/wait.go
@@ -26,6 +26,9 @@
 	// lateSendMargin is the time before its caller disconnects at which a late request is sent in
 	// any case: first events take up to 0.9 s in the seconds after an outage.
 	lateSendMargin = 1000 * time.Millisecond
+	// maxFreeReconnects is the number of failed connections after which further attempts need the retry
+	// budget, so that a large service that is down does not get a connection from each request to each server.
+	maxFreeReconnects = 3
 	// maxPermitWait bounds the waits before one attempt for permits of other entries, which answer within a
 	// round trip.
 	maxPermitWait = 150 * time.Millisecond
@@ -93,6 +96,17 @@
 	return x.q.Priority
 }
 
+// acquireRetry acquires the retry budget for the next attempt, if it needs any: the first attempts that reach no
+// server add nothing to the load of the service.
+func (x *exchange) acquireRetry(ctx context.Context) bool {
+	if x.sent == 0 && len(x.report.Attempts) <= maxFreeReconnects || x.retryAcquired.Load() {
+		return true
+	}
+	acquired := x.waitForBudget(ctx)
+	x.retryAcquired.Store(acquired)
+	return acquired
+}
+
 // waitForBudget waits until the service's retry budget allows another attempt. Only a request to an
 // engine that has certainly not run waits: it can still be refused.
 func (x *exchange) waitForBudget(ctx context.Context) bool {
