--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -130,7 +130,11 @@
 	var trials []*record
 	for _, p := range partsOf(service, ids) {
 		if since, suspected := t.suspected[p]; suspected {
-			return Refusal{Part: p.ID, RetryAfter: max(since.Add(2*objectionWindow).Sub(now), objectionWindow)}, nil, true
+			wait := objectionWindow
+			if p.isRequest() {
+				wait = firstRequestQuarantine
+			}
+			return Refusal{Part: p.ID, RetryAfter: max(since.Add(objectionWindow+wait).Sub(now), wait)}, nil, true
 		}
 		r := t.records[p]
 		if r == nil || r.released {
