--- a/pkg/gateway/operator.go
+++ b/pkg/gateway/operator.go
@@ -17,7 +17,8 @@
 // QuarantinedPart describes a part in quarantine to operators.
 type QuarantinedPart struct {
 	Service string `json:"service"`
-	Part    string `json:"part"`
+	// Part is the ID of the part, or the fingerprint of a request that comes again.
+	Part string `json:"part"`
 	// Strikes counts the quarantines of the part.
 	Strikes int `json:"strikes"`
 	// InTrial means that one request with the part is being tried.
--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -79,26 +79,33 @@
 	for _, crash := range c.Crashes {
 		crashes = append(crashes, crash.Server)
 	}
-	message, parts := "quarantine of a prompt part changed", 0
+	message := "quarantine of a prompt part changed"
 	if quarantine.IsFingerprint(c.ID) {
 		message = "quarantine of a request changed"
 	}
-	states := g.prompts.States(time.Now())
-	for _, s := range states {
-		if !quarantine.IsFingerprint(s.ID) {
-			parts++
-		}
-	}
 	g.log.Warn(message, zap.String("service", c.Service), zap.String("part", c.ID), zap.Bool("refused", !c.Released), zap.String("reason", string(c.Reason)),
 		zap.Int("version", c.Version), zap.Int("strikes", c.Strikes), zap.Duration("left", c.Left), zap.Strings("crashedServers", crashes))
-	g.scope.Gauge("prompt_parts_in_quarantine").Update(float64(parts))
-	g.scope.Gauge("requests_in_quarantine").Update(float64(len(states) - parts))
+	g.countQuarantined()
 	g.scope.Tagged(map[string]string{"reason": string(c.Reason)}).Counter("quarantine_changes").Inc(1)
 	if c.Reason != quarantine.Restored && c.Reason != quarantine.TrialBegun {
 		g.keepQuarantine(c.State, c.Released || c.Reason == quarantine.Expired)
 	}
 }
 
+// countQuarantined updates the gauges of the parts and requests in quarantine.
+func (g *Gateway) countQuarantined() {
+	parts, requests := 0, 0
+	for _, s := range g.prompts.States(time.Now()) {
+		if quarantine.IsFingerprint(s.ID) {
+			requests++
+		} else {
+			parts++
+		}
+	}
+	g.scope.Gauge("prompt_parts_in_quarantine").Update(float64(parts))
+	g.scope.Gauge("requests_in_quarantine").Update(float64(requests))
+}
+
 // keepQuarantine writes the record of a part to the shared log, or removes it. The log readers write for
 // all entries, so that the calls to the log do not grow with the fleet.
 func (g *Gateway) keepQuarantine(s quarantine.State, remove bool) {
