--- a/pkg/quarantine/bench_test.go
+++ b/pkg/quarantine/bench_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -21,13 +23,14 @@
 			}
 			parts := []string{firstPart, "b1", "c1"}
 			b.ReportAllocs()
-			for b.Loop() {
+			for n := 0; b.Loop(); n++ {
 				c.advance(100 * time.Millisecond)
+				suspects := append(slices.Clip(parts), fingerprint(strconv.Itoa(n)))
 				tr.RecordRequest(c.now, "model", parts)
-				tr.Refused(c.now, "model", parts)
-				tr.Acquire(c.now, "model", parts)
-				tr.Watch("model", parts, func() {})()
-				tr.RecordAnswered(c.now, "model", parts)
+				tr.Refused(c.now, "model", suspects)
+				tr.Acquire(c.now, "model", suspects)
+				tr.Watch("model", suspects, func() {})()
+				tr.RecordAnswered(c.now, "model", suspects)
 			}
 		})
 	}
@@ -50,7 +53,7 @@
 		return len(data)
 	}
 	for n := range 12 {
-		crash(tr, c, "i-0123456789", "5c1e07a2", fmt.Sprintf("91bd3f%02x", n), fmt.Sprintf("e4402b%02x", n))
+		crash(tr, c, "i-0123456789", "5c1e07a2", fmt.Sprintf("91bd3f%02x", n), fmt.Sprintf("e4402b%02x", n), fingerprint(strconv.Itoa(n)))
 	}
 	c.advance(100 * time.Millisecond)
 	if m, _, _ := tr.Advance(c.now); len(m.Crashes) != 1 || size(m) > maxCrashBytes {
@@ -61,5 +64,14 @@
 	if m := tr.Periodic(c.now); size(m) > maxPartBytes {
 		t.Errorf("a part in quarantine adds %d bytes to each periodic message, want at most %d", size(m), maxPartBytes)
 	}
+	requests := emptyTracker()
+	for _, server := range []string{"a", "b"} {
+		endServer(requests, c, server, "x")
+	}
+	settle(requests, c)
+	if m := requests.Periodic(c.now.Add(time.Minute)); len(m.States) != 1 || size(m) > maxPartBytes {
+		t.Errorf("a request in quarantine adds %d bytes to each periodic message, want at most %d", size(m), maxPartBytes)
+	}
+	t.Logf("a request in quarantine: %d bytes in each periodic message", size(requests.Periodic(c.now.Add(time.Minute))))
 	t.Logf("a part in quarantine: %d bytes in each periodic message", size(tr.Periodic(c.now)))
 }
--- a/pkg/quarantine/request_test.go
+++ b/pkg/quarantine/request_test.go
@@ -381,3 +381,27 @@
 		}
 	}
 }
+
+// TestFewServersEndAtAnyFleetSize guards against a request that ends more servers the more entries there are: it
+// comes every 0.3 s, at 3 to 149 entries before three servers, which may all be away at once.
+func TestFewServersEndAtAnyFleetSize(t *testing.T) {
+	const maxLate, maxSoundRefused = 3, 0.1
+	for _, entries := range []int{3, 149} {
+		for _, repeatable := range []bool{true, false} {
+			spec := repeatSpec{
+				entries: entries, servers: 3, interval: 300 * time.Millisecond, runTime: 100 * time.Millisecond,
+				soundRate: 30, popular: 5, loss: 0.01, repeatable: repeatable, duration: 25 * time.Second,
+			}
+			crashes, late, refused, unserved, sound := 0, 0, 0, 0, 0
+			for seed := range uint64(2) {
+				r := simulateRepeats(spec, seed)
+				crashes, late = max(crashes, len(r.crashes)), max(late, r.lateArrivals())
+				refused, unserved, sound = refused+r.soundRefused, unserved+r.noServer, sound+r.sound
+			}
+			t.Logf("%d entries, repeatable %v: at most %d servers ended and %d copies came late; of %d other requests %d were refused and %d found no server", entries, repeatable, crashes, late, sound, refused, unserved)
+			if late > maxLate || float64(refused) > maxSoundRefused*float64(sound) {
+				t.Errorf("%d entries, repeatable %v: %d copies reached servers later than %v after the third crash, want at most %d; %d of %d sound requests were refused", entries, repeatable, late, stableWindow, maxLate, refused, sound)
+			}
+		}
+	}
+}
