Try a request again soon that ran beside a crashing one

Cause: it was at two servers when they ended under another request, and no answer to it was known, since all responses were lost at that time. Both requests were blamed, as designed; the first quarantine of 10 s and the spread of trials over 30 s were made for the crashing one. Change: the first quarantine of a request is 3.5 s, its trial follows within 2 s, and a trial without a result counts for 5 s. With the objection window that is two stable windows at the most. The others, after three crashes, stay as they are.

--- a/pkg/quarantine/record.go
+++ b/pkg/quarantine/record.go
@@ -61,13 +61,16 @@
 }
 
 // beginTrial refuses the part to other requests for the time of the trial. The trial of a request that has
-// crashed more servers than its first quarantine needs counts as failed until its result is known.
+// crashed three servers counts as failed until its result is known.
 func (r *record) beginTrial(now time.Time, random float64) {
 	r.version++
 	r.inTrial, r.changedAt = true, now
 	length := trialTime
-	if r.part.isRequest() && r.strikes > 1 {
+	switch {
+	case r.part.isRequest() && r.strikes > 1:
 		length = quarantineTime(r.part, r.strikes)
+	case r.part.isRequest():
+		length = firstTrialTime
 	}
 	r.setEnd(now.Add(length), random)
 }
@@ -78,7 +81,11 @@
 }
 
 func (r *record) setEnd(until time.Time, random float64) {
-	r.until, r.trialAt = until, until.Add(time.Duration(random*float64(trialSpread)))
+	spread := trialSpread
+	if r.part.isRequest() && r.strikes <= 1 {
+		spread = firstTrialSpread
+	}
+	r.until, r.trialAt = until, until.Add(time.Duration(random*float64(spread)))
 }
 
 // expired reports whether the record can be dropped.
--- a/pkg/quarantine/request.go
+++ b/pkg/quarantine/request.go
@@ -12,9 +12,13 @@
 	// trial releases them.
 	minRequestCrashes  = 2
 	minAnsweredCrashes = 3
-	// firstRequestQuarantine is how long a request is refused that has crashed two servers, so that the trial
-	// crashes one server among others that are back, and one that was blamed wrongly is soon released.
-	firstRequestQuarantine = 10 * time.Second
+	// firstRequestQuarantine is how long a request is refused that has crashed two servers. They are back by
+	// then in most cases, so that its trial does not end the last one. firstTrialSpread takes the place of
+	// trialSpread: a popular request that ran beside another one is soon released.
+	firstRequestQuarantine = 3500 * time.Millisecond
+	firstTrialSpread       = 2 * time.Second
+	// firstTrialTime takes the place of trialTime after the first quarantine: the result of a trial can be lost.
+	firstTrialTime = 5 * time.Second
 	// A request that has crashed three servers may reach few more for as long as it comes. It is refused for
 	// longRequestQuarantine, then, after each failed trial, for requestQuarantineFactor times as long, up to
 	// maxRequestQuarantine.
--- a/pkg/quarantine/request_test.go
+++ b/pkg/quarantine/request_test.go
@@ -405,3 +405,30 @@
 		}
 	}
 }
+
+// TestBystanderIsServedSoon guards against a popular request that is refused for long because it ran beside another
+// one at two crashes before any server had answered it: it must be tried again within two stable windows, and
+// its answer must release it at all entries.
+func TestBystanderIsServedSoon(t *testing.T) {
+	const most = 2 * stableWindow
+	for seed := range uint64(50) {
+		c := newClock()
+		tr := quarantine.New(rand.New(rand.NewPCG(seed, 5)).Float64)
+		endServer(tr, c, "a", "popular")
+		c.advance(100 * time.Millisecond)
+		endServer(tr, c, "b", "popular")
+		crashed := c.now
+		for requestRefused(tr, c, "desk", "popular") && c.now.Sub(crashed) <= most {
+			c.advance(50 * time.Millisecond)
+			tr.Advance(c.now)
+		}
+		if c.now.Sub(crashed) > most {
+			t.Fatalf("seed %d: the request is not tried again within %v", seed, most)
+		}
+		tr.Acquire(c.now, "desk", []string{fingerprint("popular")})
+		tr.RecordAnswered(c.now, "desk", []string{fingerprint("popular")})
+		if requestRefused(tr, c, "desk", "popular") {
+			t.Fatalf("seed %d: the request is refused after its answer", seed)
+		}
+	}
+}
