--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -14,9 +14,11 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -41,8 +43,10 @@
 	storeAddr   string
 	prefix      string
 	basePort    int
-	entries     []*entry
 	record      *record
+
+	mu      sync.Mutex
+	entries []*entry
 }
 
 // record writes what happens to the file record.txt.
@@ -67,8 +71,15 @@
 	exited                            chan struct{}
 }
 
+// running is the site of the case; nil before it exists.
+var running atomic.Pointer[site]
+
+// fail ends the case, with all processes that it started, because it cannot run.
 func fail(err error) {
 	fmt.Fprintln(os.Stderr, "the case cannot run:", err)
+	if s := running.Load(); s != nil {
+		s.close()
+	}
 	os.Exit(exitCannotRun)
 }
 
@@ -128,16 +139,21 @@
 		fail(err)
 	}
 	go func() { _ = e.command.Wait(); close(e.exited) }()
+	s.mu.Lock()
 	s.entries = append(s.entries, e)
+	s.mu.Unlock()
 	return e
 }
 
+// close ends the processes and removes their files.
 func (s *site) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for _, e := range s.entries {
-		_ = e.command.Process.Signal(syscall.SIGCONT)
 		_ = e.command.Process.Kill()
 		<-e.exited
 	}
+	_ = os.RemoveAll(s.dir)
 }
 
 func (e *entry) isReady() bool {
@@ -159,7 +175,6 @@
 			return
 		}
 		if time.Now().After(end) {
-			s.close()
 			fail(fmt.Errorf("the entries are not ready 15 s after their start"))
 		}
 	}
@@ -287,9 +302,12 @@
 		fail(fmt.Errorf("there is no case %q", *name))
 	}
 	s := newSite(*binary, dir, rec)
+	running.Store(s)
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	go func() { fail(fmt.Errorf("stopped by the signal %v", <-stop)) }()
 	broken := play(s, os.Getenv("TROUBLE") != "0")
 	s.close()
-	_ = os.RemoveAll(dir)
 	if broken {
 		rec.log("the rule was broken")
 		os.Exit(exitBroken)
