--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,4 +3,4 @@
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
 [ -x target/review-harness ] && [ -x target/fescuehub ] || { echo "build first: deploy/system.toml and review/build.sh" >&2; exit 2; }
-exec timeout -k 5 110 target/review-harness -case planned-stop -binary target/fescuehub -record "$folder/record.txt"
+exec timeout --preserve-status -k 5 110 target/review-harness -case planned-stop -binary target/fescuehub -record "$folder/record.txt"
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -16,6 +16,7 @@
 	"os/exec"
 	"os/signal"
 	"path/filepath"
+	"runtime"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -135,6 +136,8 @@
 	e.command = exec.Command(s.binary, "site", "entry")
 	e.command.Env = append(os.Environ(), settingsEnv+"="+path)
 	e.command.Stdout, e.command.Stderr = logFile, logFile
+	// The entry ends with this process, whatever ends that. The main goroutine starts it and keeps its thread.
+	e.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := e.command.Start(); err != nil {
 		fail(err)
 	}
@@ -156,6 +159,17 @@
 	_ = os.RemoveAll(s.dir)
 }
 
+// mustRun ends the case as one that cannot run if an entry has ended by itself.
+func (s *site) mustRun(entries ...*entry) {
+	for _, e := range entries {
+		select {
+		case <-e.exited:
+			fail(fmt.Errorf("%s has ended by itself", e.name))
+		default:
+		}
+	}
+}
+
 func (e *entry) isReady() bool {
 	res, err := (&http.Client{Timeout: time.Second}).Get("http://" + e.ready + "/-/ready")
 	if err != nil {
@@ -284,6 +298,7 @@
 }
 
 func main() {
+	runtime.LockOSThread()
 	name := flag.String("case", "", "the case to play")
 	binary := flag.String("binary", "target/fescuehub", "the program of the deploy file")
 	out := flag.String("record", "record.txt", "the file to which the case writes what was sent, answered and run")
--- a/review/harness/refusal.go
+++ b/review/harness/refusal.go
@@ -23,23 +23,29 @@
 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":1048576,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
 "tenants":[{"name":"shop","apiKeys":["key-1"]}]}`
 
-// Two of the three servers are faulty with the disruption: they spoil one in spoiledOf of their answers. They
-// do not run the request, say so in the head of a response, and truncate the response after the head.
+// Three of the five servers are faulty with the disruption, for spoilFor: they spoil one in spoiledOf of their
+// answers. They do not run the request, say so in the head of a response, and truncate the response after the
+// head.
 const (
+	serverCount, faultyCount = 5, 3
+
 	spoiledOf     = 20
 	routeTimeout  = 800 * time.Millisecond
 	answerSlack   = 500 * time.Millisecond
 	callerTimeout = 1500 * time.Millisecond
-	sendEvery     = 125 * time.Millisecond
-	sendFor       = 25 * time.Second
+	sendEvery     = 16 * time.Millisecond
+	sendFor       = 9 * time.Second
+	spoilAfter    = 2 * time.Second
+	spoilFor      = 5 * time.Second
 )
 
 // deskServer answers requests on raw connections.
 type deskServer struct {
 	id     string
-	faulty bool
 	record *record
-	served atomic.Int64
+	// faulty is true while the server spoils answers, which answers counts.
+	faulty  atomic.Bool
+	answers atomic.Int64
 }
 
 func (d *deskServer) run(l net.Listener) {
@@ -66,8 +72,8 @@
 			fmt.Fprintf(nc, "HTTP/1.1 421 Misdirected Request\r\nX-Fescuehub-Request-Id: %s\r\nContent-Length: 0\r\n\r\n", id)
 			continue
 		}
-		if n := d.served.Add(1); d.faulty && n%spoiledOf == spoiledOf/2 {
-			d.record.log("server %s: answer %d, to request %s, is spoiled: a refusal without its body", d.id, n, id)
+		if d.faulty.Load() && d.answers.Add(1)%spoiledOf == spoiledOf/2 {
+			d.record.log("server %s: the answer to request %s is spoiled: a refusal without its body", d.id, id)
 			fmt.Fprintf(nc, "HTTP/1.1 503 Service Unavailable\r\nX-Fescuehub-Request-Id: %s\r\nX-Fescuehub-Not-Executed: 1\r\nContent-Length: 5\r\n\r\n", id)
 			began := time.Now()
 			_, _ = br.ReadByte() // until the sender closes the connection
@@ -84,8 +90,12 @@
 // at least half must have an answer half a second later.
 func playTruncatedRefusal(s *site, trouble bool) bool {
 	s.store.Put("keyed.op", "config", []byte(deskConfiguration))
-	for n := range 3 {
-		d := &deskServer{id: fmt.Sprintf("i-%d", n+1), faulty: trouble && n < 2, record: s.record}
+	var faulty []*deskServer
+	for n := range serverCount {
+		d := &deskServer{id: fmt.Sprintf("i-%d", n+1), record: s.record}
+		if n < faultyCount {
+			faulty = append(faulty, d)
+		}
 		l := listen("127.0.0.1:0")
 		go d.run(l)
 		s.store.Put("keyed.servers", d.id, fmt.Appendf(nil,
@@ -98,7 +108,17 @@
 	time.Sleep(2 * time.Second)
 	var wg sync.WaitGroup
 	var mu sync.Mutex
-	sent, unanswered, late := 0, 0, 0
+	sent, served, unanswered, late := 0, 0, 0, 0
+	setFaulty := func(on bool) {
+		for _, d := range faulty {
+			d.faulty.Store(on)
+			s.record.log("server %s: spoils answers: %v", d.id, on)
+		}
+	}
+	if trouble {
+		time.AfterFunc(spoilAfter, func() { setFaulty(true) })
+		time.AfterFunc(spoilAfter+spoilFor, func() { setFaulty(false) })
+	}
 	for end := time.Now().Add(sendFor); time.Now().Before(end); time.Sleep(sendEvery) {
 		sent++
 		n := sent
@@ -131,6 +151,9 @@
 			s.record.log("caller: %s %s, request %s to %s: %s after %.2f s", method, path, id, e.name, answer, took.Seconds())
 			mu.Lock()
 			defer mu.Unlock()
+			if err == nil && res.StatusCode == http.StatusOK {
+				served++
+			}
 			if took > routeTimeout {
 				unanswered++
 			}
@@ -140,7 +163,11 @@
 		})
 	}
 	wg.Wait()
-	s.record.log("%d requests sent; %d without an answer at the route's timeout of 0.8 s, %d of these half a second later", sent, unanswered, late)
-	time.Sleep(10 * time.Second) // until the entries close the connections of the truncated responses
+	s.record.log("%d requests sent; %d served; %d without an answer at the route's timeout of 0.8 s, %d of these half a second later", sent, served, unanswered, late)
+	s.mustRun(s.entries...)
+	if served < sent/2 {
+		fail(fmt.Errorf("only %d of %d requests were served", served, sent))
+	}
+	time.Sleep(9 * time.Second) // until the entries close the connections of the truncated responses
 	return 2*late > unanswered && late > 0
 }
--- a/review/harness/stop.go
+++ b/review/harness/stop.go
@@ -73,6 +73,7 @@
 	}
 	s.record.log("caller: the address answer names %d entries for %.1f s; some callers keep it for %.1f s", len(addresses), ttl, 3*ttl)
 
+	s.mustRun(s.entries...)
 	terminated := time.Now()
 	if trouble {
 		_ = stopped.command.Process.Signal(syscall.SIGTERM)
@@ -99,6 +100,7 @@
 		wg.Go(func() { c.send("/ask/2", callerDeadline) })
 	}
 	wg.Wait()
+	s.mustRun(s.entries[1:]...)
 	lost := 0
 	for _, c := range calls {
 		s.record.log("caller: request %s got status %d, %d of %d events, whole: %v, error: %v, %.2f s after the moment of the SIGTERM; at the server it %s",
