Refuse requests that may outlast a drain

Cause: a draining entry accepted every request for half of the grace period; nothing compared the deadline of a request with the end of the drain. Ruled out: the count of requests in flight, which the entry awaited until its time-out, and the close of kept connections.

Change: drain.Progress.Admits admits a request whose deadline is within the drain, or any in the first 5/16 of the grace period (2.5 s at most). The relay asks before each attempt and in its waits. What is not admitted gets 503, not run, Retry-After 0.02 and Connection: close. Requests that still wait at the end of the drain get an error response.

Why it works: a response ends at the latest at the request's deadline, so that what is admitted late ends within the drain. What is admitted early and cut all the same was sent within 3 s of the signal and was at work in the last sixth of the grace period, which the operators excuse.

--- a/pkg/drain/drain.go
+++ b/pkg/drain/drain.go
@@ -32,6 +32,9 @@
 	// Timeout is the time from the start of the drain after which the process ends even if requests
 	// are in flight.
 	Timeout time.Duration
+	// AcceptUnbounded is the time from the start of the drain for which requests are accepted whose
+	// deadline is beyond its end. Later ones may outlast the process.
+	AcceptUnbounded time.Duration
 	// QuietPeriod is the time without any request in flight after which a process that refuses new
 	// requests ends; 0 ends it immediately.
 	QuietPeriod time.Duration
@@ -86,6 +89,19 @@
 	return m.phase
 }
 
+// Admits reports whether a request that has not been sent to a backend server may still be sent there. It must
+// be answered by its deadline, so one whose deadline is within the drain is admitted in every phase but the
+// last.
+func (m *Progress) Admits(now, deadline time.Time) bool {
+	switch {
+	case m.phase == Serving:
+		return true
+	case m.phase == Ended:
+		return false
+	}
+	return now.Sub(m.started) < m.plan.AcceptUnbounded || !deadline.After(m.started.Add(m.plan.Timeout))
+}
+
 // Phase returns the current phase.
 func (m *Progress) Phase() Phase { return m.phase }
 
--- a/pkg/gateway/caller.go
+++ b/pkg/gateway/caller.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -98,16 +99,20 @@
 	return q, table.Version, nil
 }
 
-// readBody reads the whole request body, no longer than until the request's deadline and no
-// larger than maxBytes.
+// readBody reads the whole request body, no longer than until the request's deadline or the end of
+// this process, and no larger than maxBytes.
 func readBody(conn *http.ResponseController, r *http.Request, q *relay.Request, maxBytes int64) *refusal {
 	if r.Body == http.NoBody {
 		return nil
 	}
 	// The error is ignored: only connections in tests do not support a read deadline.
 	_ = conn.SetReadDeadline(q.Deadline())
+	stop := context.AfterFunc(r.Context(), func() { _ = conn.SetReadDeadline(time.Now()) })
+	defer stop()
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxBytes+1))
 	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded) && r.Context().Err() != nil:
+		return &refusal{http.StatusRequestTimeout, "this entry stops before the request body has arrived", startupRetryAfter}
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return &refusal{http.StatusRequestTimeout, "the request body did not arrive before the request's deadline", startupRetryAfter}
 	case err != nil:
@@ -115,6 +120,7 @@
 	case int64(len(body)) > maxBytes:
 		return &refusal{http.StatusRequestEntityTooLarge, "the request body exceeds the configured limit", 0}
 	}
+	stop()
 	_ = conn.SetReadDeadline(time.Time{})
 	q.Body = body
 	return nil
--- a/pkg/gateway/drain.go
+++ b/pkg/gateway/drain.go
@@ -15,9 +15,15 @@
 	// lingerFraction is the part of the grace period for which a draining entry still accepts
 	// connections, because callers hold cached address answers.
 	lingerFraction = 0.5
+	// acceptUnboundedFraction is the part of the grace period for which a draining entry accepts requests
+	// that it may not be able to finish, at most maxAcceptUnbounded: nearly all of them end within the
+	// remaining time. The operators excuse those that do not if they were sent within 3 s of the signal.
+	acceptUnboundedFraction = 0.3125
+	maxAcceptUnbounded      = 2500 * time.Millisecond
 	// closeMargin is the time between the drain's timeout and SIGKILL at the end of the grace
-	// period.
+	// period. The requests that still wait are refused within abortGrace of it.
 	closeMargin = 300 * time.Millisecond
+	abortGrace  = 100 * time.Millisecond
 	// quietTime is how long the entry must have had no request in flight, after the linger
 	// time, for the drain to end.
 	quietTime         = 300 * time.Millisecond
@@ -34,9 +40,17 @@
 }
 
 func drainPlan(grace time.Duration) drain.Plan {
-	return drain.Plan{Linger: time.Duration(lingerFraction * float64(grace)), Timeout: grace - closeMargin, QuietPeriod: quietTime}
+	return drain.Plan{
+		Linger:          time.Duration(lingerFraction * float64(grace)),
+		Timeout:         grace - closeMargin,
+		AcceptUnbounded: min(time.Duration(acceptUnboundedFraction*float64(grace)), maxAcceptUnbounded),
+		QuietPeriod:     quietTime,
+	}
 }
 
+// errDrainEnded is the cause of the cancellation of requests that outlast the drain.
+var errDrainEnded = errors.New("this entry stops before the request can end")
+
 func newDrainState(grace time.Duration) *drainState {
 	return &drainState{progress: drain.New(drainPlan(grace)), started: make(chan struct{})}
 }
@@ -64,6 +78,13 @@
 	return !d.progress.Advertised()
 }
 
+// AdmitsAttempt implements relay.Admission.
+func (d *drainState) AdmitsAttempt(deadline time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.progress.Admits(time.Now(), deadline)
+}
+
 func (d *drainState) beginRequest() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -110,6 +131,10 @@
 		time.Sleep(drainPollInterval)
 	}
 	_, aborted := g.drain.advance(time.Now(), 0)
+	if aborted > 0 {
+		g.abortRequests(errDrainEnded)
+		g.waitForAborted()
+	}
 	for _, s := range servers {
 		_ = s.Close() // errors do not matter: the process ends
 	}
@@ -118,3 +143,13 @@
 	}
 	return nil
 }
+
+// waitForAborted waits until the requests that were aborted have got their error responses, at most
+// abortGrace.
+func (g *Gateway) waitForAborted() {
+	for deadline := time.Now().Add(abortGrace); time.Now().Before(deadline); time.Sleep(drainPollInterval) {
+		if _, inFlight := g.drain.advance(time.Now(), 0); inFlight == 0 {
+			return
+		}
+	}
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -102,6 +102,9 @@
 	relay      *relay.Relay
 	table      atomic.Pointer[fleet.Table]
 	drain      *drainState
+	// requestsCtx is the parent of the contexts of callers' requests, and abortRequests cancels them.
+	requestsCtx   context.Context
+	abortRequests context.CancelCauseFunc
 	// addressLifetimeNanos is how long callers may cache an address answer, in nanoseconds.
 	addressLifetimeNanos atomic.Int64
 
@@ -169,7 +172,8 @@
 	g.startupCtx, g.endStartup = context.WithTimeout(context.Background(), maxStartupWait)
 	g.addressLifetimeNanos.Store(int64(s.Bounds.AddressLifetime))
 	g.directory = directory.New(directory.Entry{Name: s.Name, Address: s.CallerAddress})
-	g.relay = relay.New(codec, g.pools, g.balancer, g.budget, g.prompts, g.rateLimits, g)
+	g.requestsCtx, g.abortRequests = context.WithCancelCause(context.Background())
+	g.relay = relay.New(codec, g.pools, g.balancer, g.budget, g.prompts, g.rateLimits, g.drain, g)
 	buckets := tally.MustMakeExponentialDurationBuckets(2*time.Millisecond, 1.6, 20)
 	for _, kind := range []fleet.Kind{fleet.Safe, fleet.Unsafe, fleet.Streaming} {
 		g.latency[kind] = metrics.Scope.Tagged(map[string]string{"kind": string(kind)}).Histogram("request_seconds", buckets)
@@ -304,6 +308,7 @@
 	g.callerConns = httpserver.NewListener(callers.listener, g.connLimits)
 	callers.ReadHeaderTimeout, callers.IdleTimeout, callers.ConnState = 0, 0, g.callerConns.ConnState
 	callers.listener = g.callerConns
+	callers.BaseContext = func(net.Listener) context.Context { return g.requestsCtx }
 	return servers, nil
 }
 
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -42,6 +42,9 @@
 	// while a group of engines has to form again.
 	retryAfterMean      = 400 * time.Millisecond
 	retryAfterGroupMean = 1800 * time.Millisecond
+	// stoppingRetryAfter is the Retry-After of requests that are refused because this process stops: any other
+	// entry can serve them at once.
+	stoppingRetryAfter = 20 * time.Millisecond
 )
 
 // CallerHeaders holds the properties of a request that the caller's headers state.
@@ -180,6 +183,13 @@
 	ResponseBegun bool
 }
 
+// Admission decides whether this process may send requests to backend servers. It is safe for concurrent use.
+type Admission interface {
+	// AdmitsAttempt reports whether a request with the given deadline may be sent. Once a process stops, it
+	// may not send requests that it may be unable to finish.
+	AdmitsAttempt(deadline time.Time) bool
+}
+
 // Relay forwards requests. It is safe for concurrent use.
 type Relay struct {
 	codec     Codec
@@ -188,12 +198,14 @@
 	budget    *retrybudget.Budget
 	prompts   *quarantine.Tracker
 	limits    *ratelimit.Limiter
+	admission Admission
 	observer  ServerObserver
 }
 
-// New returns a relay. It refuses requests that prompts has in quarantine.
-func New(codec Codec, t Transport, b *balance.Balancer, budget *retrybudget.Budget, prompts *quarantine.Tracker, limits *ratelimit.Limiter, o ServerObserver) *Relay {
-	return &Relay{codec: codec, transport: t, balancer: b, budget: budget, prompts: prompts, limits: limits, observer: o}
+// New returns a relay. It refuses requests that prompts has in quarantine, and those that admission does not
+// admit.
+func New(codec Codec, t Transport, b *balance.Balancer, budget *retrybudget.Budget, prompts *quarantine.Tracker, limits *ratelimit.Limiter, a Admission, o ServerObserver) *Relay {
+	return &Relay{codec: codec, transport: t, balancer: b, budget: budget, prompts: prompts, limits: limits, admission: a, observer: o}
 }
 
 // outcome is what is certain about an ended attempt.
@@ -312,11 +324,16 @@
 	serverEnded bool
 	// refusal is why the request is in quarantine; its Part is empty if it is not.
 	refusal quarantine.Refusal
+	// stopping is true if the request is refused because this process stops.
+	stopping bool
 }
 
 func (x *exchange) run(ctx context.Context) {
 	for {
 		timeLeft := x.waitForGroup(ctx)
+		if x.refuseStopping(ctx) {
+			return
+		}
 		if x.refuseQuarantined(ctx, x.prompts.Refused) {
 			return
 		}
@@ -343,6 +360,9 @@
 			x.finish(ctx, "retry budget exhausted")
 			return
 		}
+		if x.refuseStopping(ctx) {
+			return
+		}
 		if !x.takePermit(ctx, server) {
 			continue // the server is at its rate limit
 		}
@@ -364,6 +384,20 @@
 	}
 }
 
+// refuseStopping ends a request that this process may be unable to finish before it stops. A response that has
+// been started goes on: its caller has no complete one either way.
+func (x *exchange) refuseStopping(ctx context.Context) bool {
+	if x.started || x.admitted() {
+		return false
+	}
+	x.stopping = true
+	x.finish(ctx, "this entry stops and may be unable to finish the request; send it to another entry")
+	return true
+}
+
+// admitted reports whether this process may still send the request to a backend server.
+func (x *exchange) admitted() bool { return x.admission.AdmitsAttempt(x.q.Deadline()) }
+
 func (x *exchange) remaining() time.Duration { return time.Until(x.q.Deadline()) }
 
 func (x *exchange) choose() (fleet.Server, bool) {
@@ -449,6 +483,7 @@
 func (x *exchange) finish(ctx context.Context, reason string) {
 	if cause := context.Cause(ctx); cause != nil {
 		reason = cause.Error()
+		x.stopping = !x.admitted()
 	}
 	x.report.Reason = reason
 	if x.started {
@@ -483,6 +518,12 @@
 			mean = x.refusal.RetryAfter * 4 / 3 // at the earliest when the part may be tried again
 		}
 		retryAfter = x.balancer.AcceptsIn(time.Now(), x.q.Service.Name) + mean*3/4 + rand.N(mean/2)
+		if x.stopping {
+			retryAfter = stoppingRetryAfter
+		}
+	}
+	if x.stopping {
+		x.w.Header().Set("Connection", "close")
 	}
 	WriteError(x.w, status, reason, retryAfter)
 }
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -144,18 +145,25 @@
 
 // testRelay is a relay with its balancer behind an HTTP server.
 type testRelay struct {
-	front    *httptest.Server
-	balancer *balance.Balancer
-	prompts  *quarantine.Tracker
-	limits   *ratelimit.Limiter
-	mu       sync.Mutex
-	reports  []relay.Report
+	front     *httptest.Server
+	balancer  *balance.Balancer
+	prompts   *quarantine.Tracker
+	limits    *ratelimit.Limiter
+	admission testAdmission
+	mu        sync.Mutex
+	reports   []relay.Report
 	// leaving and ignored record the calls of Leaving, and of RetryAfterIgnored and RateLimitIgnored.
 	leaving, ignored []string
 	// ended records the calls of Ended.
 	ended []relay.ServerEnd
 }
 
+// testAdmission is a relay.Admission that admits every attempt until it is closed.
+type testAdmission struct{ closed atomic.Bool }
+
+// AdmitsAttempt implements relay.Admission.
+func (a *testAdmission) AdmitsAttempt(time.Time) bool { return !a.closed.Load() }
+
 // Misdirected implements relay.ServerObserver.
 func (s *testRelay) Misdirected(string) {}
 
@@ -194,7 +202,7 @@
 	s.balancer.SetServers(servers)
 	budget := retrybudget.New(retrybudget.Limits{Ratio: 0.2, Floor: floor, Window: 10 * time.Second}, time.Now())
 	s.prompts = quarantine.New(rand.Float64)
-	r := relay.New(testCodec{}, backendconn.NewPools(), s.balancer, budget, s.prompts, limits, s)
+	r := relay.New(testCodec{}, backendconn.NewPools(), s.balancer, budget, s.prompts, limits, &s.admission, s)
 	service.Name = "s"
 	s.front = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		body, _ := io.ReadAll(req.Body) // test clients send complete bodies
--- a/pkg/relay/wait.go
+++ b/pkg/relay/wait.go
@@ -40,13 +40,13 @@
 const waitedForPermit = "rate-limit-permit"
 
 // waitForGroup waits while the group of engines accepts no requests, but not with a prompt that is
-// refused, and reports whether enough time for an attempt remains.
+// refused nor once this process stops before the request can end, and reports whether enough time for an attempt remains.
 func (x *exchange) waitForGroup(ctx context.Context) bool {
 	if x.q.Service.Engine == nil {
 		return x.remaining() > minAttemptTime
 	}
 	x.groupFault = false
-	for !x.isQuarantined() {
+	for !x.isQuarantined() && (x.started || x.admitted()) {
 		reason := x.waitReason(time.Now())
 		if reason == "" {
 			break
@@ -110,7 +110,7 @@
 // waitForBudget waits until the service's retry budget allows another attempt. Only a request to an
 // engine that has certainly not run waits: it can still be refused.
 func (x *exchange) waitForBudget(ctx context.Context) bool {
-	for !x.isQuarantined() && !x.budget.Acquire(time.Now(), x.q.Service.Name) {
+	for !x.isQuarantined() && (x.started || x.admitted()) && !x.budget.Acquire(time.Now(), x.q.Service.Name) {
 		if x.possibleRuns > 0 || x.q.Service.Engine == nil || !x.worthWaiting(ctx) {
 			return false
 		}
