Replace log readers that are cut off before a change is late

Cause: two entries read the log on behalf of all, the first two by name and so in one zone. Their polls without an answer ended after 2.7 s, and only then did others replace them. Ruled out: the followers' own reads, 4 ms once woken, and lost messages. Also slower than 2 s: readers that stop (1.7 s at 9 entries, 5.9 s at 149) and changes at 149 entries, whose messages come each 1.5 s.

Change: successive readers are in different failure domains; the first one's poll of the configuration waits 0.4 s and is given up after 0.6 s more; a reader without an answer tells all at once, one that is silent for 0.9 s counts as failed, one that drains is replaced at once; four more read for each that has failed. New configurations and servers that must not be used any more are told at once. Both topics count.

Sum of the terms 1.40 s (cut off), 1.55 s (stopped) at any size.

Why it works: the loss of one failure domain leaves a reader, and the loss of both is noticed within 1.15 s by a single short poll, which leaves 0.85 s for replacing them, telling and reading.

--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -13,6 +13,15 @@
 	// because larger fleets send messages less often.
 	maxSilence         = 1200 * time.Millisecond
 	maxSilencePerEntry = 30 * time.Millisecond
+	// MaxReaderSilence is how long a log reader, which sends messages more often, may send none before another
+	// entry replaces it.
+	MaxReaderSilence = 900 * time.Millisecond
+	// failureMemory is how long a silent log reader counts as failed. replacementsPerFailure more entries read
+	// for each failed reader, up to maxCountedFailures: those that are next in the order may have failed for the
+	// same reason, and noticing that takes most of the time in which a change must reach all entries.
+	failureMemory          = 10 * time.Second
+	replacementsPerFailure = 4
+	maxCountedFailures     = 2
 	// MaxAddresses bounds the number of addresses that Addresses returns.
 	MaxAddresses = 64
 )
@@ -25,15 +34,24 @@
 	Incarnation string
 	Sequence    int64
 	Ready       bool
-	// LogReachable is true while the entry can read the shared log.
-	LogReachable bool
+	// FailureDomain is the failure domain of the entry's host.
+	FailureDomain string
+	// LogReachable is true while the entry can read the shared log, and ReadsLog while it does so on behalf of
+	// all entries.
+	LogReachable, ReadsLog bool
 }
 
+// lostLog reports whether an entry that reached the shared log does not any more.
+func (e Entry) lostLog(old Entry) bool { return old.LogReachable && !e.LogReachable }
+
 // Directory holds the last reported state of the other entries. It is not safe for concurrent
 // use.
 type Directory struct {
 	self    Entry
 	entries map[string]*knownEntry
+	// preceding holds the names of the entries that precede this one in the order of log readers; nil if it
+	// has to be determined again.
+	preceding []string
 }
 
 type knownEntry struct {
@@ -52,15 +70,25 @@
 // Ready reports whether this entry accepts callers.
 func (d *Directory) Ready() bool { return d.self.Ready }
 
-// Update stores the reported state of an entry and reports whether the entry is new or has restarted. A
-// message that is not newer than the last one of the same incarnation is ignored.
-func (d *Directory) Update(now time.Time, e Entry) bool {
+// Change is what a message of an entry changes.
+type Change struct {
+	// Started is true if the entry is new or has restarted, and LostLog if it does not reach the shared log any
+	// more.
+	Started, LostLog bool
+}
+
+// Update stores the reported state of an entry. A message that is not newer than the last one of the same
+// incarnation is ignored.
+func (d *Directory) Update(now time.Time, e Entry) Change {
 	old := d.entries[e.Name]
 	if old != nil && old.Incarnation == e.Incarnation && old.Sequence >= e.Sequence {
-		return false
+		return Change{}
+	}
+	if old == nil || old.FailureDomain != e.FailureDomain {
+		d.preceding = nil
 	}
 	d.entries[e.Name] = &knownEntry{e, now}
-	return old == nil || old.Incarnation != e.Incarnation
+	return Change{Started: old == nil || old.Incarnation != e.Incarnation, LostLog: old != nil && e.lostLog(old.Entry)}
 }
 
 // silenceLimit returns how long an entry may send no message before it counts as silent.
@@ -116,15 +144,3 @@
 	}
 	return ready, known
 }
-
-// IsLogReader reports whether this entry is one of the first n, by name, of the live entries
-// that reach the shared log. An entry that knows of no other such entry is always a reader.
-func (d *Directory) IsLogReader(now time.Time, n int) bool {
-	preceding := 0
-	for name, e := range d.entries {
-		if e.LogReachable && name < d.self.Name && now.Sub(e.lastMessageAt) <= d.silenceLimit() {
-			preceding++
-		}
-	}
-	return preceding < n
-}
--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -79,7 +79,7 @@
 		entry directory.Entry
 		want  bool
 	}{{entry("a", 5, true), true}, {entry("a", 6, true), false}, {restarted, true}, {restarted, false}} {
-		if got := d.Update(start, c.entry); got != c.want {
+		if got := d.Update(start, c.entry).Started; got != c.want {
 			t.Errorf("update %d: reported %v, want %v", n, got, c.want)
 		}
 	}
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -21,8 +21,10 @@
 )
 
 const (
-	// callSlack is the timeout of a call beyond its wait. A call usually takes
-	// 4 ms, and up to 60 times as long when the log is slow.
+	// PollSlack is the timeout of the read of a leader beyond its wait: others depend on it and replace it
+	// if it is not answered. A call usually takes 4 ms, and up to 90 times as long when the log is slow.
+	PollSlack = 600 * time.Millisecond
+	// callSlack is the timeout of any other call, and of the reads of a leader after one that failed.
 	callSlack = 900 * time.Millisecond
 	// firstBackoff and maxBackoff bound the pause after a failed call. All
 	// readers reconnect within the time in which entries must be up to date.
@@ -33,16 +35,22 @@
 	coalescePause = 200 * time.Millisecond
 	// maxPages bounds the pages of a snapshot; a page usually holds 500 records.
 	maxPages = 1000
-	// leaderCheckInterval is the interval at which a reader checks whether it has become a
-	// leader.
-	leaderCheckInterval = 250 * time.Millisecond
+	// LeaderCheckInterval is the interval at which a reader checks whether it has become a
+	// leader, beside the checks that Recheck requests.
+	LeaderCheckInterval = 250 * time.Millisecond
+	// UrgentPause is the longest time from the signal of urgent records to the read of a reader that is
+	// not a leader. It spreads the reads of a large fleet.
+	UrgentPause = 100 * time.Millisecond
 )
 
 // Options configure how a topic is followed.
 type Options struct {
 	Topic sharedlog.Topic
-	// Wait is how long the long poll of a leader waits for a record.
-	Wait time.Duration
+	// Wait is how long the long poll of a leader waits for a record. While IsMonitor reports true, it waits for
+	// MonitorWait, so that this leader notices soon on behalf of the others that the log does not answer; nil
+	// means that it does not.
+	Wait, MonitorWait time.Duration
+	IsMonitor         func() bool
 	// Pause returns the time between the reads of a reader that is not a leader; nil means that
 	// there is none.
 	Pause func() time.Duration
@@ -55,6 +63,11 @@
 	// nil means that there is none.
 	Wake      <-chan struct{}
 	WakePause func() time.Duration
+	// Urgent signals to a reader that is not a leader that records exist which it must not read late: it
+	// reads within UrgentPause, also while it waits for WakePause.
+	Urgent <-chan struct{}
+	// Recheck signals to a reader that is not a leader that it may have become one.
+	Recheck <-chan struct{}
 	// OnProgress is called with the position to read from next; it may be nil.
 	OnProgress func(next sharedlog.Position)
 }
@@ -107,17 +120,26 @@
 	}
 	timer := time.NewTimer(pause(f.o.Pause))
 	defer timer.Stop()
-	leaderCheck := time.NewTicker(leaderCheckInterval)
+	leaderCheck := time.NewTicker(LeaderCheckInterval)
 	defer leaderCheck.Stop()
+	wake := f.o.Wake
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-f.o.Wake:
-			wait.For(ctx, pause(f.o.WakePause))
+		case <-f.o.Urgent:
+			wait.For(ctx, rand.N(UrgentPause))
 			return
+		case <-wake:
+			// One read follows, after the pause or at an earlier reason to read.
+			wake = nil
+			timer.Reset(pause(f.o.WakePause))
 		case <-timer.C:
 			return
+		case <-f.o.Recheck:
+			if f.isLeader() {
+				return
+			}
 		case <-leaderCheck.C:
 			if f.isLeader() {
 				return
@@ -167,10 +189,14 @@
 	// and the next one follows only when it has timed out. Nor does the first read of a new leader, so that the
 	// next one takes over soon if this one is cut off from the log as well.
 	if leader && f.wasLeader && f.failures == 0 {
-		pollWait = f.o.Wait
+		pollWait = f.pollWait()
 	}
 	f.wasLeader = leader
-	callCtx, cancel := context.WithTimeout(ctx, pollWait+callSlack)
+	slack := callSlack
+	if leader && f.failures == 0 {
+		slack = PollSlack
+	}
+	callCtx, cancel := context.WithTimeout(ctx, pollWait+slack)
 	defer cancel()
 	batch, err := f.log.Read(callCtx, f.o.Topic, f.position.Next, pollWait)
 	if errors.Is(err, sharedlog.ErrExpired) {
@@ -192,6 +218,14 @@
 	return nil
 }
 
+// pollWait returns how long the next long poll waits.
+func (f *follower) pollWait() time.Duration {
+	if f.o.IsMonitor != nil && f.o.IsMonitor() {
+		return f.o.MonitorWait
+	}
+	return f.o.Wait
+}
+
 // applyAll applies records. A record that the sink fails to handle is skipped.
 func (f *follower) applyAll(records []sharedlog.Record) {
 	for _, r := range records {
--- a/pkg/follow/follow_test.go
+++ b/pkg/follow/follow_test.go
@@ -455,3 +455,35 @@
 		t.Errorf("the reader noticed %v after it became a leader that it does not reach the log, want at most %v", took, limit)
 	}
 }
+
+// TestUrgentRecordsAreReadSoon guards against records that take effect late at a reader that already waits to read
+// others, and against a reader that becomes a leader and notices it late.
+func TestUrgentRecordsAreReadSoon(t *testing.T) {
+	const limit = follow.UrgentPause + 200*time.Millisecond
+	for name, leader := range map[string]bool{"urgent": false, "recheck": true} {
+		t.Run(name, func(t *testing.T) {
+			l := &log{}
+			l.put("a", "1")
+			wake, urgent, recheck := make(chan struct{}, 1), make(chan struct{}, 1), make(chan struct{}, 1)
+			var isLeader atomic.Bool
+			s := start(t, l, follow.Options{
+				Wait: 50 * time.Millisecond, Pause: func() time.Duration { return time.Hour }, IsLeader: isLeader.Load,
+				Wake: wake, WakePause: func() time.Duration { return time.Hour }, Urgent: urgent, Recheck: recheck,
+			})
+			waitForText(t, "map[a:1]", s)
+			wake <- struct{}{}
+			time.Sleep(20 * time.Millisecond)
+			l.put("a", "2")
+			began := time.Now()
+			if isLeader.Store(leader); leader {
+				recheck <- struct{}{}
+			} else {
+				urgent <- struct{}{}
+			}
+			waitForText(t, "map[a:2]", s)
+			if took := time.Since(began); took > limit {
+				t.Errorf("the record was read after %v, want at most %v", took, limit)
+			}
+		})
+	}
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -38,10 +38,11 @@
 )
 
 const (
-	// longPollWait is how long a read of the shared log waits for a new record. A read on a
-	// connection that no longer transmits data times out soon after that, well within the time
-	// in which a configuration must be in force again.
+	// longPollWait is how long a read of the shared log waits for a new record. The first log reader waits only
+	// for monitorWait, so that it notices soon that it does not reach the log and others replace the readers: see
+	// docs/design/readers.md for the times that add up until a change has reached all entries.
 	longPollWait = 1800 * time.Millisecond
+	monitorWait  = 400 * time.Millisecond
 	// topicPollInterval is the time between two reads by an entry that is not a log reader and
 	// that no gossip message notified of newer records. It only makes up for lost messages.
 	topicPollInterval = 12 * time.Second
@@ -56,6 +57,12 @@
 	// gossipInterval is the time between two state messages to the other entries in a small
 	// fleet. It bounds the age of the counts that the balancer uses.
 	gossipInterval = 120 * time.Millisecond
+	// readerStateInterval is the longest time between two state messages of a log reader: the others replace one
+	// that is silent for directory.MaxReaderSilence.
+	readerStateInterval = 200 * time.Millisecond
+	// urgentRepeat is how long state messages repeat that others must not read a topic late, in case that the
+	// first one is lost.
+	urgentRepeat = 500 * time.Millisecond
 	// Up to smallFleetEntries other entries, a state message is sent every gossipInterval. It
 	// carries the loads in flight if there are fewer than that.
 	smallFleetEntries = 12
@@ -124,8 +131,8 @@
 	incarnation string
 	sequence    int64
 	serversRead bool
-	// logReachable is true while this entry can read the shared log.
-	logReachable bool
+	// unreadable holds the topics that this entry cannot read.
+	unreadable map[sharedlog.Topic]bool
 	// topics holds the read progress of each followed topic.
 	topics map[sharedlog.Topic]*topic
 	// servers holds the usable backend servers by ID.
@@ -164,14 +171,15 @@
 		topics: map[sharedlog.Topic]*topic{
 			sharedlog.Operators: newTopic(), sharedlog.Servers: newTopic(),
 		},
-		latency:   make(map[fleet.Kind]tally.Histogram),
-		republish: make(chan struct{}, 1), recordWritten: make(chan struct{}, 1),
+		unreadable: map[sharedlog.Topic]bool{sharedlog.Operators: true, sharedlog.Servers: true},
+		latency:    make(map[fleet.Kind]tally.Histogram),
+		republish:  make(chan struct{}, 1), recordWritten: make(chan struct{}, 1),
 
 		quarantineWrites: newPendingWrites(),
 	}
 	g.startupCtx, g.endStartup = context.WithTimeout(context.Background(), maxStartupWait)
 	g.addressLifetimeNanos.Store(int64(s.Bounds.AddressLifetime))
-	g.directory = directory.New(directory.Entry{Name: s.Name, Address: s.CallerAddress})
+	g.directory = directory.New(directory.Entry{Name: s.Name, Address: s.CallerAddress, FailureDomain: s.FailureDomain})
 	g.requestsCtx, g.abortRequests = context.WithCancelCause(context.Background())
 	g.relay = relay.New(codec, g.pools, g.balancer, g.budget, g.prompts, g.rateLimits, g.drain, g)
 	buckets := tally.MustMakeExponentialDurationBuckets(2*time.Millisecond, 1.6, 20)
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -23,10 +23,14 @@
 	offsets, timelines := g.progress()
 	g.mu.Lock()
 	g.sequence++
+	// An entry that drains is replaced as a log reader before it ends.
+	reachable := g.logReachable() && !g.drain.draining()
+	reads := g.serversRead && !g.drain.draining() && g.directory.IsLogReader(now, logReaders)
 	state := &gossip.EntryState{
 		Name: g.settings.Name, Incarnation: g.incarnation, Sequence: g.sequence,
 		CallerAddress: g.settings.CallerAddress, FailureDomain: g.settings.FailureDomain,
-		Ready: g.directory.Ready(), LogReachable: g.logReachable, NextOffsets: offsets, Timelines: timelines,
+		Ready: g.directory.Ready(), LogReachable: reachable, ReadsLog: reads, NextOffsets: offsets, Timelines: timelines,
+		Urgent: g.urgentTopics(now),
 	}
 	to := make([]netip.AddrPort, 0, len(g.peerAddresses))
 	for _, address := range g.peerAddresses {
@@ -42,6 +46,9 @@
 	if socket != nil {
 		socket.Send(gossip.Message{Entry: state}, to...)
 	}
+	if reads {
+		return min(stateInterval(len(to)), readerStateInterval)
+	}
 	return stateInterval(len(to))
 }
 
@@ -210,19 +217,23 @@
 // handleEntryState merges the state that another entry has sent.
 func (g *Gateway) handleEntryState(now time.Time, from netip.AddrPort, e *gossip.EntryState) {
 	g.mu.Lock()
-	isNew := g.directory.Update(now, directory.Entry{
-		Name: e.Name, Address: e.CallerAddress, Incarnation: e.Incarnation, Sequence: e.Sequence, Ready: e.Ready, LogReachable: e.LogReachable,
+	change := g.directory.Update(now, directory.Entry{
+		Name: e.Name, Address: e.CallerAddress, Incarnation: e.Incarnation, Sequence: e.Sequence, FailureDomain: e.FailureDomain,
+		Ready: e.Ready, LogReachable: e.LogReachable, ReadsLog: e.ReadsLog,
 	})
 	g.peerAddresses[e.Name] = from
 	g.mu.Unlock()
-	if isNew {
+	if change.LostLog {
+		g.recheckReaders()
+	}
+	if change.Started {
 		g.log.Info("entry discovered", zap.String("entry", e.Name), zap.Stringer("from", from))
 	}
-	g.observeProgress(e.NextOffsets, e.Timelines)
+	g.observeProgress(e.NextOffsets, e.Timelines, e.Urgent)
 	for _, part := range g.sharedStates() {
 		part.merge(now, e)
 	}
-	if isNew {
+	if change.Started {
 		g.tellRateLimits(now, from)
 	}
 }
--- a/pkg/gateway/sinks.go
+++ b/pkg/gateway/sinks.go
@@ -33,6 +33,7 @@
 	g.table.Store(fleet.NewTable(c))
 	g.log.Info("configuration in force", zap.Int64("version", c.Version), zap.Int64("offset", r.Offset),
 		zap.Int("routes", len(c.Routes)), zap.Int("services", len(c.Services)))
+	g.topics[sharedlog.Operators].markChanged()
 	g.updateReady()
 }
 
@@ -44,13 +45,13 @@
 func (s *operatorsSink) BeginSnapshot() {}
 
 // EndSnapshot implements follow.Sink.
-func (s *operatorsSink) EndSnapshot() { (*Gateway)(s).setLogReachable(true) }
+func (s *operatorsSink) EndSnapshot() { (*Gateway)(s).setReadable(sharedlog.Operators, true) }
 
 // ReadFailed implements follow.Sink. The current configuration stays in force.
-func (s *operatorsSink) ReadFailed(error) { (*Gateway)(s).setLogReachable(false) }
+func (s *operatorsSink) ReadFailed(error) { (*Gateway)(s).setReadable(sharedlog.Operators, false) }
 
 // ReadRecovered implements follow.Sink.
-func (s *operatorsSink) ReadRecovered() { (*Gateway)(s).setLogReachable(true) }
+func (s *operatorsSink) ReadRecovered() { (*Gateway)(s).setReadable(sharedlog.Operators, true) }
 
 // serversSink applies the announcements of backend servers to the roster.
 type serversSink Gateway
@@ -68,8 +69,8 @@
 	} else {
 		g.roster.Announce(announced)
 	}
-	if g.serversRead {
-		g.refreshServers(time.Now())
+	if g.serversRead && g.refreshServers(time.Now()) {
+		g.topics[sharedlog.Servers].markChanged()
 	}
 }
 
@@ -95,8 +96,11 @@
 	g.mu.Lock()
 	g.roster.CompleteSnapshot(time.Now())
 	g.serversRead = true
-	g.refreshServers(time.Now())
+	if g.refreshServers(time.Now()) {
+		g.topics[sharedlog.Servers].markChanged()
+	}
 	g.mu.Unlock()
+	g.setReadable(sharedlog.Servers, true)
 	g.updateReady()
 }
 
@@ -104,21 +108,23 @@
 func (s *serversSink) ReadFailed(error) {
 	g := (*Gateway)(s)
 	g.mu.Lock()
-	defer g.mu.Unlock()
 	g.roster.LogLost()
+	g.mu.Unlock()
+	g.setReadable(sharedlog.Servers, false)
 }
 
 // ReadRecovered implements follow.Sink.
 func (s *serversSink) ReadRecovered() {
 	g := (*Gateway)(s)
 	g.mu.Lock()
-	defer g.mu.Unlock()
 	g.roster.LogRegained(time.Now())
+	g.mu.Unlock()
+	g.setReadable(sharedlog.Servers, true)
 }
 
-// refreshServers passes the usable servers to the balancer and logs those that changed. The
-// caller holds mu.
-func (g *Gateway) refreshServers(now time.Time) {
+// refreshServers passes the usable servers to the balancer and logs those that changed. It reports whether
+// servers are not usable any more. The caller holds mu.
+func (g *Gateway) refreshServers(now time.Time) (removed bool) {
 	usable := g.roster.Usable(now)
 	current := make(map[string]fleet.Server, len(usable))
 	for _, s := range usable {
@@ -128,6 +134,7 @@
 		if s, ok := current[id]; !ok || s.Incarnation != old.Incarnation {
 			g.log.Info("backend server removed from the usable servers", zap.String("server", id), zap.String("service", old.Service))
 			g.pools.CloseServer(id)
+			removed = true
 		}
 	}
 	for id, s := range current {
@@ -137,6 +144,7 @@
 	}
 	g.servers = current
 	g.balancer.SetServers(usable)
+	return removed
 }
 
 // Misdirected implements relay.ServerObserver. It stops using a server after another server has
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -40,6 +40,10 @@
 	// the offset that it reads next.
 	LogReachable bool             `json:"reads"`
 	NextOffsets  map[string]int64 `json:"next,omitempty"`
+	// ReadsLog is true while the entry reads the shared log on behalf of all entries. Urgent holds the topics
+	// of which others must not read the records up to NextOffsets late.
+	ReadsLog bool     `json:"leads,omitempty"`
+	Urgent   []string `json:"urgent,omitempty"`
 	// Timelines holds, by topic, the timeline of the log that NextOffsets belongs to; a topic is
 	// missing if the log states none.
 	Timelines map[string]int64 `json:"tl,omitempty"`
