Keep draining when SIGTERM is repeated

Cause: a second SIGTERM ended the process at once, whatever was in flight. Supervisors repeat it.

Ruled out: SIGHUP during a drain, and entries with a single signal.

Change: a process of a site ignores a repeated SIGTERM and logs it; a second SIGINT still ends it. The product's own processes keep their documented second SIGTERM.

Why it works: the drain ends when nothing is in flight or at its time-out, and the supervisor still has SIGKILL.

--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -163,19 +163,22 @@
 	Run(ctx context.Context) error
 }
 
-// runUntilSignal runs the process. The first SIGTERM or SIGINT starts its drain, and a second
-// one stops it immediately.
-func runUntilSignal(ctx context.Context, process drainer) error {
+// runUntilSignal runs the process. The first SIGTERM or SIGINT starts its drain, and a further one for which
+// endsAtOnce holds stops it immediately.
+func runUntilSignal(ctx context.Context, process drainer, endsAtOnce func(os.Signal) bool) error {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
 	ended := make(chan struct{})
 	defer close(ended)
 	go func() {
-		for {
+		for first := true; ; {
 			select {
-			case <-signals:
-				process.Drain()
+			case s := <-signals:
+				if first || endsAtOnce(s) {
+					process.Drain()
+				}
+				first = false
 			case <-ended:
 				return
 			}
@@ -184,6 +187,9 @@
 	return process.Run(ctx)
 }
 
+// anySignal lets each signal end a drain at once.
+func anySignal(os.Signal) bool { return true }
+
 // signalContext returns a context that is cancelled by SIGTERM or SIGINT.
 func signalContext(ctx context.Context) (context.Context, context.CancelFunc) {
 	return signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
--- a/pkg/cli/daemons.go
+++ b/pkg/cli/daemons.go
@@ -35,7 +35,7 @@
 				return err
 			}
 			configureGC()
-			return runUntilSignal(cmd.Context(), entry.Initialize(s, a.errOut))
+			return runUntilSignal(cmd.Context(), entry.Initialize(s, a.errOut), anySignal)
 		},
 	}
 	settingsFlag(cmd, &path)
@@ -56,7 +56,7 @@
 				return err
 			}
 			configureGC()
-			return runUntilSignal(cmd.Context(), agent.Initialize(s, a.errOut))
+			return runUntilSignal(cmd.Context(), agent.Initialize(s, a.errOut), anySignal)
 		},
 	}
 	settingsFlag(cmd, &path)
--- a/pkg/cli/site.go
+++ b/pkg/cli/site.go
@@ -80,7 +80,17 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go newReloader(s, load, running.Reload, log).run(ctx, hup)
-	return runUntilSignal(ctx, running)
+	return runUntilSignal(ctx, running, func(s os.Signal) bool { return endsSiteAtOnce(s, log) })
+}
+
+// endsSiteAtOnce reports whether a signal after the first one ends a draining process at once. A supervisor that repeats
+// SIGTERM does not mean to cut off requests: it sends SIGKILL for that.
+func endsSiteAtOnce(s os.Signal, log *zap.Logger) bool {
+	if s == syscall.SIGINT {
+		return true
+	}
+	log.Info("ignored a repeated stop signal: the drain goes on; send SIGINT or SIGKILL to end the process now", zap.Stringer("signal", s))
+	return false
 }
 
 // siteProcess is a process on the operators' platform.
