Bound what commands and links to agents read of a response

Reported by other operators: what is sent without end is kept until memory is out. Here the operator's commands (status, report, config show, quarantine list) decoded a response of any length within their 3 s, and entries accepted 10 MiB of a head from an agent, the default of net/http.

Change: the commands read 4 MiB at most through pkg/httpclient, and links to agents 64 KiB of a head.

--- a/pkg/cli/status.go
+++ b/pkg/cli/status.go
@@ -2,19 +2,26 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 
 	"github.com/fescuehub/fescuehub/pkg/entry"
+	"github.com/fescuehub/fescuehub/pkg/httpclient"
 	"github.com/fescuehub/fescuehub/pkg/problem"
 )
 
-const operatorTimeout = 3 * time.Second
+const (
+	operatorTimeout = 3 * time.Second
+	// maxOperatorBytes bounds the response of an operator endpoint.
+	maxOperatorBytes = 4 << 20
+)
+
+var operatorClient = httpclient.New()
 
 // statusRow is the status of an entry or of an agent. Only an agent has a pool.
 type statusRow struct {
@@ -61,21 +68,16 @@
 	return cmd
 }
 
-// getJSON decodes the JSON response of an operator endpoint into target.
+// getJSON decodes the JSON response of an operator endpoint, of at most maxOperatorBytes, into target.
 func getJSON(ctx context.Context, url string, target any) error {
 	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return usageErrorf("%v", err)
+	err := httpclient.Get(ctx, operatorClient, url, maxOperatorBytes, target)
+	if refused := (*httpclient.StatusError)(nil); errors.As(err, &refused) {
+		return problem.New(problem.Unavailable, "check the address and that the process runs", "GET %s: status %d %s", url, refused.Status, http.StatusText(refused.Status))
 	}
-	res, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return problem.New(problem.Unavailable, "check the address and that the process runs", "%v", err)
 	}
-	defer res.Body.Close()
-	if res.StatusCode != http.StatusOK {
-		return problem.New(problem.Unavailable, "check the address and that the process runs", "GET %s: status %s", url, res.Status)
-	}
-	return json.NewDecoder(res.Body).Decode(target)
+	return nil
 }
--- a/pkg/peer/agentlink/client.go
+++ b/pkg/peer/agentlink/client.go
@@ -18,6 +18,8 @@
 
 const (
 	dialTimeout = 2 * time.Second
+	// maxHeadBytes limits the head of a response.
+	maxHeadBytes = 64 << 10
 	// maxFrameBytes limits the size of one encoded frame.
 	maxFrameBytes       = 8 << 20
 	idleConnsPerAgent   = 64
@@ -33,10 +35,11 @@
 func NewClient() *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Client{http: &http.Client{Transport: &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: idleConnsPerAgent,
-		IdleConnTimeout:     time.Minute,
-		DisableCompression:  true,
+		DialContext:            dialer.DialContext,
+		MaxIdleConnsPerHost:    idleConnsPerAgent,
+		MaxResponseHeaderBytes: maxHeadBytes,
+		IdleConnTimeout:        time.Minute,
+		DisableCompression:     true,
 	}}}
 }
 
