Store a connection's timer before it can fire

Cause: Accept started the timer of a connection before it stored it, without the lock. A timer that fires in between and finds a raised limit resets a timer that is not there, which ends the process.

Evidence: TestTimerThatFiresAtOnce, which sets a timer that fires at once and then raises the limit, ended with a data race and a nil pointer before the change. TestCallerConnectionLimitsFollowConfiguration, six times with the race detector: none.

Change: the timer is started and stored under the connection's lock, which its function takes first.

--- a/pkg/httpserver/conns.go
+++ b/pkg/httpserver/conns.go
@@ -63,7 +63,7 @@
 		return nil, err
 	}
 	c := &conn{Conn: nc, listener: l, phase: fresh, phaseStart: time.Now()}
-	c.timer = time.AfterFunc(c.phaseTimeout(), c.onTimeout)
+	c.startTimer()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.conns[c] = struct{}{}
@@ -214,6 +214,13 @@
 	}
 }
 
+// startTimer starts the timer of a new connection. The timer may fire before it is stored, so it waits for mu.
+func (c *conn) startTimer() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.timer = time.AfterFunc(c.phaseTimeout(), c.onTimeout)
+}
+
 // phaseTimeout returns how long the current phase may last.
 func (c *conn) phaseTimeout() time.Duration {
 	if c.phase == reading {
--- a/pkg/httpserver/conns_test.go
+++ b/pkg/httpserver/conns_test.go
@@ -148,3 +148,27 @@
 		}
 	}
 }
+
+// TestTimerThatFiresAtOnce guards against a connection's timer that fires before Accept has stored it, which the race
+// detector reports and which would end the process.
+func TestTimerThatFiresAtOnce(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	// The timer is set to fire at once, and finds a limit that has been raised.
+	var limit atomic.Int64
+	conns := NewListener(listener, func() ConnLimits {
+		return ConnLimits{HeaderTimeout: time.Hour, IdleTimeout: time.Duration(limit.Swap(int64(time.Hour)))}
+	})
+	for range 500 {
+		limit.Store(0)
+		dial(t, listener.Addr().String())
+		c, err := conns.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		conns.ConnState(c, http.StateClosed)
+	}
+}
