Close a response without waiting for its body

Cause: Response.Close left the request's context and then read one byte of the body, to see whether the connection can be used again. Nobody reads the body of a refusal, so that the read waited until the body's time-out.

Ruled out: the wait for another server, which never began. Related paths read within a context or a call's time.

Change: Close reads nothing more from the connection.

Why it works: no deadline could end that read; now there is none, and a connection whose body was not read is closed as before.

--- a/pkg/backendconn/exchange.go
+++ b/pkg/backendconn/exchange.go
@@ -208,8 +208,8 @@
 	return nil, errors.New("too many informational (1xx) responses")
 }
 
-// Close releases the response. The connection is kept only if the body was read to its end and no
-// bytes follow it.
+// Close releases the response without waiting. The connection is kept only if the body was read to its
+// end, or the response has none, and no bytes follow it.
 func (r *Response) Close() {
 	if !r.stop() || !r.complete() || r.conn.nc.SetReadDeadline(time.Time{}) != nil {
 		netconn.Abort(r.conn.nc)
@@ -232,7 +232,8 @@
 		return false
 	}
 	// A body that was read to its end returns EOF again; one without a length ended with the
-	// connection.
+	// connection. What has not arrived is not waited for: no context or deadline would end that.
+	r.conn.bounded.stop()
 	n, err := r.response.Body.Read(make([]byte, 1))
 	return n == 0 && err == io.EOF && r.conn.br.Buffered() == 0 && !r.response.Close
 }
--- a/pkg/backendconn/exchange_test.go
+++ b/pkg/backendconn/exchange_test.go
@@ -44,3 +44,61 @@
 		t.Errorf("the server read %v, want a connection reset", err)
 	}
 }
+
+// TestCloseDoesNotWaitForBody guards against a request that is held beyond its deadline because the clean-up of a response
+// that nobody reads waits for the rest of its body.
+func TestCloseDoesNotWaitForBody(t *testing.T) {
+	const limit = 200 * time.Millisecond
+	for name, c := range map[string]struct {
+		response string
+		reused   bool
+	}{
+		"length":             {"HTTP/1.1 503 X\r\nContent-Length: 5\r\n\r\n", false},
+		"part of the length": {"HTTP/1.1 503 X\r\nContent-Length: 5\r\n\r\nab", false},
+		"chunks":             {"HTTP/1.1 503 X\r\nTransfer-Encoding: chunked\r\n\r\n", false},
+		"no length":          {"HTTP/1.1 200 X\r\n\r\n", false},
+		"empty":              {"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n", true},
+		"empty chunks":       {"HTTP/1.1 503 X\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			closed := make(chan struct{})
+			go func() {
+				defer close(closed)
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				defer conn.Close()
+				_, _ = io.WriteString(conn, c.response)
+				_, _ = io.Copy(io.Discard, conn) // ends when the client closes the connection
+			}()
+			pools := backendconn.NewPools()
+			response, err := pools.Start(context.Background(), "s", l.Addr().String(), &backendconn.Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			began := time.Now()
+			response.Close()
+			if took := time.Since(began); took > limit {
+				t.Errorf("Close returned after %v, want at most %v", took, limit)
+			}
+			select {
+			case <-closed:
+				if c.reused {
+					t.Error("the connection of a complete response was closed")
+				}
+			case <-time.After(limit):
+				if !c.reused {
+					t.Error("the connection of an incomplete response is still open")
+				}
+				pools.CloseServer("s")
+			}
+		})
+	}
+}
--- a/pkg/backendconn/reader.go
+++ b/pkg/backendconn/reader.go
@@ -23,6 +23,7 @@
 var (
 	errHeadTooLong = errors.Newf("the head of the response is longer than the limit of %d bytes", maxHeadBytes)
 	errHeadTimeout = errors.Newf("the head of the response was not complete %v after its first byte", headTimeout)
+	errStopped     = errors.New("the response is closed")
 	errBodyStalled = errors.Newf("the body of the response brought no byte for %v", bodyStallTimeout)
 )
 
@@ -49,6 +50,8 @@
 	waiting responsePart = iota
 	head
 	body
+	// stopped: nothing more is read.
+	stopped
 )
 
 // beginHead starts the bounds of a head, of which a number of bytes have been buffered.
@@ -63,6 +66,9 @@
 // beginBody ends the bounds of the head.
 func (r *boundedReader) beginBody() { r.part = body }
 
+// stop makes reads fail until the next head.
+func (r *boundedReader) stop() { r.part = stopped }
+
 // Read implements io.Reader.
 func (r *boundedReader) Read(p []byte) (int, error) {
 	switch r.part {
@@ -70,6 +76,8 @@
 		return r.readHead(p)
 	case body:
 		return r.readBody(p)
+	case stopped:
+		return 0, errStopped
 	}
 	n, err := r.nc.Read(p[:min(len(p), r.headLeft)])
 	r.headLeft -= n
