Do not shorten a drain that has started

A shorter grace period (SIGHUP, or the file alone) ended the drain sooner and cut off requests that had been accepted for the longer one. Found by reading; no caller was seen to lose a request.

Evidence: TestShorterGraceDoesNotEndDrain failed before the change.

Change: a drain ends at the longest time-out since its start; what it still accepts must end within the new one.

Why it works: the platform ends a process itself if its grace period is over; ending sooner gains nothing.

--- a/pkg/drain/admits_test.go
+++ b/pkg/drain/admits_test.go
@@ -37,3 +37,21 @@
 		}
 	}
 }
+
+// TestShorterGraceDoesNotEndDrain guards against a change of the settings during a drain that cuts off requests which
+// were accepted under the longer time-out.
+func TestShorterGraceDoesNotEndDrain(t *testing.T) {
+	begin := time.Unix(1000, 0)
+	progress := drain.New(drain.Plan{Linger: time.Second, Timeout: 7 * time.Second})
+	progress.Start(begin, 1)
+	progress.SetPlan(drain.Plan{Linger: time.Second, Timeout: 3 * time.Second})
+	if phase := progress.Advance(begin.Add(5*time.Second), 1); phase == drain.Ended {
+		t.Error("the drain ended after 5 s, with a request in flight that was accepted for 7 s")
+	}
+	if now := begin.Add(2 * time.Second); progress.Admits(now, now.Add(2*time.Second)) {
+		t.Error("a request was admitted that may outlast the shorter time-out")
+	}
+	if phase := progress.Advance(begin.Add(7*time.Second), 1); phase != drain.Ended {
+		t.Errorf("the drain is %v after 7 s, want ended", phase)
+	}
+}
--- a/pkg/drain/drain.go
+++ b/pkg/drain/drain.go
@@ -4,6 +4,19 @@
 
 import "time"
 
+const (
+	// acceptUnboundedFraction is the part of the grace period for which a draining process accepts requests
+	// that it may not be able to finish, at most maxAcceptUnbounded: nearly all of them end within the
+	// remaining time. The operators excuse those that do not if they were sent within 3 s of the signal.
+	acceptUnboundedFraction = 0.3125
+	maxAcceptUnbounded      = 2500 * time.Millisecond
+)
+
+// AcceptUnbounded returns the usual Plan.AcceptUnbounded for a grace period.
+func AcceptUnbounded(grace time.Duration) time.Duration {
+	return min(time.Duration(acceptUnboundedFraction*float64(grace)), maxAcceptUnbounded)
+}
+
 // Phase is a phase of the shutdown.
 type Phase int
 
@@ -45,6 +58,8 @@
 	plan    Plan
 	phase   Phase
 	started time.Time
+	// timeout is the longest Plan.Timeout since the start of the drain.
+	timeout time.Duration
 	// lastBusy is when Advance last found a request in flight.
 	lastBusy time.Time
 	// abortedRequests is the number of requests in flight when the drain ended.
@@ -54,14 +69,18 @@
 // New returns the state of a process in the phase Serving.
 func New(plan Plan) *Progress { return &Progress{plan: plan} }
 
-// SetPlan replaces the durations.
-func (m *Progress) SetPlan(plan Plan) { m.plan = plan }
+// SetPlan replaces the durations. A drain that has started does not end sooner by it, since requests were accepted
+// that last until its end; those that follow must end within the new timeout.
+func (m *Progress) SetPlan(plan Plan) {
+	m.plan = plan
+	m.timeout = max(m.timeout, plan.Timeout)
+}
 
 // Start begins the drain. A second call ends it immediately.
 func (m *Progress) Start(now time.Time, inFlight int) Phase {
 	if m.phase == Serving {
 		m.phase = Announced
-		m.started = now
+		m.started, m.timeout = now, m.plan.Timeout
 		return m.Advance(now, inFlight)
 	}
 	return m.end(inFlight)
@@ -77,7 +96,7 @@
 		m.lastBusy = now
 	}
 	elapsed := now.Sub(m.started)
-	if elapsed >= m.plan.Timeout {
+	if elapsed >= m.timeout {
 		return m.end(inFlight)
 	}
 	if m.phase == Announced && elapsed >= m.plan.Linger {
--- a/pkg/gateway/drain.go
+++ b/pkg/gateway/drain.go
@@ -15,11 +15,6 @@
 	// lingerFraction is the part of the grace period for which a draining entry still accepts
 	// connections, because callers hold cached address answers.
 	lingerFraction = 0.5
-	// acceptUnboundedFraction is the part of the grace period for which a draining entry accepts requests
-	// that it may not be able to finish, at most maxAcceptUnbounded: nearly all of them end within the
-	// remaining time. The operators excuse those that do not if they were sent within 3 s of the signal.
-	acceptUnboundedFraction = 0.3125
-	maxAcceptUnbounded      = 2500 * time.Millisecond
 	// closeMargin is the time between the drain's timeout and SIGKILL at the end of the grace
 	// period. The requests that still wait are refused within abortGrace of it.
 	closeMargin = 300 * time.Millisecond
@@ -43,7 +38,7 @@
 	return drain.Plan{
 		Linger:          time.Duration(lingerFraction * float64(grace)),
 		Timeout:         grace - closeMargin,
-		AcceptUnbounded: min(time.Duration(acceptUnboundedFraction*float64(grace)), maxAcceptUnbounded),
+		AcceptUnbounded: drain.AcceptUnbounded(grace),
 		QuietPeriod:     quietTime,
 	}
 }
