Refuse requests that may outlast the drain of the product's own entries

Change: after route and deadline are known, an entry that drains admits a request only if drain.Progress.Admits does; otherwise the caller gets the error draining with the outcome not-run.

--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -98,9 +98,11 @@
 }
 
 func drainPlan(s settings.Entry) drain.Plan {
+	bound := time.Duration(s.ShutdownSeconds) * time.Second
 	return drain.Plan{
-		Linger:  time.Duration(s.AddressLifetimeSeconds)*time.Second + addressGrace,
-		Timeout: time.Duration(s.ShutdownSeconds) * time.Second,
+		Linger:          time.Duration(s.AddressLifetimeSeconds)*time.Second + addressGrace,
+		Timeout:         bound,
+		AcceptUnbounded: drain.AcceptUnbounded(bound),
 	}
 }
 
--- a/pkg/entry/exchange.go
+++ b/pkg/entry/exchange.go
@@ -99,7 +99,7 @@
 	return body, errors.Wrap(control.SetReadDeadline(time.Time{}), "clear the read deadline of a request body")
 }
 
-// open resolves the route, its pool and the caller's organisation.
+// open resolves the route, its pool and the caller's organisation. It refuses a request that may outlast this entry.
 func (e *Entry) open(r *http.Request, routeName string) (*exchange, error) {
 	route, pool, err := e.config.View().Route(routeName)
 	if err != nil {
@@ -112,11 +112,15 @@
 			"send the "+OrganisationHeader+" header with an organisation of the route, or add it to the route",
 			"route %q does not list organisation %q", routeName, name).WithOutcome(problem.NotRun)
 	}
+	deadline := time.Now().Add(time.Duration(route.Deadline()) * time.Millisecond)
+	if err := e.lifecycle.Admit(deadline); err != nil {
+		return nil, err
+	}
 	return &exchange{
 		route:        route,
 		pool:         pool,
 		organisation: organisation,
-		deadline:     time.Now().Add(time.Duration(route.Deadline()) * time.Millisecond),
+		deadline:     deadline,
 		method:       r.Method,
 	}, nil
 }
--- a/pkg/lifecycle/lifecycle.go
+++ b/pkg/lifecycle/lifecycle.go
@@ -39,13 +39,28 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.progress.AcceptsWork() {
-		return problem.New(problem.Draining, "request the addresses again and send the request to one of them",
-			"this instance is draining and accepts no new requests").WithOutcome(problem.NotRun).WithRetryAfter(time.Second)
+		return drainingError("this instance is draining and accepts no new requests")
 	}
 	l.inFlight++
 	return nil
 }
 
+// Admit returns an error of the kind Draining with the outcome NotRun if this instance drains and may end before a
+// request with the given deadline does.
+func (l *Lifecycle) Admit(deadline time.Time) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.progress.Admits(time.Now(), deadline) {
+		return drainingError("this instance is draining and may end before the request does")
+	}
+	return nil
+}
+
+func drainingError(reason string) error {
+	return problem.New(problem.Draining, "request the addresses again and send the request to one of them", "%s", reason).
+		WithOutcome(problem.NotRun).WithRetryAfter(time.Second)
+}
+
 // Done ends one admitted request.
 func (l *Lifecycle) Done() {
 	l.mu.Lock()
