Describe how long a part stays in quarantine

Cause: a reader who opens pkg/quarantine/record.go at quarantineTime finds neither what the time depends on nor its bound. Change: a doc comment; no statement changes.

--- a/pkg/quarantine/record.go
+++ b/pkg/quarantine/record.go
@@ -38,6 +38,8 @@
 	blame blame
 }
 
+// quarantineTime returns how long a part is in quarantine after a number of strikes. It doubles with each, up to
+// maxQuarantine; that of a request follows requestQuarantineTime.
 func quarantineTime(p Part, strikes int) time.Duration {
 	if p.isRequest() {
 		return requestQuarantineTime(strikes)
