Tell entries of draining servers in messages

What callers saw: nothing. Cause: each server that drains made each entry read the log within 0.1 s. Change: the log readers' messages name servers that drain, with the incarnation and the sequence of the announcement, for 0.5 s. A later announcement replaces that. Removed servers are still read from the log: only its reader knows whether they are kept for the grace period.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -138,6 +138,8 @@
 	// servers holds the usable backend servers by ID.
 	servers map[string]fleet.Server
 
+	// drains holds the servers that have just announced that they drain.
+	drains recentDrains
 	// quarantineWrites holds the records of parts in quarantine that are to be written to the shared log.
 	quarantineWrites *pendingWrites
 	// republish requests that this entry's record be written again.
--- a/pkg/gateway/sharedstate.go
+++ b/pkg/gateway/sharedstate.go
@@ -17,7 +17,7 @@
 
 // sharedStates returns all parts.
 func (g *Gateway) sharedStates() []sharedState {
-	return []sharedState{(*sharedLoads)(g), (*sharedBudget)(g), (*sharedLeaving)(g), (*sharedPrompts)(g), (*sharedRateLimits)(g)}
+	return []sharedState{(*sharedLoads)(g), (*sharedBudget)(g), (*sharedLeaving)(g), (*sharedDrains)(g), (*sharedPrompts)(g), (*sharedRateLimits)(g)}
 }
 
 // sharedLoads are the requests in flight at backend servers.
@@ -100,3 +100,16 @@
 		s.rateLimits.Merge(now, message.Name, *message.RateLimits)
 	}
 }
+
+// sharedDrains are the servers of which an entry has just read that they drain.
+type sharedDrains Gateway
+
+func (s *sharedDrains) collect(now time.Time, message *gossip.EntryState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	message.Draining = s.drains.recent(now)
+}
+
+func (s *sharedDrains) merge(now time.Time, message *gossip.EntryState) {
+	(*Gateway)(s).markDraining(now, message.Draining, message.Name)
+}
--- a/pkg/gateway/sinks.go
+++ b/pkg/gateway/sinks.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/fescuehub/fescuehub/pkg/fleet"
+	"github.com/fescuehub/fescuehub/pkg/gossip"
 	"github.com/fescuehub/fescuehub/pkg/relay"
 	"github.com/fescuehub/fescuehub/pkg/sharedlog"
 	"github.com/fescuehub/fescuehub/pkg/telemetry"
@@ -66,6 +67,11 @@
 	} else if announced, err := g.codec.DecodeServer(r.Key, r.Value); err != nil {
 		g.log.Warn("skipped an announcement", zap.String("server", r.Key), zap.Int64("offset", r.Offset), telemetry.Err(err))
 		g.roster.Unreadable(r.Key)
+	} else if now := time.Now(); announced.Draining && g.serversRead && g.roster.AnnounceDraining(r.Key, announced.Incarnation, announced.Sequence) {
+		g.drains.add(now, r.Key, gossip.Drain{Incarnation: announced.Incarnation, Sequence: announced.Sequence})
+		g.topics[sharedlog.Servers].markDrainFound()
+		g.refreshServers(now)
+		g.roster.Announce(announced)
 	} else {
 		g.roster.Announce(announced)
 	}
--- a/pkg/gateway/topics.go
+++ b/pkg/gateway/topics.go
@@ -19,6 +19,9 @@
 	// urgentUntil is until when messages tell others not to read these records late.
 	changed     bool
 	urgentUntil time.Time
+	// drainFound is true if the records of the current read name servers that drain. The next messages hold
+	// these servers, so that others need not read the records at once.
+	drainFound bool
 	// wake, urgent and recheck are the signals of follow.Options.
 	wake, urgent, recheck chan struct{}
 }
@@ -42,15 +45,24 @@
 	t.changed = true
 }
 
-// takeChanged reports whether records of the read that has ended were marked, and if so makes them urgent.
-func (t *topic) takeChanged(now time.Time) bool {
+// markDrainFound records that a record of the current read names a server that drains.
+func (t *topic) markDrainFound() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	changed := t.changed
-	if t.changed = false; changed {
+	t.drainFound = true
+}
+
+// endRead reports whether the others must be told at once of records of the read that has ended. Those that
+// were marked as changed become urgent.
+func (t *topic) endRead(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	tell := t.changed || t.drainFound
+	if t.changed {
 		t.urgentUntil = now.Add(urgentRepeat)
 	}
-	return changed
+	t.changed, t.drainFound = false, false
+	return tell
 }
 
 func (t *topic) isUrgent(now time.Time) bool {
@@ -97,7 +109,7 @@
 		IsLeader: g.isLogReader, Wake: t.wake, WakePause: g.wakePause, Urgent: t.urgent, Recheck: t.recheck,
 		OnProgress: func(next sharedlog.Position) {
 			t.setPosition(next)
-			if t.takeChanged(time.Now()) && g.isLogReader() {
+			if t.endRead(time.Now()) && g.isLogReader() {
 				g.sendState()
 			}
 		},
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -52,6 +52,9 @@
 	// Leaving holds the incarnations, by ID, of backend servers that are leaving, for up to
 	// MaxLeaving servers.
 	Leaving map[string]int64 `json:"leave,omitempty"`
+	// Draining holds, by ID, servers of which the entry has just read in the shared log that they drain, for
+	// up to MaxLeaving servers.
+	Draining map[string]Drain `json:"drain,omitempty"`
 	// Budget counts requests and retries by service.
 	Budget map[string]retrybudget.Counts `json:"budget,omitempty"`
 	// Prompts repeats what the entry knows about prompts that crash servers; nil in quiet times.
@@ -60,6 +63,13 @@
 	RateLimits *ratelimit.Message `json:"limits,omitempty"`
 }
 
+// Drain identifies the announcement of a server that drains.
+type Drain struct {
+	_           struct{} `cbor:",toarray"`
+	Incarnation int64
+	Sequence    int64
+}
+
 // Subscription asks a planner to send digests for a limited time.
 type Subscription struct {
 	Entry string `json:"entry"`
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -66,6 +66,19 @@
 	}
 }
 
+// AnnounceDraining records that an incarnation of a server has announced, with the given sequence, that it drains.
+// A later announcement replaces that. It reports whether the server was not known to drain. An announcement
+// without a sequence cannot be ordered and is ignored.
+func (r *Roster) AnnounceDraining(id string, incarnation, sequence int64) (isNew bool) {
+	s, ok := r.servers[id]
+	if !ok || s.Draining || s.Incarnation != incarnation || sequence <= s.Sequence {
+		return false
+	}
+	s.Draining, s.Sequence = true, sequence
+	r.servers[id] = s
+	return true
+}
+
 // isOutdated reports whether an announcement is not newer than the last known one of the server, or
 // than the last one before the server was removed.
 func (r *Roster) isOutdated(s fleet.Server) bool {
