Evacuate failure domains on the operators' request

Callers saw: no way to take all backend servers of a failure domain out of service at once; entries knew only single announcements.

Cause: records of the operators' topic with another key than the configuration were ignored, and an entry became ready with the configuration alone.

Change: the record evacuate/NAME evacuates a domain until it is removed. pkg/evacuation decides from the order of positions, also after a restore of the log, and from what other entries tell in their periodic messages. The balancer keeps the servers of evacuated domains, with their load, but gives them no requests; a request that finds no other server is refused at once, 503 with Retry-After. An entry is ready only after it has read the whole topic.

--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -97,6 +97,8 @@
 	// unreachableUntil is the time before which the server counts as unresponsive because its
 	// planner did not reach it.
 	unreachableUntil time.Time
+	// evacuated is true if the server gets no requests because of its failure domain.
+	evacuated bool
 }
 
 // entryLoads holds the requests that another entry has in flight.
@@ -107,10 +109,14 @@
 
 // Balancer chooses among the servers of all services. It is safe for concurrent use.
 type Balancer struct {
-	mu       sync.Mutex
+	mu sync.Mutex
+	// services holds the servers of each service that may get requests, and servers also those that may not
+	// because their failure domain is evacuated.
 	services map[string][]*server
 	servers  map[string]*server
-	// groupMembers holds the servers of each service by group.
+	// evacuated holds the failure domains whose servers get no requests, nil if there are none.
+	evacuated map[string]bool
+	// groupMembers holds the servers in services by service and group.
 	groupMembers map[string]map[groupKey][]*server
 	entries      map[string]entryLoads
 	faults       map[groupKey]*fault
@@ -165,8 +171,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	servers := make(map[string]*server, len(list))
-	services := make(map[string][]*server)
-	members := make(map[string]map[groupKey][]*server)
+	ordered := make([]*server, 0, len(list))
 	for _, s := range list {
 		state := b.servers[s.ID]
 		if state == nil || state.Incarnation != s.Incarnation || state.Address != s.Address {
@@ -174,13 +179,27 @@
 		}
 		state.Server = s
 		servers[s.ID] = state
-		services[s.Service] = append(services[s.Service], state)
+		ordered = append(ordered, state)
+	}
+	b.servers = servers
+	b.index(ordered)
+}
+
+// index sets which servers may get requests. b.mu is held.
+func (b *Balancer) index(list []*server) {
+	services := make(map[string][]*server)
+	members := make(map[string]map[groupKey][]*server)
+	for _, s := range list {
+		if s.evacuated = b.evacuated[s.Zone]; s.evacuated {
+			continue
+		}
+		services[s.Service] = append(services[s.Service], s)
 		if members[s.Service] == nil {
 			members[s.Service] = make(map[groupKey][]*server)
 		}
-		members[s.Service][state.key()] = append(members[s.Service][state.key()], state)
+		members[s.Service][s.key()] = append(members[s.Service][s.key()], s)
 	}
-	b.servers, b.services, b.groupMembers = servers, services, members
+	b.services, b.groupMembers = services, members
 	b.forgetGroups()
 }
 
--- a/pkg/balance/pause.go
+++ b/pkg/balance/pause.go
@@ -36,12 +36,12 @@
 }
 
 // Accepts reports whether a request may be sent to a server that was chosen earlier: it is still
-// usable, has not restarted and is not paused.
+// usable, has not restarted, is not paused and its failure domain is not evacuated.
 func (b *Balancer) Accepts(now time.Time, s fleet.Server) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	current := b.servers[s.ID]
-	return current != nil && current.Incarnation == s.Incarnation && !b.isPaused(now, current)
+	return current != nil && !current.evacuated && current.Incarnation == s.Incarnation && !b.isPaused(now, current)
 }
 
 // AcceptsIn returns the time until the first server of a service accepts a request, after its pause and
--- a/pkg/cli/reload.go
+++ b/pkg/cli/reload.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os"
+	"reflect"
 	"time"
 
 	"go.uber.org/zap"
@@ -63,12 +64,12 @@
 		return !repeated
 	}
 	r.lastErr = ""
-	if s == r.lastSeen {
+	if reflect.DeepEqual(s, r.lastSeen) {
 		return false
 	}
 	r.lastSeen = s
 	next, fixed := r.current.Reload(s)
-	if next != r.current {
+	if !reflect.DeepEqual(next, r.current) {
 		r.log.Info("reload: changed bounds are in force", zap.Any("before", r.current.Bounds), zap.Any("now", next.Bounds))
 		r.current = next
 		r.apply(next.Bounds)
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -82,8 +82,10 @@
 	// may contain records that they replaced.
 	Restored()
 	// BeginSnapshot starts a snapshot and EndSnapshot ends it. A key without a
-	// record in the snapshot has been deleted.
-	BeginSnapshot()
+	// record in the snapshot has been deleted, unless it was written after end, the end
+	// of the topic when the snapshot began. The records after the snapshot belong to the
+	// timeline of end.
+	BeginSnapshot(end sharedlog.Position)
 	EndSnapshot()
 	// ReadFailed is called after each failed read, ReadRecovered when a read
 	// succeeds again.
@@ -260,7 +262,7 @@
 	if f.restored || f.readBefore && position.Timeline != f.position.Timeline {
 		f.sink.Restored()
 	}
-	f.sink.BeginSnapshot()
+	f.sink.BeginSnapshot(position)
 	for _, page := range pages {
 		f.applyAll(page.Records)
 	}
--- a/pkg/follow/follow_test.go
+++ b/pkg/follow/follow_test.go
@@ -110,7 +110,7 @@
 
 func (s *sink) Restored() { s.mu.Lock(); defer s.mu.Unlock(); s.restores++ }
 
-func (s *sink) BeginSnapshot() {
+func (s *sink) BeginSnapshot(sharedlog.Position) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.inSnapshot = make(map[string]bool)
--- a/pkg/gateway/caller.go
+++ b/pkg/gateway/caller.go
@@ -74,7 +74,7 @@
 	if err != nil {
 		return q, 0, &refusal{http.StatusBadRequest, err.Error(), 0}
 	}
-	table := g.table.Load()
+	table := g.tableInForce()
 	if table == nil {
 		return q, 0, &refusal{http.StatusServiceUnavailable, "this entry has not received a configuration yet", startupRetryAfter}
 	}
@@ -99,6 +99,16 @@
 	return q, table.Version, nil
 }
 
+// tableInForce returns the configuration, or nil if there is none or the evacuations have not been read yet.
+func (g *Gateway) tableInForce() *fleet.Table {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.operatorsRead {
+		return nil
+	}
+	return g.table.Load()
+}
+
 // readBody reads the whole request body, no longer than until the request's deadline or the end of
 // this process, and no larger than maxBytes.
 func readBody(conn *http.ResponseController, r *http.Request, q *relay.Request, maxBytes int64) *refusal {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/fescuehub/fescuehub/pkg/backendconn"
 	"github.com/fescuehub/fescuehub/pkg/balance"
 	"github.com/fescuehub/fescuehub/pkg/directory"
+	"github.com/fescuehub/fescuehub/pkg/evacuation"
 	"github.com/fescuehub/fescuehub/pkg/fleet"
 	"github.com/fescuehub/fescuehub/pkg/follow"
 	"github.com/fescuehub/fescuehub/pkg/gossip"
@@ -84,6 +85,9 @@
 	DecodeRequestHeaders(h http.Header) (relay.CallerHeaders, error)
 	DecodeConfiguration(key string, value []byte) (fleet.Configuration, bool, error)
 	DecodeServer(id string, value []byte) (fleet.Server, error)
+	// DecodeEvacuation returns the failure domain of a record that evacuates it, or, without a value, ends that.
+	// It returns false for any other record. The domain is valid even if the error says that the value is not.
+	DecodeEvacuation(key string, value []byte) (domain string, ok bool, err error)
 	// ReadyPath and AddressPath are the paths of readiness checks and of callers' address
 	// queries; EncodeAddresses returns the response body of an address query.
 	ReadyPath() string
@@ -130,7 +134,9 @@
 	digests     digestOrder
 	incarnation string
 	sequence    int64
-	serversRead bool
+	// serversRead and operatorsRead are true once the whole topic has been read.
+	serversRead, operatorsRead bool
+	evacuations                *evacuation.Tracker
 	// unreadable holds the topics that this entry cannot read.
 	unreadable map[sharedlog.Topic]bool
 	// topics holds the read progress of each followed topic.
@@ -164,6 +170,7 @@
 		prompts:       quarantine.New(rand.Float64),
 		rateLimits:    limits,
 		roster:        roster.New(s.Bounds.LeaveGrace),
+		evacuations:   evacuation.New(),
 		peerAddresses: make(map[string]netip.AddrPort),
 		planners:      make(map[string]planner),
 		incarnation:   uuid.NewString(),
@@ -358,8 +365,8 @@
 // keeps getting new callers for that long.
 const maxAddressLifetime = 2 * time.Second
 
-// ready reports whether this entry accepts callers: it has a configuration and the backend
-// servers, and is not draining.
+// ready reports whether this entry accepts callers: it has a configuration, the evacuations and the
+// backend servers, and is not draining.
 func (g *Gateway) ready() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -369,7 +376,7 @@
 func (g *Gateway) updateReady() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	ready := g.table.Load() != nil && g.serversRead && !g.drain.draining()
+	ready := g.table.Load() != nil && g.operatorsRead && g.serversRead && !g.drain.draining()
 	if ready != g.directory.Ready() {
 		g.log.Info("readiness changed", zap.Bool("ready", ready))
 	}
--- a/pkg/gateway/operator.go
+++ b/pkg/gateway/operator.go
@@ -55,12 +55,32 @@
 	Granted int `json:"granted"`
 }
 
-// operatorHandler serves the metrics, the parts in quarantine and the rate limits.
+// EvacuationsPath is the path, at the address of the metrics, of the failure domains that operators have
+// evacuated.
+const EvacuationsPath = "/evacuations"
+
+// Evacuation describes a failure domain that operators have evacuated, or returned to service, to operators.
+type Evacuation struct {
+	Domain    string `json:"domain"`
+	Evacuated bool   `json:"evacuated"`
+	// Known is false if neither the settings nor any server name the domain.
+	Known bool `json:"known"`
+	// Timeline and Offset are the position in the shared log after the record that states it.
+	Timeline int64 `json:"timeline"`
+	Offset   int64 `json:"offset"`
+	// LearnedFrom is the entry from which this one heard it; its own name if it read the log.
+	LearnedFrom string `json:"learnedFrom"`
+	// Servers is the number of announced backend servers in the domain.
+	Servers int `json:"servers"`
+}
+
+// operatorHandler serves the metrics, the parts in quarantine, the rate limits and the evacuations.
 func (g *Gateway) operatorHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+QuarantinePath, g.listQuarantine)
 	mux.HandleFunc("DELETE "+QuarantinePath, g.liftQuarantine)
 	mux.HandleFunc("GET "+RateLimitsPath, g.listRateLimits)
+	mux.HandleFunc("GET "+EvacuationsPath, g.listEvacuations)
 	mux.Handle("/", g.metrics.Handler)
 	return mux
 }
@@ -102,6 +122,28 @@
 	g.writeList(w, g.RateLimits())
 }
 
+// Evacuations returns the failure domains that have had a record.
+func (g *Gateway) Evacuations() []Evacuation {
+	list := []Evacuation{}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, s := range g.evacuations.States() {
+		e := Evacuation{
+			Domain: s.Domain, Evacuated: s.Evacuated, Known: g.isKnownDomain(s.Domain), Timeline: int64(s.Position.Timeline), Offset: s.Position.Next,
+			LearnedFrom: s.LearnedFrom, Servers: g.serversIn(s.Domain),
+		}
+		if e.LearnedFrom == "" {
+			e.LearnedFrom = g.settings.Name
+		}
+		list = append(list, e)
+	}
+	return list
+}
+
+func (g *Gateway) listEvacuations(w http.ResponseWriter, _ *http.Request) {
+	g.writeList(w, g.Evacuations())
+}
+
 // writeList writes a list for operators.
 func (g *Gateway) writeList(w http.ResponseWriter, list any) {
 	w.Header().Set("Content-Type", "application/json")
--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -24,12 +24,13 @@
 // records, so that an entry reads them at its start without a further call.
 const quarantineKeyPrefix = "quarantine/"
 
-// Ended implements relay.ServerObserver. The end of a server that is leaving is planned and blames no
-// request.
+// Ended implements relay.ServerObserver. The end of a server that is leaving, or in an evacuated failure
+// domain, is planned and blames no request.
 func (g *Gateway) Ended(s fleet.Server, end relay.ServerEnd) {
 	now := time.Now()
 	g.mu.Lock()
 	_, usable := g.servers[s.ID]
+	usable = usable && !g.evacuations.Evacuated(s.Zone)
 	g.mu.Unlock()
 	g.log.Warn("a backend server ended while it had a request", zap.String("server", s.ID), zap.Int64("incarnation", s.Incarnation), zap.String("service", s.Service),
 		zap.String("request", end.RequestID), zap.String("fingerprint", end.Fingerprint), zap.Strings("sharedParts", end.SharedParts), zap.Bool("responseBegun", end.ResponseBegun), zap.Bool("expected", !usable))
--- a/pkg/gateway/sharedstate.go
+++ b/pkg/gateway/sharedstate.go
@@ -17,7 +17,7 @@
 
 // sharedStates returns all parts.
 func (g *Gateway) sharedStates() []sharedState {
-	return []sharedState{(*sharedLoads)(g), (*sharedBudget)(g), (*sharedLeaving)(g), (*sharedPrompts)(g), (*sharedRateLimits)(g)}
+	return []sharedState{(*sharedLoads)(g), (*sharedBudget)(g), (*sharedLeaving)(g), (*sharedPrompts)(g), (*sharedRateLimits)(g), (*sharedEvacuations)(g)}
 }
 
 // sharedLoads are the requests in flight at backend servers.
--- a/pkg/gateway/sinks.go
+++ b/pkg/gateway/sinks.go
@@ -14,13 +14,16 @@
 	"github.com/fescuehub/fescuehub/pkg/telemetry"
 )
 
-// operatorsSink applies the configurations that operators have published.
+// operatorsSink applies the configurations and the evacuations that operators have published.
 type operatorsSink Gateway
 
 // Apply implements follow.Sink. It ignores a configuration whose version is not higher than the
 // current one.
 func (s *operatorsSink) Apply(r sharedlog.Record) {
 	g := (*Gateway)(s)
+	if g.applyEvacuation(r) {
+		return
+	}
 	c, ok, err := g.codec.DecodeConfiguration(r.Key, r.Value)
 	if err != nil {
 		g.log.Error("skipped a configuration: failed to decode its record", zap.Int64("offset", r.Offset), telemetry.Err(err))
@@ -39,13 +42,35 @@
 
 // Restored implements follow.Sink. The current configuration stays in force if the restored log
 // contains an earlier one. This entry's record may be gone from the restored log.
-func (s *operatorsSink) Restored() { (*Gateway)(s).republishRecord() }
+func (s *operatorsSink) Restored() {
+	g := (*Gateway)(s)
+	g.mu.Lock()
+	g.evacuations.Restored()
+	g.mu.Unlock()
+	g.republishRecord()
+}
 
 // BeginSnapshot implements follow.Sink.
-func (s *operatorsSink) BeginSnapshot() {}
+func (s *operatorsSink) BeginSnapshot(end sharedlog.Position) {
+	g := (*Gateway)(s)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.evacuations.BeginSnapshot(end)
+}
 
-// EndSnapshot implements follow.Sink.
-func (s *operatorsSink) EndSnapshot() { (*Gateway)(s).setReadable(sharedlog.Operators, true) }
+// EndSnapshot implements follow.Sink. This entry accepts callers only after it: the evacuations stand after
+// the configuration.
+func (s *operatorsSink) EndSnapshot() {
+	g := (*Gateway)(s)
+	g.mu.Lock()
+	if g.applyEvacuationChanges(g.evacuations.EndSnapshot()) {
+		g.topics[sharedlog.Operators].markChanged()
+	}
+	g.operatorsRead = true
+	g.mu.Unlock()
+	g.setReadable(sharedlog.Operators, true)
+	g.updateReady()
+}
 
 // ReadFailed implements follow.Sink. The current configuration stays in force.
 func (s *operatorsSink) ReadFailed(error) { (*Gateway)(s).setReadable(sharedlog.Operators, false) }
@@ -83,7 +108,7 @@
 }
 
 // BeginSnapshot implements follow.Sink.
-func (s *serversSink) BeginSnapshot() {
+func (s *serversSink) BeginSnapshot(sharedlog.Position) {
 	g := (*Gateway)(s)
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -99,6 +124,7 @@
 	if g.refreshServers(time.Now()) {
 		g.topics[sharedlog.Servers].markChanged()
 	}
+	g.warnUnknownDomains()
 	g.mu.Unlock()
 	g.setReadable(sharedlog.Servers, true)
 	g.updateReady()
@@ -218,7 +244,7 @@
 }
 
 // BeginSnapshot implements follow.Sink.
-func (s *entriesSink) BeginSnapshot() {}
+func (s *entriesSink) BeginSnapshot(sharedlog.Position) {}
 
 // EndSnapshot implements follow.Sink.
 func (s *entriesSink) EndSnapshot() {}
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/fescuehub/fescuehub/pkg/balance"
+	"github.com/fescuehub/fescuehub/pkg/evacuation"
 	"github.com/fescuehub/fescuehub/pkg/fleet"
 	"github.com/fescuehub/fescuehub/pkg/panics"
 	"github.com/fescuehub/fescuehub/pkg/quarantine"
@@ -58,6 +59,9 @@
 	Prompts *quarantine.Message `json:"prompts,omitempty"`
 	// RateLimits repeats the rate limits that servers have stated; nil if there are none.
 	RateLimits *ratelimit.Message `json:"limits,omitempty"`
+	// Evacuations repeats the states of failure domains; nil if none has been evacuated. Builds that do not
+	// know the field skip it.
+	Evacuations []evacuation.Report `json:"evac,omitempty"`
 }
 
 // Subscription asks a planner to send digests for a limited time.
--- a/pkg/rankagent/sinks.go
+++ b/pkg/rankagent/sinks.go
@@ -38,7 +38,7 @@
 func (s *configurationSink) Restored() {}
 
 // BeginSnapshot implements follow.Sink.
-func (s *configurationSink) BeginSnapshot() {}
+func (s *configurationSink) BeginSnapshot(sharedlog.Position) {}
 
 // EndSnapshot implements follow.Sink.
 func (s *configurationSink) EndSnapshot() {}
@@ -81,7 +81,7 @@
 }
 
 // BeginSnapshot implements follow.Sink.
-func (s *rankSink) BeginSnapshot() {
+func (s *rankSink) BeginSnapshot(sharedlog.Position) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id := range s.servers {
--- a/pkg/relay/finish.go
+++ b/pkg/relay/finish.go
@@ -14,6 +14,9 @@
 	// while a group of engines has to form again.
 	retryAfterMean      = 400 * time.Millisecond
 	retryAfterGroupMean = 1800 * time.Millisecond
+	// retryAfterEvacuatedMean is the mean while all servers of a service are in evacuated failure domains: an
+	// evacuation lasts, but callers return within about a second after its end.
+	retryAfterEvacuatedMean = time.Second
 	// stoppingRetryAfter is the Retry-After of requests that are refused because this process stops: any other
 	// entry can serve them at once.
 	stoppingRetryAfter = 20 * time.Millisecond
@@ -68,6 +71,9 @@
 		if x.groupFault {
 			mean = retryAfterGroupMean
 		}
+		if x.allEvacuated() {
+			mean = retryAfterEvacuatedMean
+		}
 		// Callers return when the first server accepts requests again, not all at once.
 		if x.refusal.Part != "" {
 			mean = x.refusal.RetryAfter * 4 / 3 // at the earliest when the part may be tried again
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -350,7 +350,7 @@
 			x.report.Waited = time.Since(x.q.Arrived)
 		}
 		if !x.acquireRetry(ctx) {
-			x.finish(ctx, "retry budget exhausted")
+			x.finish(ctx, x.noRetryReason())
 			return
 		}
 		if x.refuseStopping(ctx) {
@@ -385,12 +385,23 @@
 
 // noServerReason says why no server was chosen.
 func (x *exchange) noServerReason() string {
+	if reason := x.balancer.EvacuatedReason(x.q.Service.Name); reason != "" {
+		return reason
+	}
 	if reason := x.balancer.RateLimitReason(time.Now(), x.q.Service.Name); reason != "" {
 		return reason
 	}
 	return "no untried backend server is available"
 }
 
+// noRetryReason says why no retry followed.
+func (x *exchange) noRetryReason() string {
+	if reason := x.balancer.EvacuatedReason(x.q.Service.Name); reason != "" {
+		return reason
+	}
+	return "retry budget exhausted"
+}
+
 func (x *exchange) exclude(id string) {
 	if x.excluded == nil {
 		x.excluded = make(map[string]bool)
--- a/pkg/relay/serverend.go
+++ b/pkg/relay/serverend.go
@@ -118,7 +118,7 @@
 // one without a length or chunks can be: its connection ends in the same way when it is whole and when its
 // server ends. A server that was about to leave has ended as planned.
 func (x *exchange) cutShort(ctx context.Context, s fleet.Server, response *backendconn.Response) bool {
-	if response.Framed || !x.balancer.Accepts(time.Now(), s) {
+	if response.Framed || !x.balancer.Accepts(time.Now(), s) && !x.balancer.Evacuated(s) {
 		return false
 	}
 	if x.q.Route.Kind == fleet.Streaming && response.Status < 300 && x.attemptEvents == 0 && !x.started {
--- a/pkg/relay/wait.go
+++ b/pkg/relay/wait.go
@@ -69,7 +69,7 @@
 	if reason := x.balancer.WaitReason(now, x.q.Service); reason != "" {
 		return reason
 	}
-	if x.holdsLateSlot || x.possibleRuns > 0 || !x.isLate(now) {
+	if x.holdsLateSlot || x.possibleRuns > 0 || !x.isLate(now) || x.allEvacuated() {
 		return ""
 	}
 	x.holdsLateSlot = x.balancer.AcquireLateSlot(now, x.q.Service)
@@ -111,7 +111,7 @@
 // engine that has certainly not run waits: it can still be refused.
 func (x *exchange) waitForBudget(ctx context.Context) bool {
 	for !x.isQuarantined() && (x.started || x.admitted()) && !x.budget.Acquire(time.Now(), x.q.Service.Name) {
-		if x.possibleRuns > 0 || x.q.Service.Engine == nil || !x.worthWaiting(ctx) {
+		if x.possibleRuns > 0 || x.q.Service.Engine == nil || !x.worthWaiting(ctx) || x.allEvacuated() {
 			return false
 		}
 		wait.For(ctx, pollInterval)
@@ -119,6 +119,10 @@
 	return true
 }
 
+// allEvacuated reports whether the service has no server because of evacuated failure domains. Waiting would not
+// help: the request is refused at once.
+func (x *exchange) allEvacuated() bool { return x.balancer.EvacuatedReason(x.q.Service.Name) != "" }
+
 // takePermit takes the permit that a server with a rate limit needs. If another entry grants it, it is
 // asked for. It reports false if the request may not be sent to the server now.
 func (x *exchange) takePermit(ctx context.Context, s fleet.Server) bool {
--- a/pkg/settings/instance.go
+++ b/pkg/settings/instance.go
@@ -8,6 +8,9 @@
 	// Name is the name of the instance, unique in the deployment.
 	Name          string
 	FailureDomain string
+	// FailureDomains holds the names of all failure domains of the deployment; empty if the settings do not
+	// list them.
+	FailureDomains []string
 	// IP is the instance's own address.
 	IP string
 	// CallerAddress, ReadyAddress and DirectoryAddress are the IP:port for
--- a/pkg/settings/reload.go
+++ b/pkg/settings/reload.go
@@ -1,5 +1,7 @@
 package settings
 
+import "slices"
+
 // Reload returns the settings with the bounds of later, and the names of the other fields
 // in which later differs: these are fixed for the lifetime of the process. The window of
 // the retry budget is fixed too, because the budget counts requests in intervals that are
@@ -14,6 +16,7 @@
 	}{
 		{"name", s.Name != later.Name},
 		{"failure domain", s.FailureDomain != later.FailureDomain},
+		{"failure domains", !slices.Equal(s.FailureDomains, later.FailureDomains)},
 		{"IP address", s.IP != later.IP},
 		{"address for callers", s.CallerAddress != later.CallerAddress},
 		{"address for readiness checks", s.ReadyAddress != later.ReadyAddress},
