--- a/pkg/gateway/sharedstate.go
+++ b/pkg/gateway/sharedstate.go
@@ -17,7 +17,9 @@
 
 // sharedStates returns all parts.
 func (g *Gateway) sharedStates() []sharedState {
-	return []sharedState{(*sharedLoads)(g), (*sharedBudget)(g), (*sharedLeaving)(g), (*sharedDrains)(g), (*sharedPrompts)(g), (*sharedRateLimits)(g)}
+	return []sharedState{
+		(*sharedLoads)(g), (*sharedBudget)(g), (*sharedLeaving)(g), (*sharedDrains)(g), (*sharedEvacuations)(g), (*sharedPrompts)(g), (*sharedRateLimits)(g),
+	}
 }
 
 // sharedLoads are the requests in flight at backend servers.
