Stage expert map changes

Callers saw late events after each change of the demand for experts where a copy takes 76 ms: a change copied 43 to 150 experts at once, and the map came into use when the busiest rank had copied its last one, 0.42 to 0.76 s later.

Cause: a plan bounded the copies of a rank for each set only, so that one rank copied many more than the mean, and all gains waited for the smallest. The planner also waited for the copies before it read counts again.

Change: evenplan.MakeStaged makes the moves of all sets with the most gain for each copy first, under a rising bound on the copies of a rank over all sets, and returns the stage that minimises the skew summed over the time of the change. The time of a copy comes from expertMb and linkMbps of the engine configuration; without them, or where the largest change takes less than the fixed time of a stage, the plan is as before. Orders to prepare are sent while the rounds continue. A stage is planned right after the switch to the one before it. A stage has its own time limit; a rank that does not finish its copies gets no new experts for 5 s.

--- a/pkg/evenplan/evenplan.go
+++ b/pkg/evenplan/evenplan.go
@@ -15,6 +15,11 @@
 	Places int
 	// Spare is the maximum number of experts of one set that one change may add to a rank.
 	Spare int
+	// RankCopies is the maximum number of experts that one change may add to a rank, summed over the
+	// sets; 0 means no such limit. Only MakeStaged applies it.
+	RankCopies int
+	// NoCopies marks the ranks that cannot copy experts at present; nil if there is none.
+	NoCopies []bool
 	// Slowdown is how many times as long as usual each rank takes; nil if no rank is slow.
 	Slowdown []float64
 	// MinCopyGain is the least reduction of the load of a set's most loaded rank for each copied
@@ -26,12 +31,16 @@
 type Plan struct {
 	// Sets lists the experts of each rank by set.
 	Sets [][][]int
-	// Copies is the number of experts that must be copied.
-	Copies int
+	// Copies is the number of experts that must be copied, RankCopies that of the busiest rank.
+	Copies, RankCopies int
+	// Stages is the number of stages in which the whole change is best made, this one included.
+	Stages int
 	// Before and After are the loads of the most loaded ranks with the present map and with the new
 	// one, averaged over the sets, as multiples of the mean load. The load of a slow rank is
 	// multiplied by its slowdown.
 	Before, After float64
+	// Whole is the load After would be if the whole change were made at once.
+	Whole float64
 }
 
 // Uniform assigns the experts to the ranks round-robin, as a group does when it forms.
@@ -64,8 +73,9 @@
 // Make returns a better map than the present one for the demand of each set, or the present map if
 // it finds none.
 func Make(l Limits, present [][][]int, demand []Demand) Plan {
-	plan := Plan{Sets: make([][][]int, len(present))}
+	plan := Plan{Sets: make([][][]int, len(present)), Stages: 1}
 	sets := float64(max(len(present), 1))
+	var copied []int
 	for s, ranks := range present {
 		st := newState(ranks, demand[s], l)
 		before := st.skew()
@@ -74,11 +84,19 @@
 			// The moves lower a norm of the loads, but may raise the largest load.
 			st, copies = newState(ranks, demand[s], l), 0
 		}
+		if copied == nil {
+			copied = make([]int, len(ranks))
+		}
+		for r, n := range st.added {
+			copied[r] += n
+			plan.RankCopies = max(plan.RankCopies, copied[r])
+		}
 		plan.Before += before / sets
 		plan.Copies += copies
 		plan.After += st.skew() / sets
 		plan.Sets[s] = st.sortedExperts()
 	}
+	plan.Whole = plan.After
 	return plan
 }
 
@@ -102,7 +120,9 @@
 	loadPower [][]float64
 	powerSum  []float64
 	// added counts the experts on each rank that the present map does not place there.
-	added   []int
+	added []int
+	// budget bounds the added experts of each rank over all sets; nil if there is no such bound.
+	budget  *rankBudget
 	scratch scratch
 }
 
@@ -165,6 +185,9 @@
 	return l.Slowdown[rank]
 }
 
+// cannotCopy reports whether a rank cannot copy experts at present.
+func (l Limits) cannotCopy(rank int) bool { return rank < len(l.NoCopies) && l.NoCopies[rank] }
+
 // addLoad adds a fraction of an expert's demand to the load of a rank, multiplied by the rank's
 // slowdown.
 func (st *state) addLoad(r, e int, fraction float64) {
@@ -316,9 +339,11 @@
 
 // leastLoadedRanks returns up to maxTargets ranks with the least total load.
 func (st *state) leastLoadedRanks() []int {
-	ranks := make([]int, len(st.total))
-	for r := range ranks {
-		ranks[r] = r
+	ranks := make([]int, 0, len(st.total))
+	for r := range st.total {
+		if !st.budget.exhausted(r) && !st.limits.cannotCopy(r) {
+			ranks = append(ranks, r)
+		}
 	}
 	slices.SortFunc(ranks, func(a, b int) int { return cmp.Compare(st.total[a], st.total[b]) })
 	return ranks[:min(len(ranks), maxTargets)]
@@ -357,7 +382,7 @@
 			return -1
 		}
 		if replacement.in >= 0 && !st.initial[replacement.rank][replacement.in] {
-			if st.added[replacement.rank] >= st.limits.Spare {
+			if st.added[replacement.rank] >= st.limits.Spare || st.budget.exhausted(replacement.rank) || st.limits.cannotCopy(replacement.rank) {
 				return -1
 			}
 			cost++
@@ -386,6 +411,7 @@
 	st.addLoad(r, e, 1/float64(st.copies[e]))
 	if !st.initial[r][e] {
 		st.added[r]++
+		st.budget.add(r, 1)
 	}
 }
 
@@ -396,6 +422,7 @@
 	st.onRank[r][e] = false
 	if !st.initial[r][e] {
 		st.added[r]--
+		st.budget.add(r, -1)
 	}
 	st.setCopies(e, st.copies[e]-1)
 }
--- a/pkg/fleet/configuration.go
+++ b/pkg/fleet/configuration.go
@@ -97,8 +97,23 @@
 	ExpertShare float64
 	// FormTime is how long a group takes to form again after it broke.
 	FormTime time.Duration
+	// ExpertMB is the size of an expert in megabytes, LinkMbps the rate in megabits
+	// per second at which a rank copies experts; 0 if they are not stated.
+	ExpertMB, LinkMbps float64
 }
 
+// CopyTime returns the time in which a rank copies one expert; 0 if the
+// configuration does not state it.
+func (e *Engine) CopyTime() time.Duration {
+	if !(e.ExpertMB > 0 && e.LinkMbps > 0) {
+		return 0
+	}
+	return time.Duration(min(e.ExpertMB*8/e.LinkMbps, maxCopyTime.Seconds()) * float64(time.Second))
+}
+
+// maxCopyTime bounds CopyTime: the configuration is not checked for sense.
+const maxCopyTime = time.Minute
+
 // Service is a set of interchangeable backend servers.
 type Service struct {
 	Name       string
--- a/pkg/rankagent/planner.go
+++ b/pkg/rankagent/planner.go
@@ -64,6 +64,9 @@
 	MinPlanInterval = 150 * time.Millisecond
 	// nextMapTimeout is how long the ranks may take to prepare the next map before it is abandoned.
 	nextMapTimeout = 4 * time.Second
+	// pendingInterval is the time between two rounds while the ranks are about to begin the pass with a
+	// new map, or while more stages of a change are to be planned.
+	pendingInterval = 20 * time.Millisecond
 )
 
 // planner plans the expert maps of the groups of one service.
@@ -105,10 +108,14 @@
 	next           rankcontrol.Map
 	nextVersion    int64
 	nextSentAt     time.Time
+	preparation    *preparation
+	stages         stages
 	lastChange     time.Time
 	passTimer      passTimer
 	armingEstimate armingEstimate
 	formingPhase   formingPhase
+	// digest is the group's newest digest.
+	digest *gossip.Digest
 	// pauseReason says why the group is not being planned; it is empty while the group is planned.
 	pauseReason string
 }
@@ -175,21 +182,41 @@
 // one copy experts, another may need a new map. An error means that this planner must stop.
 func (p *planner) runGroup(ctx context.Context, name string) error {
 	g := &group{name: name}
+	defer func() { g.preparation.abandon() }()
 	for ctx.Err() == nil {
 		var err error
 		if panicked := panics.Catch(func() { err = p.round(ctx, g) }); panicked != nil {
 			p.log.Error("a planning round failed; the group is read anew", zap.String("group", name), telemetry.Err(panicked))
+			g.preparation.abandon()
 			g = &group{name: name}
 		}
 		if err != nil {
 			p.log.Warn("planning stopped", zap.String("group", name), telemetry.Err(err))
 			return err
 		}
-		wait.For(ctx, roundInterval)
+		g.awaitRound(ctx)
 	}
 	return nil
 }
 
+// awaitRound waits until the next round of the group is due.
+func (g *group) awaitRound(ctx context.Context) {
+	interval := roundInterval
+	if (g.stages.switching || g.stages.more) && time.Since(g.lastChange) < resolveTimeout {
+		interval = pendingInterval
+	}
+	if g.preparation == nil {
+		wait.For(ctx, interval)
+		return
+	}
+	prepared, cancel := context.WithTimeout(ctx, interval)
+	defer cancel()
+	select {
+	case <-prepared.Done():
+	case <-g.preparation.done:
+	}
+}
+
 // round reconciles a group once. An error means that this planner must stop.
 func (p *planner) round(ctx context.Context, g *group) error {
 	servers := p.members()[g.name]
@@ -203,6 +230,9 @@
 		return nil // ctx has ended
 	}
 	defer p.concurrency.Release(ranks)
+	if g.preparation.ended() {
+		return p.switchAfterPreparation(ctx, g)
+	}
 	return p.reconcileGroup(ctx, g, servers, engine)
 }
 
@@ -240,13 +270,15 @@
 		return nil
 	}
 	if epoch := statuses[0].Report.Epoch; g.epoch != epoch || g.shape != shape {
-		*g = group{name: g.name, epoch: epoch, shape: shape, armingEstimate: g.armingEstimate, demand: popularity.New(len(servers), engine.Sets, engine.Experts, DemandHalfLife)}
+		g.preparation.abandon()
+		*g = group{name: g.name, epoch: epoch, shape: shape, armingEstimate: g.armingEstimate, stages: stages{overhead: g.stages.overhead}, demand: popularity.New(len(servers), engine.Sets, engine.Experts, DemandHalfLife)}
 		g.formingPhase.begin(now, statuses[0].Report.Map)
 	}
 	if g.formingPhase.active(now) {
 		digest.State = fleet.GroupForming
 	}
 	p.agent.sendDigest(digest)
+	g.digest = digest
 	g.passTimer.observe(now, statuses[0].Report.Step)
 	g.demand.DecayTo(now)
 	for r, s := range statuses {
@@ -254,13 +286,18 @@
 	}
 	if g.demand.MergeWindows() {
 		p.log.Info("expert demand has shifted; earlier counts are discarded", zap.String("group", g.name))
+		g.stages.demandShifted(now)
 	}
-	err = p.advance(ctx, g, servers, statuses, engine)
-	if digest.State == fleet.GroupForming && !g.formingPhase.active(time.Now()) {
-		digest.State = fleet.GroupOpen
-		p.agent.sendDigest(digest)
+	g.stages.reading.observe(time.Since(now))
+	return p.advance(ctx, g, servers, statuses, engine)
+}
+
+// announceOpen tells the entries that the group's first map is in use, if it is.
+func (p *planner) announceOpen(g *group) {
+	if g.digest != nil && g.digest.State == fleet.GroupForming && !g.formingPhase.active(time.Now()) {
+		g.digest.State = fleet.GroupOpen
+		p.agent.sendDigest(g.digest)
 	}
-	return err
 }
 
 // setPauseReason records why a group is not being planned, empty if it is, and logs each change.
@@ -343,7 +380,13 @@
 // advance does what a group needs next: recovery, the switch to a prepared map, or a new plan.
 func (p *planner) advance(ctx context.Context, g *group, servers []fleet.Server, statuses []rankStatus, engine *fleet.Engine) error {
 	f := p.switchGroup(g, servers)
-	if !g.resolved || hasStaleHold(statuses) {
+	if stale := hasStaleHold(statuses); stale || !g.resolved {
+		if g.preparation != nil && !stale {
+			return nil // its orders would be refused after those of the recovery
+		}
+		if g.preparation != nil {
+			p.abandonStage(g, "another planner has held the group")
+		}
 		return p.resolveGroup(ctx, g, f)
 	}
 	version := statuses[0].Report.Map
@@ -358,6 +401,7 @@
 		return nil
 	}
 	p.setPauseReason(g, "")
+	g.stages.switching = false
 	if g.next != nil {
 		return p.switchWhenPrepared(ctx, g, f, statuses)
 	}
@@ -426,54 +470,100 @@
 	return nil
 }
 
-// plan makes the ranks prepare a better map if there is one, and tries to switch to it.
+// plan makes the ranks prepare the first stage of a better map if there is one.
 func (p *planner) plan(ctx context.Context, g *group, f *mapswitch.Group, statuses []rankStatus, engine *fleet.Engine) error {
-	if time.Since(g.lastChange) < MinPlanInterval || g.demand.TotalChoices() < minChoices {
+	if !g.stages.more && time.Since(g.lastChange) < MinPlanInterval || g.demand.TotalChoices() < minChoices {
 		return nil
 	}
-	limits := evenplan.Limits{Places: engine.Places, Spare: engine.Spare, MinCopyGain: MinCopyGain / float64(len(f.Ranks))}
+	began := time.Now()
+	limits := evenplan.Limits{Places: engine.Places, Spare: engine.Spare, MinCopyGain: MinCopyGain / float64(len(f.Ranks)), NoCopies: g.stages.unable(began, len(f.Ranks))}
 	for _, s := range statuses {
 		limits.Slowdown = append(limits.Slowdown, s.Report.Slowdown)
 	}
-	began := time.Now()
-	plan := evenplan.Make(limits, g.current, g.demand.Samples())
-	if plan.Before-plan.After < MinPlanGain {
-		p.log.Debug("expert map kept: the best plan gains too little", zap.Float64("skewBefore", plan.Before), zap.Float64("skewAfter", plan.After))
+	cost := evenplan.StageCost{Copy: engine.CopyTime(), Fixed: g.stages.fixedTime()}
+	plan := evenplan.MakeStaged(limits, g.current, g.demand.Samples(), cost)
+	planningTime := time.Since(began)
+	g.stages.planning.observe(planningTime)
+	if plan.Before-plan.Whole < g.stages.minGain() {
+		p.log.Debug("expert map kept: the best plan gains too little", zap.Float64("skewBefore", plan.Before), zap.Float64("skewAfter", plan.Whole))
+		g.stages.end()
 		return nil
 	}
-	planningTime := time.Since(began)
 	version, err := p.fences.NextVersion()
 	if err != nil {
 		return err
 	}
-	err = f.Prepare(ctx, version, plan.Sets, g.currentVersion, g.current)
+	g.stages.begin(began, plan, cost)
+	g.next, g.nextVersion, g.nextSentAt = plan.Sets, version, began
+	g.preparation = prepare(ctx, f, version, plan.Sets, g.currentVersion, g.current)
 	p.log.Info("prepare an expert map", zap.String("group", g.name), zap.Int64("epoch", g.epoch), zap.Int64("version", version),
-		zap.Float64("skewBefore", plan.Before), zap.Float64("skewAfter", plan.After), zap.Int("copies", plan.Copies),
-		zap.Float64("maxSlowdown", slices.Max(limits.Slowdown)),
-		zap.Float64("expertChoices", g.demand.TotalChoices()), zap.Duration("planningTime", planningTime), zap.Duration("took", time.Since(began)), telemetry.Err(err))
-	p.agent.scope.Counter("maps_prepared").Inc(1)
+		zap.Float64("skewBefore", plan.Before), zap.Float64("skewAfter", plan.After), zap.Float64("skewAfterAllStages", plan.Whole),
+		zap.Int("stage", g.stages.number), zap.Int("stages", g.stages.number-1+plan.Stages), zap.Int("copies", plan.Copies), zap.Int("rankCopies", plan.RankCopies),
+		zap.Duration("copyTime", cost.Copy), zap.Duration("fixedTime", cost.Fixed), zap.Float64("maxSlowdown", slices.Max(limits.Slowdown)),
+		zap.Float64("expertChoices", g.demand.TotalChoices()), zap.Duration("planningTime", planningTime))
+	scope := p.agent.scope
+	scope.Counter("maps_prepared").Inc(1)
+	scope.Counter("experts_copied").Inc(int64(plan.Copies))
+	scope.Gauge("map_skew_before").Update(plan.Before)
+	scope.Gauge("map_skew_after").Update(plan.After)
+	return nil
+}
+
+// switchAfterPreparation switches to the next map once the orders to prepare it have been answered. An
+// agent answers when the experts have been copied.
+func (p *planner) switchAfterPreparation(ctx context.Context, g *group) error {
+	done := g.preparation
+	g.preparation = nil
 	g.lastChange = time.Now()
-	if err != nil {
-		return onlyFinal(err)
+	if done.err != nil {
+		p.log.Warn("expert map abandoned: not every rank accepted the order to prepare it", zap.String("group", g.name), zap.Int64("version", g.nextVersion),
+			zap.Duration("took", done.took), telemetry.Err(done.err))
+		p.abandonStage(g, "")
+		return onlyFinal(done.err)
 	}
-	g.next, g.nextVersion, g.nextSentAt = plan.Sets, version, time.Now()
-	return p.switchOver(ctx, g, f)
+	if done.took >= prepareTimeout || !g.resolved {
+		return nil // the ranks' reports tell when all have finished their copies
+	}
+	done.group.PassTime, done.group.ArmingTime = g.passTimer.passTime, g.armingEstimate.current()
+	return p.switchOver(ctx, g, done.group)
 }
 
 // switchWhenPrepared switches to the next map once every rank has prepared it, and abandons the map
-// after nextMapTimeout.
+// after the time limit of its stage, or if its gain is lost because the demand has shifted since.
 func (p *planner) switchWhenPrepared(ctx context.Context, g *group, f *mapswitch.Group, statuses []rankStatus) error {
-	if time.Since(g.nextSentAt) > nextMapTimeout {
+	if time.Since(g.nextSentAt) > g.stages.timeLimit() {
+		for r, s := range statuses {
+			if s.Report.Prepared != g.nextVersion {
+				g.stages.setUnable(r, time.Now())
+				p.log.Warn("a rank has not finished its copies in time; it gets no new experts for a while", zap.String("group", g.name), zap.Int("rank", r),
+					zap.Duration("limit", g.stages.timeLimit()), zap.Duration("pause", unableTime))
+			}
+		}
 		p.log.Warn("expert map abandoned: not every rank could switch to it in time", zap.String("group", g.name), zap.Int64("version", g.nextVersion))
-		g.next = nil
+		p.abandonStage(g, "")
 		return nil
 	}
-	if slices.ContainsFunc(statuses, func(s rankStatus) bool { return s.Report.Prepared != g.nextVersion }) {
+	if g.preparation != nil || slices.ContainsFunc(statuses, func(s rankStatus) bool { return s.Report.Prepared != g.nextVersion }) {
 		return nil
 	}
 	return p.switchOver(ctx, g, f)
 }
 
+// abandonStage gives up the map that the ranks prepare, if there is one. The reason is logged unless it is
+// empty.
+func (p *planner) abandonStage(g *group, reason string) {
+	if g.next == nil {
+		return
+	}
+	if reason != "" {
+		p.log.Info("expert map abandoned", zap.String("group", g.name), zap.Int64("version", g.nextVersion), zap.String("reason", reason))
+	}
+	g.preparation.abandon()
+	g.preparation, g.next = nil, nil
+	g.stages.end()
+	p.agent.scope.Counter("maps_abandoned").Inc(1)
+}
+
 // switchOver switches to the next map. If a rank has not prepared the map yet, the switch is
 // reverted, which costs only a few orders, and tried again once the ranks report that they have.
 func (p *planner) switchOver(ctx context.Context, g *group, f *mapswitch.Group) error {
@@ -482,18 +572,25 @@
 	began := time.Now()
 	err := f.Switch(ctx, g.nextVersion)
 	g.armingEstimate.observe(f.LastArmingTime)
+	g.stages.arming.observe(time.Since(began))
+	g.lastChange = time.Now()
+	sinceChange := g.stages.sinceNoticed(g.lastChange)
 	p.log.Info("switch to an expert map", zap.String("group", g.name), zap.Int64("epoch", g.epoch), zap.Int64("version", g.nextVersion),
 		zap.Duration("took", time.Since(began)), zap.Duration("armingTime", f.LastArmingTime), zap.Duration("passTime", f.PassTime),
+		zap.Duration("sinceNoticed", sinceChange), zap.Duration("sincePlanned", time.Since(g.nextSentAt)),
 		zap.Int64("unansweredOrders", f.Unanswered()), telemetry.Err(err))
-	g.lastChange = time.Now()
 	if errors.Is(err, mapswitch.ErrNotSwitched) {
 		return onlyFinal(err)
 	}
 	if err != nil {
 		g.resolved, g.next = false, nil
+		g.stages.end()
 		return onlyFinal(err)
 	}
 	p.agent.scope.Counter("maps_switched").Inc(1)
+	p.agent.scope.Timer("noticed_to_switch").Record(sinceChange)
+	g.stages.switched()
 	g.formingPhase.end()
+	p.announceOpen(g)
 	return nil
 }
--- a/pkg/rankagent/remote.go
+++ b/pkg/rankagent/remote.go
@@ -108,14 +108,14 @@
 	}
 }
 
-// call calls the agent. It returns false if the agent cannot be reached; otherwise the error is the
+// call calls the agent within a timeout. It returns false if the agent cannot be reached; otherwise the error is the
 // one that the agent returned, or the cause of the end of ctx.
-func (r *remoteRank) call(ctx context.Context, method string, params, result any) (bool, error) {
+func (r *remoteRank) call(ctx context.Context, timeout time.Duration, method string, params, result any) (bool, error) {
 	conn := r.connect()
 	if conn == nil {
 		return false, nil
 	}
-	call, cancel := context.WithTimeout(ctx, r.timeout)
+	call, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	err := conn.Call(call, method, params, result)
 	if err == nil || !problem.Is(err, problem.Unavailable) {
@@ -133,7 +133,7 @@
 func (r *remoteRank) status(ctx context.Context, request statusRequest) (rankStatus, error) {
 	var s rankStatus
 	request.Planner = r.planner
-	if answered, err := r.call(ctx, methodStatus, request, &s); answered {
+	if answered, err := r.call(ctx, r.timeout, methodStatus, request, &s); answered {
 		return s, err
 	}
 	s, err := readStatus(ctx, r.direct, statusRequest{Map: request.Map})
@@ -163,17 +163,23 @@
 // full map if it does not know the base.
 func (r *remoteRank) Order(ctx context.Context, o rankcontrol.Order) (rankcontrol.Verdict, error) {
 	var reply orderReply
+	timeout := r.timeout
+	if o.Operation == rankcontrol.Prepare {
+		// The agent answers when the experts have been copied. Without the longer timeout, the
+		// connection would be closed under the status calls meanwhile.
+		timeout += prepareTimeout
+	}
 	if len(o.Changes) > 0 {
 		delta := o
 		delta.Map = nil
-		answered, err := r.call(ctx, methodOrder, delta, &reply)
+		answered, err := r.call(ctx, timeout, methodOrder, delta, &reply)
 		if answered && (err != nil || reply.Verdict != rankcontrol.UnknownBase) {
 			return reply.Verdict, err
 		}
 	}
 	full := o
 	full.Base, full.Changes, full.Formation = 0, nil, nil
-	if answered, err := r.call(ctx, methodOrder, full, &reply); answered {
+	if answered, err := r.call(ctx, timeout, methodOrder, full, &reply); answered {
 		return reply.Verdict, err
 	}
 	if r.fencedByAgent {
