Read counts once per switch and review a stage after a shift

Callers saw nothing of this yet; it limits the cost of the stages.

Cause: the rounds right after a switch come each 20 ms, and the answers with counts fill most of the planner's link. Moves of two ranks were allocated one by one in the search, which the processor of an agent pays for.

Change: counts are read once until the new map is in use. A stage whose gain is lost after a shift is abandoned. Moves are values.

--- a/pkg/evenplan/evaluation.go
+++ b/pkg/evenplan/evaluation.go
@@ -42,9 +42,9 @@
 		t.slot[r] = 0
 	}
 	t.shifts, t.ranks, t.delta = t.shifts[:0], t.ranks[:0], t.delta[:0]
-	other := move{in: -1, out: -1}
-	if m.second != nil {
-		other = *m.second
+	other := replacement{in: -1, out: -1}
+	if m.paired {
+		other = m.second
 	}
 	if m.in >= 0 {
 		st.relocate(m.in, m.rank, sourceRank(other, m.in))
@@ -64,9 +64,9 @@
 	}
 }
 
-// sourceRank returns the rank from which a move removes an expert, regardless of m.second; -1 if it
-// does not remove the expert.
-func sourceRank(m move, expert int) int {
+// sourceRank returns the rank from which a replacement removes an expert; -1 if it does not remove the
+// expert.
+func sourceRank(m replacement, expert int) int {
 	if m.out == expert {
 		return m.rank
 	}
--- a/pkg/evenplan/evenplan.go
+++ b/pkg/evenplan/evenplan.go
@@ -248,11 +248,24 @@
 
 func eighthRoot(v float64) float64 { return math.Sqrt(math.Sqrt(math.Sqrt(max(v, 0)))) }
 
-// move replaces expert out on a rank by expert in; -1 means no expert.
+// replacement replaces expert out on a rank by expert in; -1 means no expert.
+type replacement struct{ rank, in, out int }
+
+// move is a replacement on one rank, and one on a second rank if paired is true.
 type move struct {
-	rank, in, out int
-	// second is the replacement on a second rank; nil if there is none.
-	second *move
+	replacement
+	second replacement
+	paired bool
+}
+
+// replacements returns the replacements of a move.
+func (m *move) replacements() [2]replacement { return [2]replacement{m.replacement, m.second} }
+
+func (m *move) count() int {
+	if m.paired {
+		return 2
+	}
+	return 1
 }
 
 // improve makes moves while they are worth their cost, and returns the number of experts that must
@@ -352,22 +365,22 @@
 // tryExpert calls try for each move that takes load of one expert off a rank.
 func (st *state) tryExpert(heavy, e int, light []int, try func(move)) {
 	if st.copies[e] > 1 {
-		try(move{rank: heavy, in: -1, out: e})
+		try(move{replacement: replacement{heavy, -1, e}})
 	}
 	for _, r := range light {
 		if r == heavy || st.onRank[r][e] {
 			continue
 		}
 		if len(st.holds[r]) < st.limits.Places {
-			try(move{rank: r, in: e, out: -1})
-			try(move{rank: r, in: e, out: -1, second: &move{rank: heavy, in: -1, out: e}})
+			try(move{replacement: replacement{r, e, -1}})
+			try(move{replacement: replacement{r, e, -1}, second: replacement{heavy, -1, e}, paired: true})
 		}
 		for _, x := range st.holds[r] {
 			if st.copies[x] > 1 {
-				try(move{rank: r, in: e, out: x})
+				try(move{replacement: replacement{r, e, x}})
 			}
 			if !st.onRank[heavy][x] {
-				try(move{rank: r, in: e, out: x, second: &move{rank: heavy, in: x, out: e}})
+				try(move{replacement: replacement{r, e, x}, second: replacement{heavy, x, e}, paired: true})
 			}
 		}
 	}
@@ -376,23 +389,37 @@
 // copyCost returns the number of experts that a move copies. It returns -1 if the limits forbid the
 // move or a rank would be left without experts.
 func (st *state) copyCost(m move) int {
-	cost := 0
-	for replacement := &m; replacement != nil; replacement = replacement.second {
-		if replacement.in < 0 && len(st.holds[replacement.rank]) == 1 {
+	cost := st.replacementCost(m.replacement)
+	if cost < 0 || !m.paired {
+		return cost
+	}
+	second := st.replacementCost(m.second)
+	if second < 0 {
+		return -1
+	}
+	return cost + second
+}
+
+// replacementCost returns the number of experts that a replacement copies, or -1 as copyCost does.
+func (st *state) replacementCost(m replacement) int {
+	if m.in < 0 {
+		if len(st.holds[m.rank]) == 1 {
 			return -1
 		}
-		if replacement.in >= 0 && !st.initial[replacement.rank][replacement.in] {
-			if st.added[replacement.rank] >= st.limits.Spare || st.budget.exhausted(replacement.rank) || st.limits.cannotCopy(replacement.rank) {
-				return -1
-			}
-			cost++
-		}
+		return 0
+	}
+	if st.initial[m.rank][m.in] {
+		return 0
+	}
+	if st.added[m.rank] >= st.limits.Spare || st.budget.exhausted(m.rank) || st.limits.cannotCopy(m.rank) {
+		return -1
 	}
-	return cost
+	return 1
 }
 
 func (st *state) apply(m move) {
-	for replacement := &m; replacement != nil; replacement = replacement.second {
+	parts := m.replacements()
+	for _, replacement := range parts[:m.count()] {
 		if replacement.in >= 0 {
 			st.addCopy(replacement.rank, replacement.in)
 		}
--- a/pkg/evenplan/stages.go
+++ b/pkg/evenplan/stages.go
@@ -70,13 +70,14 @@
 
 // MakeStaged plans a better map as Make does, but returns only the first stage of the change if it takes
 // less time, summed over the skew of the passes meanwhile, to make the change in several stages. The stages
-// are bounded by the copies of a rank over all sets. Without a time of a copy it is Make.
+// are bounded by the copies of a rank over all sets. Where the largest change takes no longer than a stage
+// without copies, or the time of a copy is unknown, it is Make.
 func MakeStaged(l Limits, present [][][]int, demand []Demand, cost StageCost) Plan {
-	if len(present) == 0 || cost.Copy*time.Duration(l.Spare*len(present)) <= cost.Fixed {
+	if len(present) == 0 || l.RankCopies == 0 && cost.Copy*time.Duration(l.Spare*len(present)) <= cost.Fixed {
 		return Make(l, present, demand)
 	}
 	p := newStagedPlan(l, present, demand)
-	p.makeLevels(l.RankCopies, 0)
+	p.makeLevels(l.RankCopies)
 	chosen, stages := firstStage(p.levels, cost)
 	return p.plan(present, chosen, stages)
 }
@@ -93,13 +94,10 @@
 	return p
 }
 
-// makeLevels raises the bound on the copies of a rank from first until no move is left or the bound is
-// limit; 0 means no limit.
-func (p *stagedPlan) makeLevels(limit, first int) {
+// makeLevels raises the bound on the copies of a rank until no move is left or the bound is limit; 0 means
+// no limit.
+func (p *stagedPlan) makeLevels(limit int) {
 	bound := 0
-	if first > 0 {
-		bound = first - 1
-	}
 	for {
 		bound = nextBound(bound)
 		if limit > 0 {
@@ -114,9 +112,9 @@
 	}
 }
 
-// nextBound returns the next larger bound on the copies of a rank. Larger bounds are further apart, because
-// the search for moves is repeated for each.
-func nextBound(bound int) int { return bound + 1 + bound/4 }
+// nextBound returns the next larger bound on the copies of a rank. Bounds double, because the search for
+// moves is repeated for each.
+func nextBound(bound int) int { return max(2*bound, 1) }
 
 // improve makes moves within the present bound, those with the most gain for each copy first.
 func (p *stagedPlan) improve() {
@@ -219,7 +217,8 @@
 
 // applyTo makes the move in a list of the experts of each rank.
 func (m move) applyTo(ranks [][]int) {
-	for replacement := &m; replacement != nil; replacement = replacement.second {
+	parts := m.replacements()
+	for _, replacement := range parts[:m.count()] {
 		if replacement.in >= 0 {
 			ranks[replacement.rank] = append(ranks[replacement.rank], replacement.in)
 		}
--- a/pkg/rankagent/planner.go
+++ b/pkg/rankagent/planner.go
@@ -65,7 +65,7 @@
 	// nextMapTimeout is how long the ranks may take to prepare the next map before it is abandoned.
 	nextMapTimeout = 4 * time.Second
 	// pendingInterval is the time between two rounds while the ranks are about to begin the pass with a
-	// new map, or while more stages of a change are to be planned.
+	// new map.
 	pendingInterval = 20 * time.Millisecond
 )
 
@@ -202,7 +202,7 @@
 // awaitRound waits until the next round of the group is due.
 func (g *group) awaitRound(ctx context.Context) {
 	interval := roundInterval
-	if (g.stages.switching || g.stages.more) && time.Since(g.lastChange) < resolveTimeout {
+	if g.stages.switching && time.Since(g.lastChange) < resolveTimeout {
 		interval = pendingInterval
 	}
 	if g.preparation == nil {
@@ -254,7 +254,12 @@
 // and advances the group's expert map.
 func (p *planner) reconcileGroup(ctx context.Context, g *group, servers []fleet.Server, engine *fleet.Engine) error {
 	now := time.Now()
-	members := p.readStatuses(ctx, fleet.NewestByAddress(servers), windowRequests(len(servers)))
+	request := windowRequests(len(servers))
+	counted := g.stages.countsDue()
+	if !counted {
+		request = func(int) statusRequest { return statusRequest{} }
+	}
+	members := p.readStatuses(ctx, fleet.NewestByAddress(servers), request)
 	digest := p.digest(g.name, members)
 	servers, statuses, err := orderedRanks(members)
 	if err != nil {
@@ -284,11 +289,14 @@
 	for r, s := range statuses {
 		g.demand.Observe(r, s.Window)
 	}
-	if g.demand.MergeWindows() {
-		p.log.Info("expert demand has shifted; earlier counts are discarded", zap.String("group", g.name))
-		g.stages.demandShifted(now)
+	if counted {
+		g.stages.reading.observe(time.Since(now))
+		if g.demand.MergeWindows() {
+			p.log.Info("expert demand has shifted; earlier counts are discarded", zap.String("group", g.name))
+			g.stages.demandShifted(now)
+			p.reviewStage(g)
+		}
 	}
-	g.stages.reading.observe(time.Since(now))
 	return p.advance(ctx, g, servers, statuses, engine)
 }
 
@@ -549,6 +557,17 @@
 	return p.switchOver(ctx, g, f)
 }
 
+// reviewStage abandons the stage that the ranks prepare if the demand has shifted so that its gain is lost.
+func (p *planner) reviewStage(g *group) {
+	if g.next == nil || g.preparation == nil || g.preparation.ended() || g.current == nil {
+		return
+	}
+	demand := g.demand.Samples()
+	if evenplan.Skew(g.current, demand)-evenplan.Skew(g.next, demand) < minStageGain {
+		p.abandonStage(g, "the demand has shifted, and its gain is lost")
+	}
+}
+
 // abandonStage gives up the map that the ranks prepare, if there is one. The reason is logged unless it is
 // empty.
 func (p *planner) abandonStage(g *group, reason string) {
--- a/pkg/rankagent/stages.go
+++ b/pkg/rankagent/stages.go
@@ -30,6 +30,8 @@
 	// more is true while more stages of the change are to be planned. switching is true from a switch
 	// until all ranks report that they use the new map.
 	more, switching bool
+	// counted is true if the counts have been read since the last switch.
+	counted bool
 	// noticedAt is when the need for the change was noticed; zero if no change is due.
 	noticedAt time.Time
 	// limit is the time limit of the present stage; 0 means nextMapTimeout.
@@ -76,12 +78,20 @@
 
 // switched records that the stage is in use.
 func (s *stages) switched() {
-	s.switching = true
+	s.switching, s.counted = true, false
 	if !s.more {
 		s.number, s.noticedAt = 0, time.Time{}
 	}
 }
 
+// countsDue reports whether the counts are to be read. Their answers take most of the planner's link, so
+// that they are read only once while the ranks are about to use a new map.
+func (s *stages) countsDue() bool {
+	due := !s.switching || !s.counted
+	s.counted = true
+	return due
+}
+
 // end records that the change is complete or has been given up.
 func (s *stages) end() { s.number, s.more, s.switching, s.noticedAt = 0, false, false, time.Time{} }
 
