Estimate the demand after a shift from the window across it

Callers saw long passes for one stage longer than needed after half of the changes of demand.

Cause: the window in which a shift is noticed usually began before it, or the demand is still shifting. The first stage was planned for the mixture of both demands; in the model of 24 ranks it was estimated to have a skew of 1.67 before the stage where it was 2.59.

Change: the share of the earlier demand in that window is estimated from the experts that lost most of theirs, and subtracted, once for each shift.

--- a/pkg/popularity/popularity.go
+++ b/pkg/popularity/popularity.go
@@ -4,6 +4,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/fescuehub/fescuehub/pkg/evenplan"
@@ -24,6 +25,8 @@
 	// usualDistance is a moving average of the distance of the windows from the demand, as a
 	// fraction of the choices.
 	usualDistance float64
+	// shiftedAt is when the last shift was detected; zero if there was none.
+	shiftedAt time.Time
 }
 
 // New returns an estimator without demand for the experts of a number of ranks.
@@ -60,19 +63,79 @@
 func (e *Estimator) MergeWindows() bool {
 	shifted := e.demandShifted()
 	if shifted {
-		for _, demand := range e.demand {
-			clear(demand)
-		}
+		e.discardEarlier()
 	}
 	for rank, w := range e.pending {
 		for i, root := range w.Roots {
-			e.demand[rank][i] += w.count(root)
+			e.demand[rank][i] = max(e.demand[rank][i]+w.count(root), 0)
 		}
 	}
 	clear(e.pending)
 	return shifted
 }
 
+const (
+	// shiftSettleTime is how long after a shift another one is taken for its continuation. The demand
+	// from before it is then that of the first windows after the shift, which must not be subtracted.
+	shiftSettleTime = 600 * time.Millisecond
+	// maxEarlierShare bounds the share of the earlier demand that is subtracted from windows. What is
+	// left of them holds the variation of the whole windows.
+	maxEarlierShare = 0.75
+	// earlierQuantile is the quantile of the experts' ratios that estimates the share of the earlier
+	// demand: an expert that is no longer in demand has the least ratio.
+	earlierQuantile = 0.05
+)
+
+// discardEarlier discards the demand from before a shift. The pending windows contain a share of it if
+// they began before the shift, or if the demand shifts gradually. That share is left behind as negative
+// counts, from which MergeWindows makes an estimate of the new demand alone.
+func (e *Estimator) discardEarlier() {
+	factor := 0.0
+	if e.shiftedAt.IsZero() || e.decayedAt.Sub(e.shiftedAt) >= shiftSettleTime {
+		factor = -e.earlierFactor()
+	}
+	e.shiftedAt = e.decayedAt
+	for rank, demand := range e.demand {
+		if _, reported := e.pending[rank]; !reported {
+			clear(demand)
+			continue
+		}
+		for i := range demand {
+			demand[i] *= factor
+		}
+	}
+}
+
+// earlierFactor returns the factor with which the earlier demand is contained in the pending windows.
+func (e *Estimator) earlierFactor() float64 {
+	observed, known := make([]float64, len(e.demand[0])), make([]float64, len(e.demand[0]))
+	for rank, w := range e.pending {
+		for i, root := range w.Roots {
+			observed[i] += w.count(root)
+		}
+		for i, d := range e.demand[rank] {
+			known[i] += d
+		}
+	}
+	observedTotal, knownTotal := sum(observed), sum(known)
+	if knownTotal <= 0 {
+		return 0
+	}
+	// Only experts in demand are compared. The ratios of the others vary too much.
+	inDemand := 2 * knownTotal / float64(len(known))
+	var ratios []float64
+	for i, k := range known {
+		if k >= inDemand {
+			ratios = append(ratios, observed[i]/k)
+		}
+	}
+	if len(ratios) == 0 {
+		return 0
+	}
+	slices.Sort(ratios)
+	return min(ratios[int(earlierQuantile*float64(len(ratios)))], maxEarlierShare*observedTotal/knownTotal)
+}
+
 const (
 	// shiftFactor and minShiftDistance separate a shift from the usual variation. Windows of a
 	// tenth of a second differ from the mean of the earlier ones by 0.03 of the choices in large
--- a/pkg/popularity/popularity_test.go
+++ b/pkg/popularity/popularity_test.go
@@ -104,3 +104,46 @@
 		}
 	}
 }
+
+// TestWindowAcrossAShiftShowsTheNewDemand guards the first map after a shift: a window that began before it
+// holds both demands, and a map planned for their mixture must be changed again at once.
+func TestWindowAcrossAShiftShowsTheNewDemand(t *testing.T) {
+	const experts = 40
+	demandOf := func(most int) []float64 {
+		d := make([]float64, experts)
+		for i := range d {
+			d[i] = 2000
+			if i/4 == most {
+				d[i] = 40_000
+			}
+		}
+		return d
+	}
+	earlier, later := demandOf(0), demandOf(5)
+	for _, share := range []float64{0, 0.3, 0.6} { // the share of the window before the shift
+		e := popularity.New(1, 1, experts, 2*time.Second)
+		now := time.Unix(0, 0)
+		observe := func(share float64) bool {
+			w := popularity.Window{Max: 40_000, Roots: make([]byte, experts)}
+			for i := range w.Roots {
+				w.Roots[i] = byte(math.Round(math.Sqrt((share*earlier[i]+(1-share)*later[i])/40_000) * math.MaxUint8))
+			}
+			now = now.Add(100 * time.Millisecond)
+			e.DecayTo(now)
+			e.Observe(0, w)
+			return e.MergeWindows()
+		}
+		for range 20 {
+			observe(1)
+		}
+		if !observe(share) {
+			t.Fatalf("share %v: the shift was not detected", share)
+		}
+		for n := range 5 {
+			if d := e.Samples()[0][0]; d[0] > 2*d[10] || d[20] < 5*d[0] {
+				t.Errorf("share %v, %d windows after the shift: an expert in demand before it has %.4f, one in demand after it %.4f, the others %.4f", share, n, d[0], d[20], d[10])
+			}
+			observe(0)
+		}
+	}
+}
