--- a/pkg/settings/instance.go
+++ b/pkg/settings/instance.go
@@ -55,4 +55,8 @@
 	// UncheckedFences is true unless the engines are known to refuse an order with a lower fence
 	// than they have seen.
 	UncheckedFences bool
+	// ColdOverage and ColdSlack bound the requests at a cold backend server, summed over all entries: in any
+	// second at most ColdOverage x the rate that its service states + ColdSlack. Both 0 stand for the rate alone.
+	ColdOverage float64
+	ColdSlack   float64
 }
