Send cold servers no more requests than they bear

What callers saw: a server that starts during traffic bears a few requests a second and crashes above that, with the requests that it has. All entries turned to it, since it was idle and had no latency yet.

Cause: entries did not use what announcements say about the cold state, and each sees only its own requests.

Change: pkg/coldstart gives each entry a fixed share of the rate that the service states, by rendezvous hashing over the known entries, so that the sum holds without a message. Choose skips a cold server whose share is used, the relay takes the allowance right before an attempt, a request that finds no other server is refused at once with the time until one admits it. After the cold state entries prefer other servers beyond a rate that doubles each second for 3 s. An entry that starts sends nothing to cold servers until a second after it has learned the others. Metrics cold_servers, cold_requests, cold_refusals; two log lines. Inactive for services without a rate.

Partial: where all of few servers are cold, an entry without a share refuses what others could send (docs/design/cold-servers.md).

--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/fescuehub/fescuehub/pkg/coldstart"
 	"github.com/fescuehub/fescuehub/pkg/fleet"
 	"github.com/fescuehub/fescuehub/pkg/ratelimit"
 )
@@ -129,6 +130,7 @@
 	// pauses holds, by server ID, the pauses that servers asked for.
 	pauses map[string]pause
 	limits *ratelimit.Limiter
+	cold   *coldstart.Limiter
 }
 
 // groupState is the last state of a group that its planner reported.
@@ -144,6 +146,7 @@
 func New(limits *ratelimit.Limiter) *Balancer {
 	return &Balancer{
 		limits:         limits,
+		cold:           coldstart.New("", coldstart.Bounds{}),
 		services:       make(map[string][]*server),
 		servers:        make(map[string]*server),
 		entries:        make(map[string]entryLoads),
@@ -181,6 +184,7 @@
 		members[s.Service][state.key()] = append(members[s.Service][state.key()], state)
 	}
 	b.servers, b.services, b.groupMembers = servers, services, members
+	b.cold.SetServers(list)
 	b.forgetGroups()
 }
 
@@ -369,8 +373,9 @@
 	return len(b.services[service])
 }
 
-// Choose returns the server with the lowest cost that is neither excluded nor paused and has reached
-// neither its rate limit nor this entry's share of its connections; a server with a limit may need a permit. In large services it
+// Choose returns the server with the lowest cost that is neither excluded nor paused, has reached
+// neither its rate limit nor this entry's share of its connections, and is not cold or this entry may use it all the
+// same; a server with a limit may need a permit. In large services it
 // compares only a random sample: load reports are older than the interval at which a server gets
 // new requests, so all entries would otherwise choose the same server. random returns uniform
 // values in [0, 1).
@@ -386,6 +391,7 @@
 			candidates = append(candidates, s)
 		}
 	}
+	candidates = b.skipCold(now, candidates)
 	if service.Engine != nil {
 		candidates = skipGroups(candidates, func(key groupKey) bool { return b.isBroken(now, key) })
 		// If all groups are stalled, this process may have been suspended itself.
--- a/pkg/balance/pause.go
+++ b/pkg/balance/pause.go
@@ -44,14 +44,14 @@
 	return current != nil && current.Incarnation == s.Incarnation && !b.isPaused(now, current)
 }
 
-// AcceptsIn returns the time until the first server of a service accepts a request, after its pause and
-// within its rate limit. It is 0 if one accepts a request now or the service has no server.
+// AcceptsIn returns the time until the first server of a service accepts a request, after its pause, within
+// its rate limit and within this entry's share of it while it is cold. It is 0 if one accepts a request now or the service has no server.
 func (b *Balancer) AcceptsIn(now time.Time, service string) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	first := time.Duration(0)
 	for _, s := range b.services[service] {
-		left := b.limits.Wait(now, s.ID, s.Incarnation)
+		left := max(b.limits.Wait(now, s.ID, s.Incarnation), b.cold.Wait(now, s.Server))
 		if b.isPaused(now, s) {
 			left = max(left, b.pauses[s.ID].until.Sub(now))
 		}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -20,6 +20,7 @@
 
 	"github.com/fescuehub/fescuehub/pkg/backendconn"
 	"github.com/fescuehub/fescuehub/pkg/balance"
+	"github.com/fescuehub/fescuehub/pkg/coldstart"
 	"github.com/fescuehub/fescuehub/pkg/directory"
 	"github.com/fescuehub/fescuehub/pkg/fleet"
 	"github.com/fescuehub/fescuehub/pkg/follow"
@@ -106,6 +107,7 @@
 	budget     *retrybudget.Budget
 	prompts    *quarantine.Tracker
 	rateLimits *ratelimit.Limiter
+	cold       *coldstart.Limiter
 	relay      *relay.Relay
 	table      atomic.Pointer[fleet.Table]
 	drain      *drainState
@@ -163,6 +165,7 @@
 		budget:        retrybudget.New(retryLimits(s.Bounds), time.Now()),
 		prompts:       quarantine.New(rand.Float64),
 		rateLimits:    limits,
+		cold:          coldstart.New(s.Name, coldBounds(s.Bounds)),
 		roster:        roster.New(s.Bounds.LeaveGrace),
 		peerAddresses: make(map[string]netip.AddrPort),
 		planners:      make(map[string]planner),
@@ -177,6 +180,7 @@
 
 		quarantineWrites: newPendingWrites(),
 	}
+	g.balancer.LimitCold(g.cold)
 	g.startupCtx, g.endStartup = context.WithTimeout(context.Background(), maxStartupWait)
 	g.addressLifetimeNanos.Store(int64(s.Bounds.AddressLifetime))
 	g.directory = directory.New(directory.Entry{Name: s.Name, Address: s.CallerAddress, FailureDomain: s.FailureDomain})
@@ -198,6 +202,7 @@
 	g.addressLifetimeNanos.Store(int64(b.AddressLifetime))
 	g.budget.SetLimits(b.RetryRatio, b.RetryFloor)
 	g.drain.setGrace(b.Grace)
+	g.cold.SetBounds(coldBounds(b))
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.roster.SetGracePeriod(b.LeaveGrace)
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -43,6 +43,7 @@
 		part.collect(now, state)
 	}
 	g.recordRateLimitUsage()
+	g.recordColdServers(now)
 	if socket != nil {
 		socket.Send(gossip.Message{Entry: state}, to...)
 	}
@@ -216,6 +217,7 @@
 
 // handleEntryState merges the state that another entry has sent.
 func (g *Gateway) handleEntryState(now time.Time, from netip.AddrPort, e *gossip.EntryState) {
+	g.cold.Hear(now, e.Name)
 	g.mu.Lock()
 	change := g.directory.Update(now, directory.Entry{
 		Name: e.Name, Address: e.CallerAddress, Incarnation: e.Incarnation, Sequence: e.Sequence, FailureDomain: e.FailureDomain,
--- a/pkg/gateway/sinks.go
+++ b/pkg/gateway/sinks.go
@@ -31,6 +31,7 @@
 		return
 	}
 	g.table.Store(fleet.NewTable(c))
+	g.cold.SetServices(c.Services)
 	g.log.Info("configuration in force", zap.Int64("version", c.Version), zap.Int64("offset", r.Offset),
 		zap.Int("routes", len(c.Routes)), zap.Int("services", len(c.Services)))
 	g.topics[sharedlog.Operators].markChanged()
@@ -68,6 +69,7 @@
 		g.roster.Unreadable(r.Key)
 	} else {
 		g.roster.Announce(announced)
+		g.cold.Announce(time.Now(), announced)
 	}
 	if g.serversRead && g.refreshServers(time.Now()) {
 		g.topics[sharedlog.Servers].markChanged()
@@ -202,6 +204,7 @@
 		g.log.Warn("skipped an entry's record: it cannot be decoded or has no valid peer address", zap.String("entry", r.Key), zap.Int64("offset", r.Offset), telemetry.Err(err), zap.NamedError("addressError", parseErr))
 		return
 	}
+	g.cold.Hear(time.Now(), r.Key)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.peerAddresses[r.Key] = peer
@@ -221,7 +224,7 @@
 func (s *entriesSink) BeginSnapshot() {}
 
 // EndSnapshot implements follow.Sink.
-func (s *entriesSink) EndSnapshot() {}
+func (s *entriesSink) EndSnapshot() { s.cold.EntriesRead(time.Now()) }
 
 // ReadFailed implements follow.Sink.
 func (s *entriesSink) ReadFailed(error) {}
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -362,6 +362,9 @@
 		if !x.balancer.Accepts(time.Now(), server) {
 			continue // it left, restarted or paused while the request waited
 		}
+		if !x.balancer.TakeCold(time.Now(), server) {
+			continue // it is cold, and has got this entry's share meanwhile
+		}
 		if x.refuseQuarantined(ctx, x.prompts.Acquire) {
 			return
 		}
@@ -388,6 +391,9 @@
 	if reason := x.balancer.RateLimitReason(time.Now(), x.q.Service.Name); reason != "" {
 		return reason
 	}
+	if reason := x.balancer.RefuseCold(time.Now(), x.q.Service.Name); reason != "" {
+		return reason
+	}
 	return "no untried backend server is available"
 }
 
--- a/pkg/relay/wait.go
+++ b/pkg/relay/wait.go
@@ -198,8 +198,8 @@
 	}
 	now := time.Now()
 	slotWait := x.balancer.ExpectedWait(now, x.q.Service, s.ID)
-	if slotWait == 0 && x.limits.Admission(now, s.ID, s.Incarnation) != ratelimit.Unlimited {
-		return "" // a server at its rate limit has free slots, whatever queue stands at the others
+	if slotWait == 0 && (x.limits.Admission(now, s.ID, s.Incarnation) != ratelimit.Unlimited || x.balancer.IsCold(now, s)) {
+		return "" // a cold server or one at its rate limit has free slots, whatever queue stands at the others
 	}
 	limits := balance.QueueLimits{MaxWait: target, MaxWaitStanding: max(target-firstEventTime, 0)}
 	if x.balancer.ShouldRefuse(now, x.q.Service.Name, slotWait, limits) {
