Let failures of a server lose half their weight in 2 s

What callers saw: in a soak, an engine whose last six attempts had failed got no request for 27 s, though nothing closed it and the others had little to do.

Cause: the weight fell as 1/(1 + age/2 s), not by half in each 2 s as failureHalfLife says: after 27 s the failures still cost two requests, more than an idle engine.

Change: the weight halves each 2 s.

The soak was not run.

--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -4,6 +4,7 @@
 package balance
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -295,7 +296,7 @@
 	if age <= 0 || s.failures < 0.001 {
 		return s.failures
 	}
-	return s.failures / (1 + float64(age)/float64(failureHalfLife))
+	return s.failures * math.Exp2(-float64(age)/float64(failureHalfLife))
 }
 
 // AvoidUntil excludes a server until the given time unless there is no other.
