Let the latency of a server age, and leave out refusals

What callers saw: a plain server with a single slow response, or a slow refusal, got no request any more while another one was idle; the other one carried the load of both. TestServerPauseIsHonoured/unsafe failed that way on a busy machine, once in 40 runs.

Cause: the mean latency had no age and counted the time to a refusal, which says nothing about a request that the server runs. Without a request nothing could correct it.

Change: refusals do not count. The latency weighs half after 30 s without a response, and the next one counts the more the older it is.

--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -25,6 +25,10 @@
 	failureCost = 30
 	// latencyWeight is the weight of a new sample in a mean latency.
 	latencyWeight = 0.2
+	// latencyHalfLife is the time in which the latency of a server that gets no requests loses half its weight: a
+	// single slow response must not keep it unused for ever. It is long, since the requests that find a slow server
+	// still slow are late.
+	latencyHalfLife = 30 * time.Second
 	// waitingCost is the additional cost of each request beyond an engine's slots, in requests:
 	// such a request waits for a whole response to end.
 	waitingCost = 4
@@ -87,10 +91,11 @@
 	// failures is the decaying share of failed requests, as of failuresAt.
 	failures   float64
 	failuresAt time.Time
-	// latency is the mean time to the response headers.
-	latency  time.Duration
-	engine   EngineLoad
-	engineAt time.Time
+	// latency is the mean time to the response headers, as of latencyAt.
+	latency   time.Duration
+	latencyAt time.Time
+	engine    EngineLoad
+	engineAt  time.Time
 	// sentSinceReport counts this entry's requests since engineAt.
 	sentSinceReport int
 	// silentSince is when this entry began to wait for any response of the server; zero if it does
@@ -283,14 +288,27 @@
 		failed = 1
 	}
 	s.failures += (failed - s.failures) * 0.25
-	if r.Latency > 0 {
+	// The time to a refusal says nothing about a request that the server runs.
+	if r.Latency > 0 && !r.Refused {
 		if s.latency == 0 {
 			s.latency = r.Latency
 		}
-		s.latency += time.Duration(latencyWeight * float64(r.Latency-s.latency))
+		weight := max(latencyWeight, 1-latencyDecay(now.Sub(s.latencyAt)))
+		s.latency += time.Duration(weight * float64(r.Latency-s.latency))
+		s.latencyAt = now
 	}
 }
 
+// expectedLatency returns the mean latency, weighted by its age.
+func (s *server) expectedLatency(now time.Time) time.Duration {
+	return time.Duration(float64(s.latency) * latencyDecay(now.Sub(s.latencyAt)))
+}
+
+// latencyDecay returns the weight of a latency of an age.
+func latencyDecay(age time.Duration) float64 {
+	return math.Exp2(-float64(max(age, 0)) / float64(latencyHalfLife))
+}
+
 func (s *server) failureRate(now time.Time) float64 {
 	age := now.Sub(s.failuresAt)
 	if age <= 0 || s.failures < 0.001 {
--- a/pkg/balance/cost.go
+++ b/pkg/balance/cost.go
@@ -15,7 +15,7 @@
 		cost = s.engineCost(now, engine, load) + jitterRequests*random
 	} else {
 		// The latency of the server weights its requests.
-		cost = (cost + 1) * (float64(s.latency)/float64(100*time.Millisecond) + 0.3)
+		cost = (cost + 1) * (float64(s.expectedLatency(now))/float64(100*time.Millisecond) + 0.3)
 	}
 	cost += failureCost * s.failureRate(now)
 	if now.Before(s.avoidUntil) {
