--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -4,9 +4,11 @@
 package balance
 
 import (
+	"math"
 	"sync"
 	"time"
 
+	"github.com/fescuehub/fescuehub/pkg/coldstart"
 	"github.com/fescuehub/fescuehub/pkg/fleet"
 	"github.com/fescuehub/fescuehub/pkg/ratelimit"
 )
@@ -23,6 +25,10 @@
 	failureCost = 30
 	// latencyWeight is the weight of a new sample in a mean latency.
 	latencyWeight = 0.2
+	// latencyHalfLife is the time in which the latency of a server that gets no requests loses half its weight: a
+	// single slow response must not keep it unused for ever. It is long, since the requests that find a slow server
+	// still slow are late.
+	latencyHalfLife = 30 * time.Second
 	// waitingCost is the additional cost of each request beyond an engine's slots, in requests:
 	// such a request waits for a whole response to end.
 	waitingCost = 4
@@ -85,10 +91,11 @@
 	// failures is the decaying share of failed requests, as of failuresAt.
 	failures   float64
 	failuresAt time.Time
-	// latency is the mean time to the response headers.
-	latency  time.Duration
-	engine   EngineLoad
-	engineAt time.Time
+	// latency is the mean time to the response headers, as of latencyAt.
+	latency   time.Duration
+	latencyAt time.Time
+	engine    EngineLoad
+	engineAt  time.Time
 	// sentSinceReport counts this entry's requests since engineAt.
 	sentSinceReport int
 	// silentSince is when this entry began to wait for any response of the server; zero if it does
@@ -135,6 +142,7 @@
 	// pauses holds, by server ID, the pauses that servers asked for.
 	pauses map[string]pause
 	limits *ratelimit.Limiter
+	cold   *coldstart.Limiter
 }
 
 // groupState is the last state of a group that its planner reported.
@@ -150,6 +158,7 @@
 func New(limits *ratelimit.Limiter) *Balancer {
 	return &Balancer{
 		limits:         limits,
+		cold:           coldstart.New("", coldstart.Bounds{}),
 		services:       make(map[string][]*server),
 		servers:        make(map[string]*server),
 		entries:        make(map[string]entryLoads),
@@ -189,10 +198,12 @@
 func (b *Balancer) index(list []*server) {
 	services := make(map[string][]*server)
 	members := make(map[string]map[groupKey][]*server)
+	usable := make([]fleet.Server, 0, len(list))
 	for _, s := range list {
 		if s.evacuated = b.evacuated[s.Zone]; s.evacuated {
 			continue
 		}
+		usable = append(usable, s.Server)
 		services[s.Service] = append(services[s.Service], s)
 		if members[s.Service] == nil {
 			members[s.Service] = make(map[groupKey][]*server)
@@ -200,6 +211,7 @@
 		members[s.Service][s.key()] = append(members[s.Service][s.key()], s)
 	}
 	b.services, b.groupMembers = services, members
+	b.cold.SetServers(usable)
 	b.forgetGroups()
 }
 
@@ -297,20 +309,33 @@
 		failed = 1
 	}
 	s.failures += (failed - s.failures) * 0.25
-	if r.Latency > 0 {
+	// The time to a refusal says nothing about a request that the server runs.
+	if r.Latency > 0 && !r.Refused {
 		if s.latency == 0 {
 			s.latency = r.Latency
 		}
-		s.latency += time.Duration(latencyWeight * float64(r.Latency-s.latency))
+		weight := max(latencyWeight, 1-latencyDecay(now.Sub(s.latencyAt)))
+		s.latency += time.Duration(weight * float64(r.Latency-s.latency))
+		s.latencyAt = now
 	}
 }
 
+// expectedLatency returns the mean latency, weighted by its age.
+func (s *server) expectedLatency(now time.Time) time.Duration {
+	return time.Duration(float64(s.latency) * latencyDecay(now.Sub(s.latencyAt)))
+}
+
+// latencyDecay returns the weight of a latency of an age.
+func latencyDecay(age time.Duration) float64 {
+	return math.Exp2(-float64(max(age, 0)) / float64(latencyHalfLife))
+}
+
 func (s *server) failureRate(now time.Time) float64 {
 	age := now.Sub(s.failuresAt)
 	if age <= 0 || s.failures < 0.001 {
 		return s.failures
 	}
-	return s.failures / (1 + float64(age)/float64(failureHalfLife))
+	return s.failures * math.Exp2(-float64(age)/float64(failureHalfLife))
 }
 
 // AvoidUntil excludes a server until the given time unless there is no other.
@@ -388,8 +413,9 @@
 	return len(b.services[service])
 }
 
-// Choose returns the server with the lowest cost that is neither excluded nor paused and has reached
-// neither its rate limit nor this entry's share of its connections; a server with a limit may need a permit. In large services it
+// Choose returns the server with the lowest cost that is neither excluded nor paused, has reached
+// neither its rate limit nor this entry's share of its connections, and is not cold or this entry may use it all the
+// same; a server with a limit may need a permit. In large services it
 // compares only a random sample: load reports are older than the interval at which a server gets
 // new requests, so all entries would otherwise choose the same server. random returns uniform
 // values in [0, 1).
@@ -405,6 +431,7 @@
 			candidates = append(candidates, s)
 		}
 	}
+	candidates = b.skipCold(now, candidates)
 	if service.Engine != nil {
 		candidates = skipGroups(candidates, func(key groupKey) bool { return b.isBroken(now, key) })
 		// If all groups are stalled, this process may have been suspended itself.
--- a/pkg/gateway/topics_test.go
+++ b/pkg/gateway/topics_test.go
@@ -65,7 +65,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			g := New(settings.Instance{Name: "front-0"}, announcements{}, nil, zap.NewNop(), telemetry.NewMetrics())
 			sink, servers := (*serversSink)(g), g.topics[sharedlog.Servers]
-			sink.BeginSnapshot()
+			sink.BeginSnapshot(sharedlog.Position{})
 			for _, id := range []string{"i-0", "i-1"} {
 				sink.Apply(sharedlog.Record{Key: id, Value: []byte("ready")})
 			}
@@ -102,7 +102,7 @@
 func TestDrainIsLearnedFromMessages(t *testing.T) {
 	g := New(settings.Instance{Name: "front-0"}, announcements{}, nil, zap.NewNop(), telemetry.NewMetrics())
 	sink := (*serversSink)(g)
-	sink.BeginSnapshot()
+	sink.BeginSnapshot(sharedlog.Position{})
 	sink.Apply(sharedlog.Record{Key: "i-0", Value: []byte("ready")})
 	sink.EndSnapshot()
 	for _, c := range []struct {
