--- a/pkg/relay/cold_test.go
+++ b/pkg/relay/cold_test.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -90,3 +92,30 @@
 		}
 	}
 }
+
+// TestSimultaneousRequestsShareTheAllowance guards against requests that choose a cold server at the same moment and
+// all reach it: each takes its allowance right before it is sent.
+func TestSimultaneousRequestsShareTheAllowance(t *testing.T) {
+	cold := newBackend(t, complete)
+	s := newTestRelay(t, route(fleet.Unsafe), fleet.Service{}, 1000, cold.server("a"))
+	s.limitCold(30*time.Second, cold.server("a"))
+	var group sync.WaitGroup
+	var served, refused atomic.Int32
+	for n := range 40 {
+		group.Go(func() {
+			status, _, _, err := s.send(context.Background(), fmt.Sprint("r", n))
+			switch {
+			case err != nil:
+				t.Error(err)
+			case status == 200:
+				served.Add(1)
+			case status == 503:
+				refused.Add(1)
+			}
+		})
+	}
+	group.Wait()
+	if n, _ := cold.count(); n != 4 || served.Load() != 4 || refused.Load() != 36 {
+		t.Errorf("%d requests reached the server, %d were answered and %d refused; want 4, 4 and 36", n, served.Load(), refused.Load())
+	}
+}
