--- a/pkg/gateway/message_test.go
+++ b/pkg/gateway/message_test.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/fescuehub/fescuehub/pkg/balance"
+	"github.com/fescuehub/fescuehub/pkg/evacuation"
 	"github.com/fescuehub/fescuehub/pkg/gossip"
 	"github.com/fescuehub/fescuehub/pkg/quarantine"
 	"github.com/fescuehub/fescuehub/pkg/retrybudget"
@@ -25,6 +26,7 @@
 			InFlight: map[string]balance.Load{"x": {Requests: -1}}, Budget: map[string]retrybudget.Counts{"s": {Requests: -1}},
 		}},
 		{Entry: &gossip.EntryState{Name: "b", Leaving: map[string]int64{"x": 1, "": 0}}},
+		{Entry: &gossip.EntryState{Name: "b", Evacuations: []evacuation.Report{{Domain: "x", Evacuated: true, Timeline: math.MaxInt64, Next: math.MaxInt64, Past: []int64{-1}}, {}}}},
 		{Planner: &gossip.Planner{Service: "s", PeerAddress: "127.0.0.1:1"}},
 		{Planner: &gossip.Planner{PeerAddress: "x"}},
 		{Digest: &gossip.Digest{
