--- a/pkg/rankagent/agent.go
+++ b/pkg/rankagent/agent.go
@@ -32,10 +32,10 @@
 
 const (
 	// prepareTimeout bounds the wait until the engine has copied the experts of a map, and
-	// preparePollInterval is the time between two reads of its report: one expert is copied in 35
-	// ms.
+	// preparePollInterval is the time between two reads of its report. A stage ends with the last
+	// of these reads over all ranks, so that the interval adds to each.
 	prepareTimeout      = 800 * time.Millisecond
-	preparePollInterval = 20 * time.Millisecond
+	preparePollInterval = 10 * time.Millisecond
 	// plannerTimeout is how long no planner may call before the other agents join the election, each
 	// after its joinDelay.
 	plannerTimeout = 2500 * time.Millisecond
--- a/pkg/rankagent/planner.go
+++ b/pkg/rankagent/planner.go
@@ -201,18 +201,18 @@
 
 // awaitRound waits until the next round of the group is due.
 func (g *group) awaitRound(ctx context.Context) {
-	interval := roundInterval
-	if g.stages.switching && time.Since(g.lastChange) < resolveTimeout {
-		interval = pendingInterval
-	}
 	if g.preparation == nil {
+		interval := roundInterval
+		if g.stages.switching && time.Since(g.lastChange) < resolveTimeout {
+			interval = pendingInterval
+		}
 		wait.For(ctx, interval)
 		return
 	}
-	prepared, cancel := context.WithTimeout(ctx, interval)
+	ctx, cancel := context.WithTimeout(ctx, g.stages.roundDelay(time.Now()))
 	defer cancel()
 	select {
-	case <-prepared.Done():
+	case <-ctx.Done():
 	case <-g.preparation.done:
 	}
 }
@@ -480,7 +480,7 @@
 
 // plan makes the ranks prepare the first stage of a better map if there is one.
 func (p *planner) plan(ctx context.Context, g *group, f *mapswitch.Group, statuses []rankStatus, engine *fleet.Engine) error {
-	if !g.stages.more && time.Since(g.lastChange) < MinPlanInterval || g.demand.TotalChoices() < minChoices {
+	if !g.stages.due() && time.Since(g.lastChange) < MinPlanInterval || g.demand.TotalChoices() < minChoices {
 		return nil
 	}
 	began := time.Now()
@@ -522,6 +522,7 @@
 func (p *planner) switchAfterPreparation(ctx context.Context, g *group) error {
 	done := g.preparation
 	g.preparation = nil
+	g.stages.prepared(done.took)
 	g.lastChange = time.Now()
 	if done.err != nil {
 		p.log.Warn("expert map abandoned: not every rank accepted the order to prepare it", zap.String("group", g.name), zap.Int64("version", g.nextVersion),
--- a/pkg/rankagent/stagemodel_test.go
+++ b/pkg/rankagent/stagemodel_test.go
@@ -95,12 +95,10 @@
 	step                int64
 
 	// The planner's work in progress.
-	roundAt, planAt, preparedAt, switchedAt, inUseAt time.Duration
-	next                                             *evenplan.Plan
-	more                                             bool
-	lastChange                                       time.Duration
-	progress                                         int
-	overhead                                         overhead
+	roundAt, planAt, preparedAt, inUseAt time.Duration
+	next                                 *evenplan.Plan
+	more                                 bool
+	lastChange                           time.Duration
 
 	result  modelResult
 	passes  int
@@ -270,7 +268,7 @@
 		if m.variant.staged && m.next != nil && m.inUseAt == 0 && m.copying() {
 			samples := m.demand.Samples()
 			if evenplan.Skew(m.current, samples)-evenplan.Skew(m.next.Sets, samples) < minStageGain {
-				m.next, m.progress, m.more = nil, 0, false
+				m.next, m.more = nil, false
 			}
 		}
 	}
--- a/pkg/rankagent/stages.go
+++ b/pkg/rankagent/stages.go
@@ -34,14 +34,19 @@
 	counted bool
 	// noticedAt is when the need for the change was noticed; zero if no change is due.
 	noticedAt time.Time
+	// copying is the expected time of the copies of the present stage, and preparedAt when they are
+	// expected to be done; 0 and zero if unknown.
+	copying    time.Duration
+	preparedAt time.Time
 	// limit is the time limit of the present stage; 0 means nextMapTimeout.
 	limit time.Duration
 	// unableUntil is until when a rank gets no new experts, by rank.
 	unableUntil map[int]time.Time
 }
 
-// overhead measures the parts of a stage's time that do not depend on its copies.
-type overhead struct{ reading, planning, arming average }
+// overhead measures the parts of a stage's time that do not depend on its copies. ordering is the time of
+// the orders to prepare and of their answers.
+type overhead struct{ reading, planning, ordering, arming average }
 
 // fixedTime returns the expected time of a stage apart from its copies.
 func (o *overhead) fixedTime() time.Duration {
@@ -70,9 +75,32 @@
 	}
 	s.number++
 	s.more = plan.Stages > 1
-	s.limit = 0
+	s.limit, s.copying, s.preparedAt = 0, 0, time.Time{}
 	if cost.Copy > 0 {
-		s.limit = min(minStageTime+2*time.Duration(plan.RankCopies)*cost.Copy, nextMapTimeout)
+		s.copying = time.Duration(plan.RankCopies) * cost.Copy
+		s.limit = min(minStageTime+2*s.copying, nextMapTimeout)
+		s.preparedAt = now.Add(s.copying + s.ordering.current())
+	}
+}
+
+// due reports whether a change is in progress or the demand has shifted, so that the next stage need not
+// wait for MinPlanInterval.
+func (s *stages) due() bool { return s.more || !s.noticedAt.IsZero() }
+
+// roundDelay returns the time until the next round while ranks copy. A round that would be in progress when
+// the copies are expected to be done would delay the switch; it is left out.
+func (s *stages) roundDelay(now time.Time) time.Duration {
+	next := now.Add(roundInterval)
+	if ends := next.Add(s.reading.current()); ends.After(s.preparedAt) && next.Before(s.preparedAt.Add(roundInterval/2)) {
+		next = s.preparedAt.Add(roundInterval / 2)
+	}
+	return next.Sub(now)
+}
+
+// prepared records how long the orders to prepare and the copies took.
+func (s *stages) prepared(took time.Duration) {
+	if s.copying > 0 {
+		s.ordering.observe(min(max(took-s.copying, 0), roundInterval))
 	}
 }
 
--- a/pkg/rankagent/stages_test.go
+++ b/pkg/rankagent/stages_test.go
@@ -169,14 +169,13 @@
 	}
 	f := &mapswitch.Group{Epoch: 1, Fences: p.fences}
 	var statuses []rankStatus
-	var servers []fleet.Server
 	for _, r := range ranks.ranks {
 		report, err := r.Report(p.ctx)
 		if err != nil {
 			t.Fatal(err)
 		}
 		f.Ranks = append(f.Ranks, r)
-		statuses, servers = append(statuses, rankStatus{Report: report}), append(servers, fleet.Server{})
+		statuses = append(statuses, rankStatus{Report: report})
 	}
 	if !g.resolved {
 		return p.resolveGroup(p.ctx, g, f)
@@ -319,15 +318,71 @@
 // being used for them in each of the frequent rounds before a new map is in use.
 func TestCountsAreReadOnceAfterASwitch(t *testing.T) {
 	var s stages
-	if !s.countsDue() || !s.countsDue() {
-		t.Error("the counts are not read without a switch")
+	for range 2 {
+		if !s.countsDue() {
+			t.Error("the counts are not read without a switch")
+		}
 	}
 	s.switched()
-	if !s.countsDue() || s.countsDue() {
-		t.Error("the counts are not read exactly once after a switch")
+	if first, second := s.countsDue(), s.countsDue(); !first || second {
+		t.Errorf("the first rounds after a switch read the counts: %v, %v; want only the first", first, second)
 	}
 	s.switching = false
 	if !s.countsDue() {
 		t.Error("the counts are not read once the map is in use")
 	}
 }
+
+// TestNoRoundDelaysASwitch guards against a round of reads that is in progress when the copies end: the
+// switch would wait for it. A rank whose copies take longer than expected must not keep the planner from
+// reading counts.
+func TestNoRoundDelaysASwitch(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, c := range []struct {
+		name   string
+		copies int
+		copy   time.Duration
+		want   time.Duration // 0 means the usual interval
+	}{
+		{"copies end before the round would", 1, 76 * time.Millisecond, 76*time.Millisecond + initialOverhead + roundInterval/2},
+		{"a round fits in", 5, 76 * time.Millisecond, 0},
+		{"time of a copy unknown", 5, 0, 0},
+	} {
+		var s stages
+		s.begin(now, evenplan.Plan{RankCopies: c.copies, Stages: 2}, evenplan.StageCost{Copy: c.copy})
+		want := c.want
+		if want == 0 {
+			want = roundInterval
+		}
+		if got := s.roundDelay(now); got != want {
+			t.Errorf("%s: the next round is in %v, want %v", c.name, got, want)
+		}
+		if got := s.roundDelay(now.Add(time.Second)); got != roundInterval {
+			t.Errorf("%s: after a second the next round is in %v, want %v", c.name, got, roundInterval)
+		}
+	}
+}
+
+// TestShiftIsPlannedAtOnce guards against a shift right after a switch that waits for the least time between
+// two maps, which is meant for small gains.
+func TestShiftIsPlannedAtOnce(t *testing.T) {
+	var s stages
+	if s.due() {
+		t.Error("a plan is due without a reason")
+	}
+	now := time.Unix(1000, 0)
+	s.demandShifted(now)
+	if !s.due() {
+		t.Error("no plan is due after a shift")
+	}
+	s.begin(now, evenplan.Plan{Stages: 2}, evenplan.StageCost{})
+	s.switched()
+	if !s.due() || s.minGain() != minStageGain || s.sinceNoticed(now.Add(time.Second)) != time.Second {
+		t.Errorf("after the first of two stages: due %v, least gain %v, noticed %v ago", s.due(), s.minGain(), s.sinceNoticed(now.Add(time.Second)))
+	}
+	s.begin(now, evenplan.Plan{Stages: 1}, evenplan.StageCost{})
+	s.switched()
+	if s.due() || s.minGain() != MinPlanGain || s.number != 0 {
+		t.Errorf("after the last stage: due %v, least gain %v, stage %d", s.due(), s.minGain(), s.number)
+	}
+}
