Record the figures of stages and end superseded waits

Callers saw nothing of this.

Cause: an agent went on reading its engine for up to 0.8 s for a map that the planner had replaced by a later one. The time from a noticed change to a switch was a timer without fixed buckets.

Change: the agent stops waiting once a later map is prepared. The time is a histogram like that of requests.

--- a/pkg/evenplan/evenplan.go
+++ b/pkg/evenplan/evenplan.go
@@ -350,7 +350,7 @@
 // twice the time and is no better (BenchmarkMake).
 const maxTargets = 6
 
-// leastLoadedRanks returns up to maxTargets ranks with the least total load.
+// leastLoadedRanks returns up to maxTargets ranks with the least total load that may copy experts.
 func (st *state) leastLoadedRanks() []int {
 	ranks := make([]int, 0, len(st.total))
 	for r := range st.total {
--- a/pkg/evenplan/stages.go
+++ b/pkg/evenplan/stages.go
@@ -50,10 +50,10 @@
 	kept []bool
 }
 
-// candidate is the best move of a set. Its gain per copy is comparable between sets.
+// candidate is the best move of a set; found is false if there is none. Its gain for each copy is
+// comparable between sets.
 type candidate struct {
 	move  move
-	next  float64
 	gain  float64
 	found bool
 }
@@ -149,7 +149,7 @@
 	}
 	potential := st.potential()
 	m, next, found := st.bestMove(potential)
-	p.candidates[set] = candidate{move: m, next: next, found: found}
+	p.candidates[set] = candidate{move: m, found: found}
 	if found {
 		p.candidates[set].gain = (potential - next) / max(float64(st.copyCost(m)), 0.5)
 	}
--- a/pkg/rankagent/agent.go
+++ b/pkg/rankagent/agent.go
@@ -350,13 +350,13 @@
 	return full, true
 }
 
-// awaitPrepared waits until the engine has prepared a map, for up to prepareTimeout.
+// awaitPrepared waits until the engine has prepared a map or a later one, for up to prepareTimeout.
 func (a *Agent) awaitPrepared(ctx context.Context, version int64) {
 	ctx, cancel := context.WithTimeout(ctx, prepareTimeout)
 	defer cancel()
 	for ctx.Err() == nil {
 		report, err := a.local.Report(ctx)
-		if err != nil || report.Prepared == version {
+		if err != nil || report.Prepared >= version {
 			return // the planner reads the rank's state in its next round
 		}
 		wait.For(ctx, preparePollInterval)
--- a/pkg/rankagent/planner.go
+++ b/pkg/rankagent/planner.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/sync/semaphore"
@@ -69,6 +70,9 @@
 	pendingInterval = 20 * time.Millisecond
 )
 
+// switchBuckets are the buckets of the time from a noticed change of demand to a switch, 20 ms to 5 s.
+var switchBuckets = tally.MustMakeExponentialDurationBuckets(20*time.Millisecond, 1.6, 13)
+
 // planner plans the expert maps of the groups of one service.
 type planner struct {
 	agent *Agent
@@ -608,7 +612,7 @@
 		return onlyFinal(err)
 	}
 	p.agent.scope.Counter("maps_switched").Inc(1)
-	p.agent.scope.Timer("noticed_to_switch").Record(sinceChange)
+	p.agent.scope.Histogram("noticed_to_switch_seconds", switchBuckets).RecordDuration(sinceChange)
 	g.stages.switched()
 	g.formingPhase.end()
 	p.announceOpen(g)
