Count a server that streams to two requests as responsive

Callers saw: requests sent to busier engines, because an engine with two streams of the same entry counted as unresponsive 1.2 s after their first events and got 60 requests of extra cost, also for 2 s after one of the streams ended.

Cause: after the response to one of several requests began, silentSince stayed set until no request was left, although the server sent events all the time.

Change: an event that a server sends starts the silence anew. A server that stops sending still counts as unresponsive.

--- a/pkg/balance/stalledgroup.go
+++ b/pkg/balance/stalledgroup.go
@@ -30,6 +30,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if s := b.servers[id]; s != nil {
+		if !s.silentSince.IsZero() {
+			s.silentSince = now
+		}
 		b.recordProgress(now, s)
 	}
 }
--- a/pkg/balance/stalledgroup_test.go
+++ b/pkg/balance/stalledgroup_test.go
@@ -130,3 +130,28 @@
 		t.Errorf("one server is left: chosen %v, want it", chosen)
 	}
 }
+
+// TestStreamingServerIsResponsive guards against avoiding a server whose responses to two requests of one entry
+// have begun and continue: it sends something all the time.
+func TestStreamingServerIsResponsive(t *testing.T) {
+	b := balance.New(ratelimit.New(""))
+	b.SetServers(servers(2))
+	for _, id := range []string{"0", "0", "1"} {
+		b.Begin(start, id, 800)
+		b.ResponseStarted(start.Add(200*time.Millisecond), id, start)
+	}
+	for at := 300 * time.Millisecond; at <= 1900*time.Millisecond; at += 100 * time.Millisecond {
+		now := start.Add(at)
+		b.Progress(now, "0")
+		b.Begin(now, "1", 800)
+		b.ResponseStarted(now, "1", now)
+		if b.Unresponsive(now, "0") {
+			t.Fatalf("the server counts as unresponsive after %v although it sends events", at)
+		}
+	}
+	b.Begin(start.Add(3100*time.Millisecond), "1", 800)
+	b.ResponseStarted(start.Add(3100*time.Millisecond), "1", start.Add(3100*time.Millisecond))
+	if !b.Unresponsive(start.Add(3200*time.Millisecond), "0") {
+		t.Error("a server that stops sending must count as unresponsive while another responds")
+	}
+}
