Spread requests over engines with stale load reports

Callers saw: first events late although other engines had free slots. In fleets of 13 entries and more, engines were overloaded in turn.

Cause: an entry compared the loads of the last report plus its own requests since the report arrived. It knew neither what the other entries had sent since the planner read the loads nor what it had sent itself in that time; all entries then chose the same engines. The tokens of its own requests made an engine seem half as loaded, since those of the other entries are not known.

Change: pkg/balance/evenload.go predicts the load of each engine from the age of the report, the expected ends of its requests and the expected requests of the other entries, which use the same reports and the same rule. A report corrects the prediction at the time at which it was read. A request is drawn from the distribution that raises the least loaded engines to the same level, and the draws of the entries are spread over it by the position of their names. The digest states the age of its loads; without it 0.1 s is assumed. There are no more messages. Smaller fleets, whose entries tell each other their requests, choose as before.

--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -97,6 +97,7 @@
 	// unreachableUntil is the time before which the server counts as unresponsive because its
 	// planner did not reach it.
 	unreachableUntil time.Time
+	prediction       prediction
 }
 
 // entryLoads holds the requests that another entry has in flight.
@@ -128,7 +129,9 @@
 	queues map[string]*queue
 	// pauses holds, by server ID, the pauses that servers asked for.
 	pauses map[string]pause
-	limits *ratelimit.Limiter
+	// evenLoads holds the prediction of the engines' load by service.
+	evenLoads map[string]*evenLoad
+	limits    *ratelimit.Limiter
 }
 
 // groupState is the last state of a group that its planner reported.
@@ -156,6 +159,7 @@
 		lateInFlight:   make(map[string]int),
 		queues:         make(map[string]*queue),
 		pauses:         make(map[string]pause),
+		evenLoads:      make(map[string]*evenLoad),
 	}
 }
 
@@ -231,6 +235,9 @@
 }
 
 func (b *Balancer) unresponsive(now time.Time, s *server) bool {
+	if s.silentSince.IsZero() && !now.Before(s.unreachableUntil) {
+		return false
+	}
 	limit := max(unresponsiveTime, unresponsiveLatencies*b.meanLatency[s.Service])
 	return now.Before(s.unreachableUntil) || !s.silentSince.IsZero() && now.Sub(s.silentSince) > limit && b.lastResponse[s.Service].Sub(s.silentSince) > limit/2
 }
@@ -329,6 +336,8 @@
 	Incarnation int64
 	Running     int
 	Waiting     int
+	// Age is the age of the report on arrival; 0 if it is not known.
+	Age time.Duration
 	// Slowdown is the engine's step time divided by the usual one; above 1 the engine is slow.
 	Slowdown float64
 }
@@ -343,12 +352,14 @@
 	for _, e := range engines {
 		loads[e.Address] = e
 	}
+	b.beginReport(now, service)
 	var missing []*server
 	members := b.groupMembers[service][key]
 	for _, s := range members {
 		load, ok := loads[s.Address]
 		if ok && load.Incarnation == s.Incarnation {
 			s.engine, s.engineAt, s.sentSinceReport = load, now, 0
+			b.correct(now, s, load)
 		}
 		if !ok {
 			missing = append(missing, s)
@@ -372,12 +383,11 @@
 // Choose returns the server with the lowest cost that is neither excluded nor paused and has reached
 // neither its rate limit nor this entry's share of its connections; a server with a limit may need a permit. In large services it
 // compares only a random sample: load reports are older than the interval at which a server gets
-// new requests, so all entries would otherwise choose the same server. random returns uniform
-// values in [0, 1).
+// new requests, so all entries would otherwise choose the same server. In large fleets it spreads requests by
+// the predicted load of the engines. random returns uniform values in [0, 1).
 func (b *Balancer) Choose(now time.Time, service *fleet.Service, exclude map[string]bool, random func() float64) (fleet.Server, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	loads := b.sumEntryLoads(now)
 	candidates := make([]*server, 0, len(b.services[service.Name]))
 	limited, connections := b.limits.Any(), b.connectionShare(service)
 	for _, s := range b.services[service.Name] {
@@ -391,6 +401,10 @@
 		// If all groups are stalled, this process may have been suspended itself.
 		candidates = skipGroups(candidates, func(key groupKey) bool { return b.groupStalled(now, key) })
 	}
+	if b.usesPrediction(now, service) {
+		return b.chooseEven(now, service, candidates, random)
+	}
+	loads := b.sumEntryLoads(now)
 	if len(candidates) <= maxFullComparison {
 		return b.cheapest(now, service, candidates, loads, random)
 	}
--- a/pkg/balance/cost.go
+++ b/pkg/balance/cost.go
@@ -11,13 +11,17 @@
 	load := Load{s.ownLoad.Requests + others.Requests, s.ownLoad.Tokens + others.Tokens}
 	cost := float64(load.Requests) + jitterRequests*random
 	if engine != nil {
-		load.Requests = s.requests(now, others)
-		cost = s.engineCost(now, engine, load) + jitterRequests*random
+		cost = s.engineCost(now, engine, float64(s.requests(now, others)), load.Tokens) + jitterRequests*random
 	} else {
 		// The latency of the server weights its requests.
 		cost = (cost + 1) * (float64(s.latency)/float64(100*time.Millisecond) + 0.3)
 	}
-	cost += failureCost * s.failureRate(now)
+	return cost + s.penalty(now)
+}
+
+// penalty returns the cost of the failures of a server, in ordinary requests.
+func (s *server) penalty(now time.Time) float64 {
+	cost := failureCost * s.failureRate(now)
 	if now.Before(s.avoidUntil) {
 		cost += 2 * failureCost
 	}
@@ -27,14 +31,14 @@
 // reportIsFresh reports whether the planner's last report of the engine may still be used.
 func (s *server) reportIsFresh(now time.Time) bool { return now.Sub(s.engineAt) <= reportLifetime }
 
-func (s *server) engineCost(now time.Time, engine *fleet.Engine, load Load) float64 {
+func (s *server) engineCost(now time.Time, engine *fleet.Engine, requests float64, tokens int) float64 {
 	usual := engine.MeanPromptTokens + engine.MeanAnswerTokens
-	cost := float64(load.Requests)
-	if usual > 0 && load.Tokens > 0 {
-		cost = (cost + float64(load.Tokens)/usual) / 2
+	cost := requests
+	if usual > 0 && tokens > 0 {
+		cost = (cost + float64(tokens)/usual) / 2
 	}
-	if over := load.Requests + 1 - engine.Slots; over > 0 {
-		cost += waitingCost * float64(over)
+	if over := requests + 1 - float64(engine.Slots); over > 0 {
+		cost += waitingCost * over
 	}
 	if s.reportIsFresh(now) && s.engine.Slowdown > 1 {
 		// A slow engine also takes longer for steps that process no request.
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -175,9 +175,10 @@
 	if !g.digests.isNewer(now, d) {
 		return
 	}
+	age := time.Duration(d.AgeMS) * time.Millisecond
 	engines := make([]balance.EngineLoad, len(d.Ranks))
 	for i, r := range d.Ranks {
-		engines[i] = balance.EngineLoad{Address: string(r.Address), Incarnation: r.Incarnation, Running: r.Running, Waiting: r.Waiting, Slowdown: r.Slowdown}
+		engines[i] = balance.EngineLoad{Address: string(r.Address), Incarnation: r.Incarnation, Running: r.Running, Waiting: r.Waiting, Age: age, Slowdown: r.Slowdown}
 	}
 	g.balancer.UpdateGroup(now, d.Service, d.Group, d.State, engines)
 }
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -106,6 +106,8 @@
 	EngineVersion int64 `json:"ver"`
 	// Sequence orders the digests of one planner.
 	Sequence int64 `json:"seq"`
+	// AgeMS is the time in milliseconds since the planner asked the ranks for their state; 0 if it is not known.
+	AgeMS int64 `json:"age,omitempty"`
 	// Relay holds the entries to which the receiver passes the digest on.
 	Relay []netip.AddrPort `json:"relay,omitempty"`
 }
--- a/pkg/rankagent/agent.go
+++ b/pkg/rankagent/agent.go
@@ -201,11 +201,12 @@
 
 // sendDigest sends the digest of a group to the entries with an active subscription. In a large
 // fleet, some of them pass it on to the others.
-func (a *Agent) sendDigest(d *gossip.Digest) {
+func (a *Agent) sendDigest(d *gossip.Digest, readAt time.Time) {
 	receivers, sequence := a.activeSubscribers(time.Now())
+	age := max(time.Since(readAt).Milliseconds(), 1)
 	for _, hop := range gossip.FanOut(receivers) {
 		copied := *d
-		copied.Sequence, copied.Relay = sequence, hop.Relay
+		copied.Sequence, copied.AgeMS, copied.Relay = sequence, age, hop.Relay
 		a.socket.Send(gossip.Message{Digest: &copied}, hop.To)
 	}
 }
--- a/pkg/rankagent/planner.go
+++ b/pkg/rankagent/planner.go
@@ -228,14 +228,14 @@
 	digest := p.digest(g.name, members)
 	servers, statuses, err := orderedRanks(members)
 	if err != nil {
-		p.agent.sendDigest(digest)
+		p.agent.sendDigest(digest, now)
 		p.setPauseReason(g, err.Error())
 		g.resolved = false
 		return nil
 	}
 	shape := rankcontrol.Shape{Sets: engine.Sets, Experts: engine.Experts, Ranks: len(servers)}
 	if !shape.Valid() {
-		p.agent.sendDigest(digest)
+		p.agent.sendDigest(digest, now)
 		p.setPauseReason(g, fmt.Sprintf("the configured expert maps are empty or too large: %+v", shape))
 		return nil
 	}
@@ -246,7 +246,7 @@
 	if g.formingPhase.active(now) {
 		digest.State = fleet.GroupForming
 	}
-	p.agent.sendDigest(digest)
+	p.agent.sendDigest(digest, now)
 	g.passTimer.observe(now, statuses[0].Report.Step)
 	g.demand.DecayTo(now)
 	for r, s := range statuses {
@@ -258,7 +258,7 @@
 	err = p.advance(ctx, g, servers, statuses, engine)
 	if digest.State == fleet.GroupForming && !g.formingPhase.active(time.Now()) {
 		digest.State = fleet.GroupOpen
-		p.agent.sendDigest(digest)
+		p.agent.sendDigest(digest, now)
 	}
 	return err
 }
--- a/pkg/ratelimit/limiter.go
+++ b/pkg/ratelimit/limiter.go
@@ -247,6 +247,19 @@
 	return l.known
 }
 
+// Position returns how many of the known entries have a smaller name than this one, and the number of known
+// entries. Entries that know the same ones have different positions.
+func (l *Limiter) Position() (position, known int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, name := range l.entries {
+		if name < l.self {
+			position++
+		}
+	}
+	return position, l.known
+}
+
 // Any reports whether any server has, or lately had, a limit.
 func (l *Limiter) Any() bool {
 	l.mu.Lock()
