--- a/pkg/rankagent/planner.go
+++ b/pkg/rankagent/planner.go
@@ -118,8 +118,9 @@
 	passTimer      passTimer
 	armingEstimate armingEstimate
 	formingPhase   formingPhase
-	// digest is the group's newest digest.
-	digest *gossip.Digest
+	// digest is the group's newest digest, and digestReadAt when its loads were read.
+	digest       *gossip.Digest
+	digestReadAt time.Time
 	// pauseReason says why the group is not being planned; it is empty while the group is planned.
 	pauseReason string
 }
@@ -267,14 +268,14 @@
 	digest := p.digest(g.name, members)
 	servers, statuses, err := orderedRanks(members)
 	if err != nil {
-		p.agent.sendDigest(digest)
+		p.agent.sendDigest(digest, now)
 		p.setPauseReason(g, err.Error())
 		g.resolved = false
 		return nil
 	}
 	shape := rankcontrol.Shape{Sets: engine.Sets, Experts: engine.Experts, Ranks: len(servers)}
 	if !shape.Valid() {
-		p.agent.sendDigest(digest)
+		p.agent.sendDigest(digest, now)
 		p.setPauseReason(g, fmt.Sprintf("the configured expert maps are empty or too large: %+v", shape))
 		return nil
 	}
@@ -286,8 +287,8 @@
 	if g.formingPhase.active(now) {
 		digest.State = fleet.GroupForming
 	}
-	p.agent.sendDigest(digest)
-	g.digest = digest
+	p.agent.sendDigest(digest, now)
+	g.digest, g.digestReadAt = digest, now
 	g.passTimer.observe(now, statuses[0].Report.Step)
 	g.demand.DecayTo(now)
 	for r, s := range statuses {
@@ -308,7 +309,7 @@
 func (p *planner) announceOpen(g *group) {
 	if g.digest != nil && g.digest.State == fleet.GroupForming && !g.formingPhase.active(time.Now()) {
 		g.digest.State = fleet.GroupOpen
-		p.agent.sendDigest(g.digest)
+		p.agent.sendDigest(g.digest, g.digestReadAt)
 	}
 }
 
