Count only known failure domains as evacuated

Callers saw: nothing.

Cause: a record with an unknown name raised the gauge of evacuated domains, although it affects no server.

Change: the gauge counts known domains, and follows servers that announce one later.

Figures: the tests of evacuations pass with -race.

--- a/pkg/gateway/evacuation.go
+++ b/pkg/gateway/evacuation.go
@@ -64,11 +64,22 @@
 			zap.Int64("offset", c.Position.Next), zap.String("learnedFrom", learnedFrom), zap.Int("servers", g.serversIn(c.Domain)))
 		g.scope.Counter("evacuation_changes").Inc(1)
 	}
-	g.scope.Gauge("evacuated_failure_domains").Update(float64(len(g.evacuations.EvacuatedDomains())))
+	g.countEvacuated()
 	g.warnUnknownDomains()
 	return true
 }
 
+// countEvacuated updates the gauge of the known domains that are evacuated. The caller holds mu.
+func (g *Gateway) countEvacuated() {
+	count := 0
+	for domain := range g.evacuations.EvacuatedDomains() {
+		if g.isKnownDomain(domain) {
+			count++
+		}
+	}
+	g.scope.Gauge("evacuated_failure_domains").Update(float64(count))
+}
+
 // warnUnknownDomains warns once of each evacuated name that neither the settings nor any server know. It
 // waits until the announcements have been read. The caller holds mu.
 func (g *Gateway) warnUnknownDomains() {
@@ -118,7 +129,9 @@
 	g := (*Gateway)(s)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	message.Evacuations = g.evacuations.Reports(g.isKnownDomain)
+	if message.Evacuations = g.evacuations.Reports(g.isKnownDomain); message.Evacuations != nil {
+		g.countEvacuated() // servers may have announced a domain since its record was read
+	}
 }
 
 func (s *sharedEvacuations) merge(_ time.Time, message *gossip.EntryState) {
