Play more seeds of the simulated fleets on request

Callers saw: nothing.

Cause: the simulation played a fixed number of seeds, and the fuzzing of messages began without a state that is adopted.

Change: FESCUE_MATRIX_SEEDS sets the number of seeds, as for other simulations; one more seed message.

--- a/pkg/evacuation/fleet_test.go
+++ b/pkg/evacuation/fleet_test.go
@@ -122,7 +122,7 @@
 // entries restart and lose the log. It guards against an entry that differs from the operators' last request:
 // a request must survive the loss of its record, and one that was taken back must not return with a copy.
 func TestFleetFollowsOperators(t *testing.T) {
-	for seed := range uint64(2000) {
+	for seed := range uint64(seedCount(2000)) {
 		w := &world{rng: rand.New(rand.NewPCG(seed, 1)), timeline: 1, wanted: make(map[string]bool)}
 		for range 2 + w.rng.IntN(4) {
 			n := &node{Tracker: evacuation.New()}
--- a/pkg/gateway/message_test.go
+++ b/pkg/gateway/message_test.go
@@ -26,7 +26,7 @@
 			InFlight: map[string]balance.Load{"x": {Requests: -1}}, Budget: map[string]retrybudget.Counts{"s": {Requests: -1}},
 		}},
 		{Entry: &gossip.EntryState{Name: "b", Leaving: map[string]int64{"x": 1, "": 0}}},
-		{Entry: &gossip.EntryState{Name: "b", Evacuations: []evacuation.Report{{Domain: "x", Evacuated: true, Timeline: math.MaxInt64, Next: math.MaxInt64, Past: []int64{-1}}, {}}}},
+		{Entry: &gossip.EntryState{Name: "b", Evacuations: []evacuation.Report{{Domain: "y", Evacuated: true, Timeline: 1, Next: 5}, {Domain: "x", Evacuated: true, Timeline: math.MaxInt64, Next: math.MaxInt64, Past: []int64{-1}}, {}}}},
 		{Planner: &gossip.Planner{Service: "s", PeerAddress: "127.0.0.1:1"}},
 		{Planner: &gossip.Planner{PeerAddress: "x"}},
 		{Digest: &gossip.Digest{
