Measure the time of a switch up to the map in use

Callers saw nothing of this yet; it keeps groups with short copies from more stages than pay.

Cause: the fixed time of a stage counted the arming of the ranks, but not the passes that the margin of a switch waits for, 1.5 passes where arming takes 45 ms and a pass 70 ms.

Change: the time from the end of the copies until all ranks use the new map is measured.

--- a/pkg/rankagent/planner.go
+++ b/pkg/rankagent/planner.go
@@ -207,7 +207,7 @@
 func (g *group) awaitRound(ctx context.Context) {
 	if g.preparation == nil {
 		interval := roundInterval
-		if g.stages.switching && time.Since(g.lastChange) < resolveTimeout {
+		if g.stages.inSwitch && time.Since(g.lastChange) < resolveTimeout {
 			interval = pendingInterval
 		}
 		wait.For(ctx, interval)
@@ -413,7 +413,7 @@
 		return nil
 	}
 	p.setPauseReason(g, "")
-	g.stages.switching = false
+	g.stages.inUse(time.Now())
 	if g.next != nil {
 		return p.switchWhenPrepared(ctx, g, f, statuses)
 	}
@@ -596,7 +596,6 @@
 	began := time.Now()
 	err := f.Switch(ctx, g.nextVersion)
 	g.armingEstimate.observe(f.LastArmingTime)
-	g.stages.arming.observe(time.Since(began))
 	g.lastChange = time.Now()
 	sinceChange := g.stages.sinceNoticed(g.lastChange)
 	p.log.Info("switch to an expert map", zap.String("group", g.name), zap.Int64("epoch", g.epoch), zap.Int64("version", g.nextVersion),
@@ -613,7 +612,7 @@
 	}
 	p.agent.scope.Counter("maps_switched").Inc(1)
 	p.agent.scope.Histogram("noticed_to_switch_seconds", switchBuckets).RecordDuration(sinceChange)
-	g.stages.switched()
+	g.stages.switched(began)
 	g.formingPhase.end()
 	p.announceOpen(g)
 	return nil
--- a/pkg/rankagent/stages.go
+++ b/pkg/rankagent/stages.go
@@ -27,9 +27,12 @@
 	overhead
 	// number is the number of the present stage, from 1; 0 if no change is in progress.
 	number int
-	// more is true while more stages of the change are to be planned. switching is true from a switch
-	// until all ranks report that they use the new map.
-	more, switching bool
+	// more is true while more stages of the change are to be planned.
+	more bool
+	// inSwitch is true from a switch until all ranks report that they use the new map. switchBegan is
+	// when the switch began.
+	inSwitch    bool
+	switchBegan time.Time
 	// counted is true if the counts have been read since the last switch.
 	counted bool
 	// noticedAt is when the need for the change was noticed; zero if no change is due.
@@ -45,12 +48,13 @@
 }
 
 // overhead measures the parts of a stage's time that do not depend on its copies. ordering is the time of
-// the orders to prepare and of their answers.
-type overhead struct{ reading, planning, ordering, arming average }
+// the orders to prepare and of their answers, switching the time from the end of the copies until all ranks
+// use the new map.
+type overhead struct{ reading, planning, ordering, switching average }
 
 // fixedTime returns the expected time of a stage apart from its copies.
 func (o *overhead) fixedTime() time.Duration {
-	return o.reading.current() + o.planning.current() + o.arming.current()
+	return o.reading.current() + o.planning.current() + o.switching.current()
 }
 
 // average is a moving average of a duration.
@@ -104,24 +108,32 @@
 	}
 }
 
-// switched records that the stage is in use.
-func (s *stages) switched() {
-	s.switching, s.counted = true, false
+// switched records that the ranks have been switched to the stage by a switch that began at the given time.
+func (s *stages) switched(began time.Time) {
+	s.inSwitch, s.switchBegan, s.counted = true, began, false
 	if !s.more {
 		s.number, s.noticedAt = 0, time.Time{}
 	}
 }
 
+// inUse records that no switch is pending at any rank.
+func (s *stages) inUse(now time.Time) {
+	if s.inSwitch {
+		s.switching.observe(now.Sub(s.switchBegan))
+	}
+	s.inSwitch = false
+}
+
 // countsDue reports whether the counts are to be read. Their answers take most of the planner's link, so
 // that they are read only once while the ranks are about to use a new map.
 func (s *stages) countsDue() bool {
-	due := !s.switching || !s.counted
+	due := !s.inSwitch || !s.counted
 	s.counted = true
 	return due
 }
 
 // end records that the change is complete or has been given up.
-func (s *stages) end() { s.number, s.more, s.switching, s.noticedAt = 0, false, false, time.Time{} }
+func (s *stages) end() { s.number, s.more, s.inSwitch, s.noticedAt = 0, false, false, time.Time{} }
 
 func (s *stages) sinceNoticed(now time.Time) time.Duration {
 	if s.noticedAt.IsZero() {
