Keep the order of urgency among late requests

Cause: the entry sent every late request with priority 9, so that the engines served late requests in no order of urgency. Under a shortage most requests are late.

Change: a late request gets one of the last priorities, in the order of the priorities that requests to the service can have, and below all that are on time: with 0, 1 and 2, late ones are 7, 8 and 9. The priorities come from the routes to the service and from the organisations that override them. A service with one priority sends its late requests with 9, as before. If the least urgent priority leaves too few below it, the least urgent late ones share 9.

--- a/pkg/fleet/table.go
+++ b/pkg/fleet/table.go
@@ -15,6 +15,8 @@
 	services map[string]*Service
 	// organisationsByKey holds the organisations by key.
 	organisationsByKey map[string]*Organisation
+	// priorities holds the priorities that requests to each service can have, in ascending order.
+	priorities map[string][]int
 }
 
 // NewTable indexes a configuration.
@@ -24,6 +26,7 @@
 		routes:             make(map[string][]*Route),
 		services:           make(map[string]*Service),
 		organisationsByKey: make(map[string]*Organisation),
+		priorities:         make(map[string][]int),
 	}
 	for i := range c.Routes {
 		host := normaliseHost(c.Routes[i].Host)
@@ -40,9 +43,31 @@
 			t.organisationsByKey[key] = &c.Organisations[i]
 		}
 	}
+	t.indexPriorities()
 	return t
 }
 
+// indexPriorities collects the priorities of each service's routes and those of the organisations, which
+// override them.
+func (t *Table) indexPriorities() {
+	for _, r := range t.Routes {
+		for _, target := range r.Targets {
+			list := append(t.priorities[target.Service], r.Priority)
+			for _, o := range t.Organisations {
+				if o.Priority != nil {
+					list = append(list, *o.Priority)
+				}
+			}
+			slices.Sort(list)
+			t.priorities[target.Service] = slices.Compact(list)
+		}
+	}
+}
+
+// Priorities returns the priorities that requests to a service can have, in ascending order, so the most
+// urgent one first. The caller must not change the slice.
+func (t *Table) Priorities(service string) []int { return t.priorities[service] }
+
 // Route returns the route of the host with the longest matching path prefix.
 func (t *Table) Route(host, path string) (*Route, bool) {
 	for _, r := range t.routes[normaliseHost(host)] {
--- a/pkg/fleet/table_test.go
+++ b/pkg/fleet/table_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/fescuehub/fescuehub/pkg/fleet"
@@ -49,3 +50,23 @@
 		}
 	}
 }
+
+// TestPrioritiesOfService guards against a service that is given the priorities of another service's routes:
+// its late requests would then not have the lowest priority.
+func TestPrioritiesOfService(t *testing.T) {
+	urgent := 0
+	model, plain := []fleet.Target{{Service: "model", Weight: 1}}, []fleet.Target{{Service: "plain", Weight: 1}}
+	c := fleet.Configuration{Routes: []fleet.Route{{Priority: 2, Targets: model}, {Priority: 1, Targets: model}, {Priority: 2, Targets: model}, {Priority: 3, Targets: plain}}}
+	check := func(service string, want ...int) {
+		t.Helper()
+		if got := fleet.NewTable(c).Priorities(service); !slices.Equal(got, want) {
+			t.Errorf("service %s: priorities %v, want %v", service, got, want)
+		}
+	}
+	check("model", 1, 2)
+	check("plain", 3)
+	check("other")
+	c.Organisations = []fleet.Organisation{{Name: "a"}, {Name: "b", Priority: &urgent}}
+	check("model", 0, 1, 2)
+	check("plain", 0, 3)
+}
--- a/pkg/gateway/caller.go
+++ b/pkg/gateway/caller.go
@@ -94,7 +94,7 @@
 	if !ok {
 		return q, table.Version, &refusal{http.StatusServiceUnavailable, "the configuration does not define the route's service", startupRetryAfter}
 	}
-	q.Service = service
+	q.Service, q.Priorities = service, table.Priorities(service.Name)
 	q.Header = relay.EndToEndHeaders(r.Header)
 	return q, table.Version, nil
 }
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -109,7 +109,10 @@
 	// Organisation is the organisation that owns the caller's key.
 	Organisation string
 	Priority     int
-	Method       string
+	// Priorities holds the priorities that requests to the service can have, in ascending order. Empty
+	// means that all requests have the same one.
+	Priorities []int
+	Method     string
 	// Target is the path and query, as sent by the caller.
 	Target string
 	Host   string
--- a/pkg/relay/wait.go
+++ b/pkg/relay/wait.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/fescuehub/fescuehub/pkg/balance"
@@ -87,15 +88,28 @@
 }
 
 // priority returns the priority of an attempt that begins now. A late request to an engine yields to
-// all others: after an outage a backlog of them would take the slots from requests that can still be
-// on time.
+// all that are on time: after an outage a backlog of them would take the slots from requests that can
+// still be on time.
 func (x *exchange) priority(now time.Time) int {
 	if x.q.Service.Engine != nil && x.isLate(now) {
-		return LowestPriority
+		return latePriority(x.q.Priority, x.q.Priorities)
 	}
 	return x.q.Priority
 }
 
+// latePriority returns the priority of a late request among requests with the given priorities, which are in
+// ascending order. Late requests have the last of the priorities up to LowestPriority, in the order of their
+// own ones and below those of the requests on time. If there are too few, the least urgent share the last one.
+func latePriority(priority int, priorities []int) int {
+	if len(priorities) == 0 {
+		return LowestPriority
+	}
+	lastOnTime := priorities[len(priorities)-1]
+	first := max(LowestPriority+1-len(priorities), lastOnTime+1)
+	rank, _ := slices.BinarySearch(priorities, priority)
+	return min(first+rank, LowestPriority)
+}
+
 // acquireRetry acquires the retry budget for the next attempt, if it needs any: the first attempts that reach no
 // server add nothing to the load of the service.
 func (x *exchange) acquireRetry(ctx context.Context) bool {
