Let less urgent requests wait at the entry while slots are short

Cause: every request took a free slot as it came, so urgent ones found none. Late slots went to whichever waiting request asked first. A standing queue counted less urgent requests as a wait of the urgent ones, and refused these at a shorter wait, because their target latency is shorter. Requests that had waited for a group or a late slot could then be refused.

Change: pkg/shortage decides, without I/O, clock or random source, which requests wait before their first attempt, in which order (urgency, organisations in turn, arrival, one turn in 8 for the less urgent) and until when (their own target latency). Late slots are granted in the same order. The wait that counts for a refusal is the part of the queue that is at least as urgent; no request is refused for lack of slots after it was held for an eighth of its target latency; Retry-After grows with the priority.

--- a/pkg/gateway/caller.go
+++ b/pkg/gateway/caller.go
@@ -175,6 +175,7 @@
 		outcome = "refused"
 	}
 	g.scope.Tagged(map[string]string{"kind": string(q.Route.Kind), "outcome": outcome}).Counter("requests").Inc(1)
+	g.countShortOfSlots(q, report)
 	g.log.Info("request", zap.String("request", q.ID), zap.String("route", q.Route.Name), zap.String("kind", string(q.Route.Kind)),
 		zap.String("organisation", q.Organisation), zap.String("outcome", outcome), zap.Int("status", report.Status),
 		zap.String("reason", report.Reason), zap.Int("events", report.Events), zap.String("waitedFor", report.WaitedFor), zap.Duration("waited", report.Waited),
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -247,6 +247,7 @@
 	startTask(g.runQuarantine)
 	startTask(g.persistQuarantine)
 	startTask(g.runRateLimits)
+	startTask(g.countWaiting)
 	startTask(g.followEntries)
 	startTask(func(ctx context.Context) {
 		for ctx.Err() == nil {
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -317,6 +317,7 @@
 			stall.reset()
 			x.balancer.Progress(time.Now(), s.ID)
 			x.recordEvent()
+			x.recordGap(time.Now())
 		}
 		if !x.started {
 			x.startResponse(response)
--- a/pkg/relay/finish.go
+++ b/pkg/relay/finish.go
@@ -68,6 +68,9 @@
 		if x.groupFault {
 			mean = retryAfterGroupMean
 		}
+		if x.report.ShortOfSlots {
+			mean = x.retryAfterByUrgency(mean)
+		}
 		// Callers return when the first server accepts requests again, not all at once.
 		if x.refusal.Part != "" {
 			mean = x.refusal.RetryAfter * 4 / 3 // at the earliest when the part may be tried again
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -18,6 +18,7 @@
 	"github.com/fescuehub/fescuehub/pkg/quarantine"
 	"github.com/fescuehub/fescuehub/pkg/ratelimit"
 	"github.com/fescuehub/fescuehub/pkg/retrybudget"
+	"github.com/fescuehub/fescuehub/pkg/shortage"
 	"github.com/fescuehub/fescuehub/pkg/wait"
 )
 
@@ -196,6 +197,7 @@
 	limits    *ratelimit.Limiter
 	admission Admission
 	observer  ServerObserver
+	shortage  shortageQueues
 }
 
 // New returns a relay. It refuses requests that prompts has in quarantine, and those that admission does not
@@ -250,6 +252,8 @@
 	Waited time.Duration
 	// Events is the number of server-sent events passed on.
 	Events int
+	// ShortOfSlots means that the request was refused because the engines had no slot for it in time.
+	ShortOfSlots bool
 	// Aborted means that the caller's connection must be closed.
 	Aborted bool
 }
@@ -264,10 +268,9 @@
 	now := time.Now()
 	r.budget.RecordRequest(now, q.Service.Name)
 	r.prompts.RecordRequest(now, q.Service.Name, q.SharedParts)
+	x.joinShortage(now)
 	x.run(ctx)
-	if x.holdsLateSlot {
-		r.balancer.ReleaseLateSlot(q.Service.Name)
-	}
+	x.leaveShortage()
 	return x.report
 }
 
@@ -308,6 +311,13 @@
 	cancelAttempt context.CancelCauseFunc
 	// holdsLateSlot is true once the request has acquired a late slot of the balancer.
 	holdsLateSlot bool
+	// queue orders the requests to the service while slots are short; nil if it has no engines.
+	queue *shortage.Queue
+	// began is when the request came to the relay; held is true once it has been decided whether it is held.
+	began time.Time
+	held  bool
+	// lateTicket is the place of a late request that waits for a late slot; nil if it does not wait.
+	lateTicket *shortage.Ticket
 	// failedResponse is the last response that reported a failure of the request.
 	failedResponse *bufferedResponse
 	// attemptEvents counts the events of the current attempt.
@@ -346,9 +356,13 @@
 			return
 		}
 		if reason := x.refusalReason(server); reason != "" {
+			x.report.ShortOfSlots = true
 			x.finish(ctx, reason)
 			return
 		}
+		if x.holdForOthers(ctx) {
+			continue // the free slots have changed
+		}
 		if len(x.report.Attempts) == 0 {
 			x.report.Waited = time.Since(x.q.Arrived)
 		}
@@ -423,6 +437,7 @@
 		return x.mayRepeat(ctx)
 	case notRun:
 		if x.serversFull() {
+			x.report.ShortOfSlots = x.q.Service.Engine != nil
 			x.finish(ctx, "backend servers are at capacity")
 			return false
 		}
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -156,6 +156,7 @@
 	leaving, ignored []string
 	// ended records the calls of Ended.
 	ended []relay.ServerEnd
+	relay *relay.Relay
 }
 
 // testAdmission is a relay.Admission that admits every attempt until it is closed.
@@ -203,6 +204,7 @@
 	budget := retrybudget.New(retrybudget.Limits{Ratio: 0.2, Floor: floor, Window: 10 * time.Second}, time.Now())
 	s.prompts = quarantine.New(rand.Float64)
 	r := relay.New(testCodec{}, backendconn.NewPools(), s.balancer, budget, s.prompts, limits, &s.admission, s)
+	s.relay = r
 	service.Name = "s"
 	s.front = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		body, _ := io.ReadAll(req.Body) // test clients send complete bodies
@@ -210,6 +212,7 @@
 			CallerHeaders: relay.CallerHeaders{ID: req.Header.Get("Id"), SharedParts: req.Header["Part"]}, Route: &route, Service: &service,
 			Method: req.Method, Target: req.RequestURI, Host: "h", Header: relay.EndToEndHeaders(req.Header), Body: body, Arrived: time.Now(),
 		}
+		q.Priority, _ = strconv.Atoi(req.Header.Get("Urgency")) // 0 without the header
 		report := r.Serve(req.Context(), w, q)
 		s.mu.Lock()
 		s.reports = append(s.reports, report)
--- a/pkg/relay/wait.go
+++ b/pkg/relay/wait.go
@@ -9,6 +9,7 @@
 	"github.com/fescuehub/fescuehub/pkg/balance"
 	"github.com/fescuehub/fescuehub/pkg/fleet"
 	"github.com/fescuehub/fescuehub/pkg/ratelimit"
+	"github.com/fescuehub/fescuehub/pkg/shortage"
 	"github.com/fescuehub/fescuehub/pkg/wait"
 )
 
@@ -67,14 +68,18 @@
 // late slot. Requests whose caller is expected to disconnect within lateSendMargin are sent without
 // a slot.
 func (x *exchange) waitReason(now time.Time) balance.WaitReason {
+	needsSlot := !x.holdsLateSlot && x.possibleRuns == 0 && x.isLate(now)
+	if needsSlot && x.lateTicket == nil {
+		x.lateTicket = x.queue.JoinLate(x.shortageRequest())
+	}
 	if reason := x.balancer.WaitReason(now, x.q.Service); reason != "" {
 		return reason
 	}
-	if x.holdsLateSlot || x.possibleRuns > 0 || !x.isLate(now) {
+	if !needsSlot || x.acquireLateSlot(now) {
 		return ""
 	}
-	x.holdsLateSlot = x.balancer.AcquireLateSlot(now, x.q.Service)
-	if x.holdsLateSlot || x.callerDisconnectsAt().Sub(now) <= lateSendMargin {
+	if x.callerDisconnectsAt().Sub(now) <= lateSendMargin {
+		x.leaveLateQueue()
 		return ""
 	}
 	return balance.WaitLateLimit
@@ -211,16 +216,31 @@
 		return ""
 	}
 	now := time.Now()
+	if x.heldTooLong(now) {
+		return ""
+	}
 	slotWait := x.balancer.ExpectedWait(now, x.q.Service, s.ID)
 	if slotWait == 0 && x.limits.Admission(now, s.ID, s.Incarnation) != ratelimit.Unlimited {
 		return "" // a server at its rate limit has free slots, whatever queue stands at the others
 	}
-	limits := balance.QueueLimits{MaxWait: target, MaxWaitStanding: max(target-firstEventTime, 0)}
+	order := x.queue.Order(now, x.q.Priority)
+	limits := queueLimits(target, order)
 	if x.balancer.ShouldRefuse(now, x.q.Service.Name, slotWait, limits) {
 		return fmt.Sprintf("standing queue at the engines: the expected wait for a slot is %v", slotWait.Round(time.Millisecond))
 	}
+	slotWait = time.Duration(order.ShareBefore * float64(slotWait))
 	if now.Add(slotWait + firstEventTime).After(x.callerDisconnectsAt()) {
 		return fmt.Sprintf("expected wait of %v for a slot exceeds the time until the caller leaves", slotWait.Round(time.Millisecond))
 	}
 	return ""
 }
+
+// queueLimits returns the limits of the wait for a slot of a request with a target latency. At an engine it overtakes
+// the less urgent requests, so that it waits only for a part of the queue, and it is not refused before them.
+func queueLimits(target time.Duration, order shortage.Order) balance.QueueLimits {
+	standing := max(target, order.LongestTargetAfter) - firstEventTime
+	return balance.QueueLimits{
+		MaxWait:         max(target, order.LongestTarget),
+		MaxWaitStanding: time.Duration(float64(max(standing, 0)) / order.ShareBefore),
+	}
+}
