--- a/pkg/relay/finish.go
+++ b/pkg/relay/finish.go
@@ -71,6 +71,9 @@
 		if x.groupFault {
 			mean = retryAfterGroupMean
 		}
+		if x.report.ShortOfSlots {
+			mean = x.retryAfterByUrgency(mean)
+		}
 		if x.allEvacuated() {
 			mean = retryAfterEvacuatedMean
 		}
