--- a/pkg/gateway/caller.go
+++ b/pkg/gateway/caller.go
@@ -94,7 +94,7 @@
 	if !ok {
 		return q, table.Version, &refusal{http.StatusServiceUnavailable, "the configuration does not define the route's service", startupRetryAfter}
 	}
-	q.Service = service
+	q.Service, q.Priorities = service, table.Priorities(service.Name)
 	q.Header = relay.EndToEndHeaders(r.Header)
 	return q, table.Version, nil
 }
@@ -185,6 +185,7 @@
 		outcome = "refused"
 	}
 	g.scope.Tagged(map[string]string{"kind": string(q.Route.Kind), "outcome": outcome}).Counter("requests").Inc(1)
+	g.countShortOfSlots(q, report)
 	g.log.Info("request", zap.String("request", q.ID), zap.String("route", q.Route.Name), zap.String("kind", string(q.Route.Kind)),
 		zap.String("organisation", q.Organisation), zap.String("outcome", outcome), zap.Int("status", report.Status),
 		zap.String("reason", report.Reason), zap.Int("events", report.Events), zap.String("waitedFor", report.WaitedFor), zap.Duration("waited", report.Waited),
