Describe even load and count the use of predicted loads

Operators could not see whether an entry spreads requests by predicted loads, nor how good the predictions are.

--- a/pkg/balance/evenload.go
+++ b/pkg/balance/evenload.go
@@ -50,15 +50,44 @@
 	// stratumAt is when the current stratumTime began, and draws the number of draws since.
 	stratumAt time.Time
 	draws     int
+	// use counts since the last TakePredictionUse.
+	use PredictionUse
 	// costs is kept to avoid an allocation for each choice.
 	costs []float64
 }
 
+// PredictionUse counts the use of the predicted loads of a service's engines.
+type PredictionUse struct {
+	// Active is true if the last request was spread by the predicted load.
+	Active bool
+	// Chosen is the number of requests whose engine was chosen by the predicted load.
+	Chosen int
+	// Reported is the number of loads that reports corrected, and Missed the sum of their differences to the
+	// prediction, in requests.
+	Reported int
+	Missed   float64
+}
+
+// TakePredictionUse returns the use by service since the last call.
+func (b *Balancer) TakePredictionUse() map[string]PredictionUse {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	uses := make(map[string]PredictionUse, len(b.evenLoads))
+	for service, e := range b.evenLoads {
+		uses[service], e.use = e.use, PredictionUse{Active: e.use.Active}
+	}
+	return uses
+}
+
 // usesPrediction reports whether the engines of a service are chosen by their predicted load, and advances
 // the prediction to now. b.mu is held.
 func (b *Balancer) usesPrediction(now time.Time, service *fleet.Service) bool {
 	e := b.evenLoads[service.Name]
-	if e == nil || service.Engine == nil || b.limits.Entries() <= maxCountingEntries+1 || now.Sub(e.reportAt) > predictionLifetime {
+	if e == nil || service.Engine == nil {
+		return false
+	}
+	e.use.Active = b.limits.Entries() > maxCountingEntries+1 && now.Sub(e.reportAt) <= predictionLifetime
+	if !e.use.Active {
 		return false
 	}
 	e.engine = service.Engine
@@ -79,6 +108,7 @@
 	if now.Sub(e.stratumAt) >= stratumTime {
 		e.stratumAt, e.draws = now, 0
 	}
+	e.use.Chosen++
 	position, entries := b.limits.Position()
 	_, draw := math.Modf((float64(position)+random())/float64(entries) + float64(e.draws)*stratumStep)
 	e.draws++
@@ -214,6 +244,8 @@
 	}
 	first, last := ticks(readAt), ticks(now)
 	missed := reported - float64(s.prediction.history[first%historyTicks])
+	e.use.Reported++
+	e.use.Missed += math.Abs(missed)
 	streamTime := float64(b.streamTime(s.Service))
 	for t := first; t <= last; t++ {
 		since := float64(t-first) * float64(historyTick)
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -122,6 +122,8 @@
 	mu        sync.Mutex
 	roster    *roster.Roster
 	directory *directory.Directory
+	// spreadsByPrediction holds the services whose requests were spread by predicted loads lately.
+	spreadsByPrediction map[string]bool
 	// peerAddresses holds the peer port addresses of the other entries by entry name.
 	peerAddresses map[string]netip.AddrPort
 	// planners holds the current planner of each service.
@@ -158,16 +160,17 @@
 	limits := ratelimit.New(s.Name)
 	g := &Gateway{
 		settings: s, codec: codec, sharedLog: sharedlog.NewGuard(shared, log), log: log, metrics: metrics, scope: metrics.Scope,
-		pools:         backendconn.NewPools(),
-		balancer:      balance.New(limits),
-		budget:        retrybudget.New(retryLimits(s.Bounds), time.Now()),
-		prompts:       quarantine.New(rand.Float64),
-		rateLimits:    limits,
-		roster:        roster.New(s.Bounds.LeaveGrace),
-		peerAddresses: make(map[string]netip.AddrPort),
-		planners:      make(map[string]planner),
-		incarnation:   uuid.NewString(),
-		drain:         newDrainState(s.Bounds.Grace),
+		pools:               backendconn.NewPools(),
+		balancer:            balance.New(limits),
+		budget:              retrybudget.New(retryLimits(s.Bounds), time.Now()),
+		prompts:             quarantine.New(rand.Float64),
+		rateLimits:          limits,
+		roster:              roster.New(s.Bounds.LeaveGrace),
+		peerAddresses:       make(map[string]netip.AddrPort),
+		spreadsByPrediction: make(map[string]bool),
+		planners:            make(map[string]planner),
+		incarnation:         uuid.NewString(),
+		drain:               newDrainState(s.Bounds.Grace),
 		topics: map[sharedlog.Topic]*topic{
 			sharedlog.Operators: newTopic(), sharedlog.Servers: newTopic(),
 		},
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -43,6 +43,7 @@
 		part.collect(now, state)
 	}
 	g.recordRateLimitUsage()
+	g.recordPredictions()
 	if socket != nil {
 		socket.Send(gossip.Message{Entry: state}, to...)
 	}
