Explain where a request would go now, without sending it

Operators could not see why an entry sends a request to a server, or why it leaves one out, before it does.

Change: GET /explain at an entry's metrics address and fescuehub site explain name the route, the organisation, whether the request would wait or be refused, and each server with its cost or the reason for which it is left out. The steps of the choice run on copies: no permit is taken, no broken group probed and no queue changed. For that, the state of a broken group is read apart from forgetting it and from the probe (pkg/balance/group.go), and the wait for a slot apart from its lock (admission.go). The key is sent in a header and not logged.

--- a/pkg/balance/admission.go
+++ b/pkg/balance/admission.go
@@ -85,12 +85,17 @@
 	if s == nil || service.Engine == nil || service.Engine.Slots <= 0 {
 		return 0
 	}
-	position := s.requests(now, b.sumEntryLoads(now)[id]) + 1 - service.Engine.Slots
-	stream := b.meanStreamTime[service.Name]
-	if stream == 0 {
-		stream = defaultStreamTime
+	return b.slotWait(service, s.requests(now, b.sumEntryLoads(now)[id]))
+}
+
+// slotWait returns how long one more request is expected to wait for a slot of an engine with a number of
+// requests; 0 for a server that is not an engine. b.mu is held.
+func (b *Balancer) slotWait(service *fleet.Service, requests int) time.Duration {
+	if service.Engine == nil || service.Engine.Slots <= 0 {
+		return 0
 	}
-	return time.Duration(max(position, 0)) * stream / time.Duration(service.Engine.Slots)
+	position := requests + 1 - service.Engine.Slots
+	return time.Duration(max(position, 0)) * b.streamTime(service.Name) / time.Duration(service.Engine.Slots)
 }
 
 // requests returns the number of requests at a server: the sum of the entries' counts, or the
--- a/pkg/balance/evenload.go
+++ b/pkg/balance/evenload.go
@@ -86,7 +86,7 @@
 	if e == nil || service.Engine == nil {
 		return false
 	}
-	e.use.Active = b.limits.Entries() > maxCountingEntries+1 && now.Sub(e.reportAt) <= predictionLifetime
+	e.use.Active = b.predicts(now, e)
 	if !e.use.Active {
 		return false
 	}
@@ -95,6 +95,11 @@
 	return true
 }
 
+// predicts reports whether the loads of a service's engines are known well enough to predict them.
+func (b *Balancer) predicts(now time.Time, e *evenLoad) bool {
+	return b.limits.Entries() > maxCountingEntries+1 && now.Sub(e.reportAt) <= predictionLifetime
+}
+
 // chooseEven draws one of the engines: each with the share of the requests of the horizon that raises the
 // cheapest ones to the same cost. The draws of the entries are spread over that distribution, so that entries
 // that choose at the same time choose different engines. b.mu is held.
@@ -103,7 +108,7 @@
 		return fleet.Server{}, false
 	}
 	e := b.evenLoads[service.Name]
-	count := max(b.completionRate(service.Name)*horizon.Seconds(), 1)
+	count := max(b.completionRate(service.Name, e)*horizon.Seconds(), 1)
 	level := b.fillLevel(now, e, candidates, count)
 	if now.Sub(e.stratumAt) >= stratumTime {
 		e.stratumAt, e.draws = now, 0
@@ -160,9 +165,9 @@
 
 // completionRate returns the number of requests per second that the engines of a service are expected to
 // complete. In steady load it is the rate at which requests arrive. b.mu is held.
-func (b *Balancer) completionRate(service string) float64 {
+func (b *Balancer) completionRate(service string, e *evenLoad) float64 {
 	running := 0.0
-	slots := float64(b.evenLoads[service].engine.Slots)
+	slots := float64(e.engine.Slots)
 	for _, s := range b.services[service] {
 		running += min(s.predicted(), slots)
 	}
@@ -191,7 +196,7 @@
 	if len(members) == 0 {
 		return
 	}
-	rate := b.completionRate(service)
+	rate := b.completionRate(service, e)
 	count := max(rate*max(horizon, elapsed).Seconds(), 1)
 	level := b.fillLevel(now, e, members, count)
 	entries := float64(b.limits.Entries())
--- a/pkg/balance/group.go
+++ b/pkg/balance/group.go
@@ -58,26 +58,39 @@
 	return reason
 }
 
-// groupWaitReason returns why a group accepts no request now. b.mu is held.
+// groupWaitReason returns why a group accepts no request now, and records the probe that it lets through. b.mu
+// is held.
 func (b *Balancer) groupWaitReason(now time.Time, key groupKey, members []*server, service *fleet.Service) WaitReason {
+	if b.reportedState(now, key) != fleet.GroupForming {
+		b.isBroken(now, key) // forgets a fault that has expired
+	}
+	reason, probes := b.peekGroupWait(now, key, members, service)
+	if probes {
+		b.faults[key].probed = now
+	}
+	return reason
+}
+
+// peekGroupWait returns why a group accepts no request now, and whether a request is let through as a probe. b.mu
+// is held.
+func (b *Balancer) peekGroupWait(now time.Time, key groupKey, members []*server, service *fleet.Service) (reason WaitReason, probes bool) {
 	if b.reportedState(now, key) == fleet.GroupForming {
 		inFlight := 0
 		for _, s := range members {
 			inFlight += s.ownLoad.Requests
 		}
 		if inFlight >= b.entryShare(now, len(members)*service.Engine.Slots, formingShare) {
-			return WaitGroupForming
+			return WaitGroupForming, false
 		}
-		return ""
+		return "", false
 	}
-	if !b.isBroken(now, key) {
-		return ""
+	if broken, _ := b.peekBroken(now, key); !broken {
+		return "", false
 	}
 	if f := b.faults[key]; f != nil && b.reportedState(now, key) != fleet.GroupBroken && now.Sub(f.probed) >= probeInterval {
-		f.probed = now
-		return ""
+		return "", true
 	}
-	return WaitGroupBroken
+	return WaitGroupBroken, false
 }
 
 // reportedState returns the state of a group in the planner's last report; empty if there is no
@@ -89,22 +102,30 @@
 	return ""
 }
 
-// isBroken reports whether a group is known to be broken. b.mu is held.
+// isBroken reports whether a group is known to be broken, and forgets a fault that has expired. b.mu is held.
 func (b *Balancer) isBroken(now time.Time, key groupKey) bool {
+	broken, expired := b.peekBroken(now, key)
+	if expired {
+		delete(b.faults, key)
+	}
+	return broken
+}
+
+// peekBroken reports whether a group is known to be broken, and whether its fault has expired. b.mu is held.
+func (b *Balancer) peekBroken(now time.Time, key groupKey) (broken, expired bool) {
 	reported := b.reportedState(now, key)
 	if reported == fleet.GroupBroken {
-		return true
+		return true, false
 	}
 	f := b.faults[key]
 	if f == nil {
-		return false
+		return false, false
 	}
 	// A report that arrives within maxReportDelay of the fault may be older than the fault.
 	if reported != "" && b.groupStates[key].at.Sub(f.at) > maxReportDelay || now.Sub(f.at) > faultLifetime {
-		delete(b.faults, key)
-		return false
+		return false, true
 	}
-	return true
+	return true, false
 }
 
 // skipGroups returns the engines whose group is not to be skipped, or all of them if every group is.
--- a/pkg/cli/site.go
+++ b/pkg/cli/site.go
@@ -31,7 +31,7 @@
 		Args:    noArgs,
 		RunE:    func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
 	}
-	cmd.AddCommand(a.siteEntryCommand(), a.siteAgentCommand(), a.siteQuarantineCommand(), a.siteRateLimitsCommand())
+	cmd.AddCommand(a.siteEntryCommand(), a.siteAgentCommand(), a.siteQuarantineCommand(), a.siteRateLimitsCommand(), a.siteExplainCommand())
 	return cmd
 }
 
--- a/pkg/cli/status.go
+++ b/pkg/cli/status.go
@@ -70,9 +70,14 @@
 
 // getJSON decodes the JSON response of an operator endpoint, of at most maxOperatorBytes, into target.
 func getJSON(ctx context.Context, url string, target any) error {
+	return getJSONWithHeader(ctx, url, nil, target)
+}
+
+// getJSONWithHeader is getJSON with a request header.
+func getJSONWithHeader(ctx context.Context, url string, header http.Header, target any) error {
 	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
 	defer cancel()
-	err := httpclient.Get(ctx, operatorClient, url, maxOperatorBytes, target)
+	err := httpclient.GetWithHeader(ctx, operatorClient, url, header, maxOperatorBytes, target)
 	if refused := (*httpclient.StatusError)(nil); errors.As(err, &refused) {
 		return problem.New(problem.Unavailable, "check the address and that the process runs", "GET %s: status %d %s", url, refused.Status, http.StatusText(refused.Status))
 	}
--- a/pkg/gateway/operator.go
+++ b/pkg/gateway/operator.go
@@ -55,12 +55,13 @@
 	Granted int `json:"granted"`
 }
 
-// operatorHandler serves the metrics, the parts in quarantine and the rate limits.
+// operatorHandler serves the metrics, the parts in quarantine, the rate limits and explanations.
 func (g *Gateway) operatorHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+QuarantinePath, g.listQuarantine)
 	mux.HandleFunc("DELETE "+QuarantinePath, g.liftQuarantine)
 	mux.HandleFunc("GET "+RateLimitsPath, g.listRateLimits)
+	mux.HandleFunc("GET "+ExplainPath, g.explainRequest)
 	mux.Handle("/", g.metrics.Handler)
 	return mux
 }
@@ -102,7 +103,7 @@
 	g.writeList(w, g.RateLimits())
 }
 
-// writeList writes a list for operators.
+// writeList writes a list or another answer for operators.
 func (g *Gateway) writeList(w http.ResponseWriter, list any) {
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(list); err != nil {
--- a/pkg/httpclient/httpclient.go
+++ b/pkg/httpclient/httpclient.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 
 	"github.com/cockroachdb/errors"
@@ -46,7 +47,12 @@
 // Get decodes a JSON document of at most maxBytes bytes into the value that into points to. A response
 // with a status other than 200 is an error of type *StatusError.
 func Get(ctx context.Context, c *http.Client, url string, maxBytes int64, into any) error {
-	return call(ctx, c, http.MethodGet, url, nil, maxBytes, into)
+	return call(ctx, c, http.MethodGet, url, nil, nil, maxBytes, into)
+}
+
+// GetWithHeader is Get with a request header.
+func GetWithHeader(ctx context.Context, c *http.Client, url string, header http.Header, maxBytes int64, into any) error {
+	return call(ctx, c, http.MethodGet, url, header, nil, maxBytes, into)
 }
 
 // Post sends a JSON document and reads the response as Get does. If into is nil, the body of the
@@ -56,14 +62,15 @@
 	if err != nil {
 		return errors.Wrap(err, "encode request body")
 	}
-	return call(ctx, c, http.MethodPost, url, bytes.NewReader(data), maxBytes, into)
+	return call(ctx, c, http.MethodPost, url, nil, bytes.NewReader(data), maxBytes, into)
 }
 
-func call(ctx context.Context, c *http.Client, method, url string, body io.Reader, maxBytes int64, into any) error {
+func call(ctx context.Context, c *http.Client, method, url string, header http.Header, body io.Reader, maxBytes int64, into any) error {
 	req, err := http.NewRequestWithContext(ctx, method, url, body)
 	if err != nil {
 		return errors.Wrap(err, "create request")
 	}
+	maps.Copy(req.Header, header)
 	if body != nil {
 		req.Header.Set("Content-Type", "application/json")
 	}
