--- a/pkg/balance/evenload.go
+++ b/pkg/balance/evenload.go
@@ -52,15 +52,44 @@
 	// stratumAt is when the current stratumTime began, and draws the number of draws since.
 	stratumAt time.Time
 	draws     int
+	// use counts since the last TakePredictionUse.
+	use PredictionUse
 	// costs is kept to avoid an allocation for each choice.
 	costs []float64
 }
 
+// PredictionUse counts the use of the predicted loads of a service's engines.
+type PredictionUse struct {
+	// Active is true if the last request was spread by the predicted load.
+	Active bool
+	// Chosen is the number of requests whose engine was chosen by the predicted load.
+	Chosen int
+	// Reported is the number of loads that reports corrected, and Missed the sum of their differences to the
+	// prediction, in requests.
+	Reported int
+	Missed   float64
+}
+
+// TakePredictionUse returns the use by service since the last call.
+func (b *Balancer) TakePredictionUse() map[string]PredictionUse {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	uses := make(map[string]PredictionUse, len(b.evenLoads))
+	for service, e := range b.evenLoads {
+		uses[service], e.use = e.use, PredictionUse{Active: e.use.Active}
+	}
+	return uses
+}
+
 // usesPrediction reports whether the engines of a service are chosen by their predicted load, and advances
 // the prediction to now. b.mu is held.
 func (b *Balancer) usesPrediction(now time.Time, service *fleet.Service) bool {
 	e := b.evenLoads[service.Name]
-	if e == nil || service.Engine == nil || b.limits.Entries() <= maxCountingEntries+1 || now.Sub(e.reportAt) > predictionLifetime {
+	if e == nil || service.Engine == nil {
+		return false
+	}
+	e.use.Active = b.predicts(now, e)
+	if !e.use.Active {
 		return false
 	}
 	e.engine = service.Engine
@@ -68,6 +97,11 @@
 	return true
 }
 
+// predicts reports whether the loads of a service's engines are known well enough to predict them.
+func (b *Balancer) predicts(now time.Time, e *evenLoad) bool {
+	return b.limits.Entries() > maxCountingEntries+1 && now.Sub(e.reportAt) <= predictionLifetime
+}
+
 // chooseEven draws one of the engines: each with the share of the requests of the horizon that raises the
 // cheapest ones to the same cost. The draws of the entries are spread over that distribution, so that entries
 // that choose at the same time choose different engines. b.mu is held.
@@ -76,11 +110,12 @@
 		return fleet.Server{}, false
 	}
 	e := b.evenLoads[service.Name]
-	count := max(b.completionRate(service.Name)*horizon.Seconds(), 1)
+	count := max(b.completionRate(service.Name, e)*horizon.Seconds(), 1)
 	level := b.fillLevel(now, e, candidates, count)
 	if now.Sub(e.stratumAt) >= stratumTime {
 		e.stratumAt, e.draws = now, 0
 	}
+	e.use.Chosen++
 	position, entries := b.limits.Position()
 	_, draw := math.Modf((float64(position)+random())/float64(entries) + float64(e.draws)*stratumStep)
 	e.draws++
@@ -132,9 +167,9 @@
 
 // completionRate returns the number of requests per second that the engines of a service are expected to
 // complete. In steady load it is the rate at which requests arrive. b.mu is held.
-func (b *Balancer) completionRate(service string) float64 {
+func (b *Balancer) completionRate(service string, e *evenLoad) float64 {
 	running := 0.0
-	slots := float64(b.evenLoads[service].engine.Slots)
+	slots := float64(e.engine.Slots)
 	for _, s := range b.services[service] {
 		running += min(s.predicted(), slots)
 	}
@@ -163,7 +198,7 @@
 	if len(members) == 0 {
 		return
 	}
-	rate := b.completionRate(service)
+	rate := b.completionRate(service, e)
 	count := max(rate*max(horizon, elapsed).Seconds(), 1)
 	level := b.fillLevel(now, e, members, count)
 	entries := float64(b.limits.Entries())
@@ -185,6 +220,13 @@
 // ticks returns the number of historyTick from the origin to t. It uses the steady clock: the time of day may jump.
 func (e *evenLoad) ticks(t time.Time) int64 { return int64(t.Sub(e.origin) / historyTick) }
 
+// at returns the expected requests of all entries at a time in ticks, of which last is the newest one.
+func (p *prediction) at(ticks float64, last int64) float64 {
+	before, after := int64(ticks), min(int64(ticks)+1, last)
+	fraction := ticks - float64(before)
+	return (1-fraction)*float64(p.history[before%historyTicks]) + fraction*float64(p.history[after%historyTicks])
+}
+
 // beginReport prepares the prediction for a report of a service's engines. b.mu is held.
 func (b *Balancer) beginReport(now time.Time, service string) {
 	e := b.evenLoads[service]
@@ -215,7 +257,9 @@
 		return
 	}
 	first, last := e.ticks(readAt), e.ticks(now)
-	missed := reported - float64(s.prediction.history[first%historyTicks])
+	missed := reported - s.prediction.at(float64(readAt.Sub(e.origin))/float64(historyTick), last)
+	e.use.Reported++
+	e.use.Missed += math.Abs(missed)
 	streamTime := float64(b.streamTime(s.Service))
 	for t := first; t <= last; t++ {
 		since := float64(t-first) * float64(historyTick)
--- a/pkg/gateway/operator.go
+++ b/pkg/gateway/operator.go
@@ -74,13 +74,14 @@
 	Servers int `json:"servers"`
 }
 
-// operatorHandler serves the metrics, the parts in quarantine, the rate limits and the evacuations.
+// operatorHandler serves the metrics, the parts in quarantine, the rate limits, the evacuations and explanations.
 func (g *Gateway) operatorHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+QuarantinePath, g.listQuarantine)
 	mux.HandleFunc("DELETE "+QuarantinePath, g.liftQuarantine)
 	mux.HandleFunc("GET "+RateLimitsPath, g.listRateLimits)
 	mux.HandleFunc("GET "+EvacuationsPath, g.listEvacuations)
+	mux.HandleFunc("GET "+ExplainPath, g.explainRequest)
 	mux.Handle("/", g.metrics.Handler)
 	return mux
 }
@@ -144,7 +145,7 @@
 	g.writeList(w, g.Evacuations())
 }
 
-// writeList writes a list for operators.
+// writeList writes a list or another answer for operators.
 func (g *Gateway) writeList(w http.ResponseWriter, list any) {
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(list); err != nil {
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -44,6 +44,7 @@
 	}
 	g.recordRateLimitUsage()
 	g.recordColdServers(now)
+	g.recordPredictions()
 	if socket != nil {
 		socket.Send(gossip.Message{Entry: state}, to...)
 	}
