Keep the interval of digests while a switch is pending

After a switch the planner reads the ranks every 20 ms until all use the new map, and sent the entries a digest in each of these rounds: for 72 ranks 2186 bytes to 6 entries of 18 in three failure domains, 13 ms of a link of 8 Mbit/s, ahead of the orders to prepare the next stage. A round in this phase now sends a digest only if the last one is as old as a usual round, or the state of the group has changed.

--- a/pkg/rankagent/planner.go
+++ b/pkg/rankagent/planner.go
@@ -118,7 +118,7 @@
 	passTimer      passTimer
 	armingEstimate armingEstimate
 	formingPhase   formingPhase
-	// digest is the group's newest digest, and digestReadAt when its loads were read.
+	// digest is the digest that was sent last, and digestReadAt when its loads were read.
 	digest       *gossip.Digest
 	digestReadAt time.Time
 	// pauseReason says why the group is not being planned; it is empty while the group is planned.
@@ -287,8 +287,7 @@
 	if g.formingPhase.active(now) {
 		digest.State = fleet.GroupForming
 	}
-	p.agent.sendDigest(digest, now)
-	g.digest, g.digestReadAt = digest, now
+	p.sendGroupDigest(g, digest, now)
 	g.passTimer.observe(now, statuses[0].Report.Step)
 	g.demand.DecayTo(now)
 	for r, s := range statuses {
@@ -305,6 +304,17 @@
 	return p.advance(ctx, g, servers, statuses, engine)
 }
 
+// sendGroupDigest sends a digest of loads read at the given time. While the ranks are about to begin the pass
+// with a new map, the rounds follow each other sooner than the entries need digests, which would
+// delay the orders of the next stage on the planner's link.
+func (p *planner) sendGroupDigest(g *group, digest *gossip.Digest, readAt time.Time) {
+	if g.stages.inSwitch && g.digest != nil && g.digest.State == digest.State && readAt.Sub(g.digestReadAt) < roundInterval {
+		return
+	}
+	p.agent.sendDigest(digest, readAt)
+	g.digest, g.digestReadAt = digest, readAt
+}
+
 // announceOpen tells the entries that the group's first map is in use, if it is.
 func (p *planner) announceOpen(g *group) {
 	if g.digest != nil && g.digest.State == fleet.GroupForming && !g.formingPhase.active(time.Now()) {
--- a/pkg/rankagent/stages_test.go
+++ b/pkg/rankagent/stages_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/fescuehub/fescuehub/pkg/evenplan"
 	"github.com/fescuehub/fescuehub/pkg/fleet"
+	"github.com/fescuehub/fescuehub/pkg/gossip"
 	"github.com/fescuehub/fescuehub/pkg/mapswitch"
 	"github.com/fescuehub/fescuehub/pkg/popularity"
 	"github.com/fescuehub/fescuehub/pkg/rankcontrol"
@@ -390,3 +391,31 @@
 		t.Errorf("after the last stage: due %v, least gain %v, stage %d", s.due(), s.minGain(), s.number)
 	}
 }
+
+// TestDigestsKeepTheirIntervalDuringASwitch guards the planner's link: the rounds that wait for the pass with
+// a new map must not send each a digest, but a changed state of the group must be sent at once.
+func TestDigestsKeepTheirIntervalDuringASwitch(t *testing.T) {
+	p := &planner{agent: &Agent{}}
+	g := &group{}
+	start := time.Now()
+	for _, c := range []struct {
+		name     string
+		after    time.Duration
+		inSwitch bool
+		state    fleet.GroupState
+		sent     int64
+	}{
+		{"first round", 0, false, fleet.GroupOpen, 1},
+		{"round after the switch", pendingInterval, true, fleet.GroupOpen, 1},
+		{"next round", 2 * pendingInterval, true, fleet.GroupOpen, 1},
+		{"an interval after the last digest", roundInterval, true, fleet.GroupOpen, 2},
+		{"the group has broken", roundInterval + pendingInterval, true, fleet.GroupBroken, 3},
+		{"no switch is pending", roundInterval + 2*pendingInterval, false, fleet.GroupBroken, 4},
+	} {
+		g.stages.inSwitch = c.inSwitch
+		p.sendGroupDigest(g, &gossip.Digest{State: c.state}, start.Add(c.after))
+		if p.agent.digests != c.sent {
+			t.Errorf("%s: %d digests have been sent, want %d", c.name, p.agent.digests, c.sent)
+		}
+	}
+}
