Settle an ended preparation also while no server is known

The planner began rounds without a pause while the announcements were read anew during a preparation: a round without servers returned before it looked at the preparation, and the wait for the next round ends at once when a preparation has ended. The round now settles the preparation first. The ranks are those that the orders went to, and Switch checks their epoch.

--- a/pkg/rankagent/planner.go
+++ b/pkg/rankagent/planner.go
@@ -224,21 +224,32 @@
 
 // round reconciles a group once. An error means that this planner must stop.
 func (p *planner) round(ctx context.Context, g *group) error {
+	if g.preparation.ended() {
+		// This needs no announcement: awaitRound returns at once until the preparation is settled.
+		return p.withinConcurrency(ctx, len(g.preparation.group.Ranks), func() error { return p.switchAfterPreparation(ctx, g) })
+	}
 	servers := p.members()[g.name]
 	engine, _ := p.newestEngine()
 	if engine == nil || engine.Sets == 0 || len(servers) == 0 {
 		return nil
 	}
-	// All groups share this planner's link and processor.
-	ranks := min(int64(len(servers)), maxConcurrentRanks)
-	if err := p.concurrency.Acquire(ctx, ranks); err != nil {
+	return p.withinConcurrency(ctx, len(servers), func() error {
+		if g.preparation.ended() {
+			return p.switchAfterPreparation(ctx, g)
+		}
+		return p.reconcileGroup(ctx, g, servers, engine)
+	})
+}
+
+// withinConcurrency calls a function for a group of a number of ranks once the other groups leave it enough of
+// this planner's link and processor. It does not call the function if ctx ends before.
+func (p *planner) withinConcurrency(ctx context.Context, ranks int, call func() error) error {
+	weight := min(int64(ranks), maxConcurrentRanks)
+	if err := p.concurrency.Acquire(ctx, weight); err != nil {
 		return nil // ctx has ended
 	}
-	defer p.concurrency.Release(ranks)
-	if g.preparation.ended() {
-		return p.switchAfterPreparation(ctx, g)
-	}
-	return p.reconcileGroup(ctx, g, servers, engine)
+	defer p.concurrency.Release(weight)
+	return call()
 }
 
 // newestEngine returns the engine configuration of the newest version that this planner has read or an
--- /dev/null
+++ b/pkg/rankagent/term_test.go
@@ -0,0 +1,26 @@
+package rankagent
+
+import (
+	"testing"
+
+	"golang.org/x/sync/semaphore"
+
+	"github.com/fescuehub/fescuehub/pkg/fleet"
+)
+
+// TestRoundWithoutServersSettlesThePreparation guards against rounds that follow each other without a pause:
+// while the announcements are read anew, no server is known, and the ended preparation must not be left as the
+// event that begins the next round.
+func TestRoundWithoutServersSettlesThePreparation(t *testing.T) {
+	ranks := newStagedGroup()
+	p, g := stagedPlanner(t.Context(), ranks, 1)
+	p.concurrency = semaphore.NewWeighted(maxConcurrentRanks)
+	p.engine = &fleet.Engine{Sets: stagedSets, Experts: stagedExperts}
+	advanceUntil(t, p, g, ranks, func() bool { return g.preparation.ended() })
+	if err := p.round(t.Context(), g); err != nil {
+		t.Fatal(err)
+	}
+	if g.preparation != nil {
+		t.Error("a round without servers leaves the ended preparation; the next round begins at once")
+	}
+}
