Turn a panic in a preparation into its error

A panic in a round is caught, and the group is read anew. Since the orders to prepare are sent beside the rounds, a panic there ended the agent's process. It is now the error of the preparation: the stage is abandoned and the error logged.

--- a/pkg/rankagent/stages.go
+++ b/pkg/rankagent/stages.go
@@ -6,6 +6,7 @@
 
 	"github.com/fescuehub/fescuehub/pkg/evenplan"
 	"github.com/fescuehub/fescuehub/pkg/mapswitch"
+	"github.com/fescuehub/fescuehub/pkg/panics"
 	"github.com/fescuehub/fescuehub/pkg/rankcontrol"
 )
 
@@ -200,7 +201,9 @@
 	go func() {
 		defer close(p.done)
 		defer cancel()
-		p.err = f.Prepare(ctx, version, m, base, present)
+		if panicked := panics.Catch(func() { p.err = f.Prepare(ctx, version, m, base, present) }); panicked != nil {
+			p.err = panicked
+		}
 		p.took = time.Since(began)
 	}()
 	return p
--- a/pkg/rankagent/term_test.go
+++ b/pkg/rankagent/term_test.go
@@ -5,7 +5,10 @@
 
 	"golang.org/x/sync/semaphore"
 
+	"github.com/fescuehub/fescuehub/pkg/evenplan"
 	"github.com/fescuehub/fescuehub/pkg/fleet"
+	"github.com/fescuehub/fescuehub/pkg/mapswitch"
+	"github.com/fescuehub/fescuehub/pkg/rankcontrol"
 )
 
 // TestRoundWithoutServersSettlesThePreparation guards against rounds that follow each other without a pause:
@@ -24,3 +27,15 @@
 		t.Error("a round without servers leaves the ended preparation; the next round begins at once")
 	}
 }
+
+// TestPanicInAPreparationIsAnError guards the agent: a defect in the orders to prepare must end the stage and
+// not the process.
+func TestPanicInAPreparationIsAnError(t *testing.T) {
+	var noGroup *mapswitch.Group
+	m := rankcontrol.Map(evenplan.Uniform(1, 2, 2))
+	p := prepare(t.Context(), noGroup, 1, m, 0, m)
+	<-p.done
+	if p.err == nil {
+		t.Error("a preparation that panics has no error")
+	}
+}
