Plan a shift at once that is noticed during a stage

A shift that made the planner abandon a stage, or that was noticed during the last stage of a change, was forgotten with the end of that change. Its plan then waited for the least time between two maps, up to 0.15 s and the next round, and the time from the noticed change to the switch was measured from the plan. The end of a change now keeps a shift that was noticed after the stage was planned.

--- a/pkg/rankagent/planner.go
+++ b/pkg/rankagent/planner.go
@@ -308,8 +308,7 @@
 		g.stages.reading.observe(time.Since(now))
 		if g.demand.MergeWindows() {
 			p.log.Info("expert demand has shifted; earlier counts are discarded", zap.String("group", g.name))
-			g.stages.demandShifted(now)
-			p.reviewStage(g)
+			p.noticeShift(g, now)
 		}
 	}
 	return p.advance(ctx, g, servers, statuses, engine)
@@ -584,6 +583,12 @@
 	return p.switchOver(ctx, g, f)
 }
 
+// noticeShift records that the demand has shifted, and reviews the stage in progress.
+func (p *planner) noticeShift(g *group, now time.Time) {
+	p.reviewStage(g)
+	g.stages.demandShifted(now) // abandoning the stage ends the earlier change only
+}
+
 // reviewStage abandons the stage that the ranks prepare if the demand has shifted so that its gain is lost.
 func (p *planner) reviewStage(g *group) {
 	if g.next == nil || g.preparation == nil || g.preparation.ended() || g.current == nil {
--- a/pkg/rankagent/stages.go
+++ b/pkg/rankagent/stages.go
@@ -38,6 +38,8 @@
 	counted bool
 	// noticedAt is when the need for the change was noticed; zero if no change is due.
 	noticedAt time.Time
+	// plannedAt is when the present stage was planned.
+	plannedAt time.Time
 	// copying is the expected time of the copies of the present stage, and preparedAt when they are
 	// expected to be done; 0 and zero if unknown.
 	copying    time.Duration
@@ -79,6 +81,7 @@
 		s.noticedAt = now // the demand has drifted without a shift
 	}
 	s.number++
+	s.plannedAt = now
 	s.more = plan.Stages > 1
 	s.limit, s.copying, s.preparedAt = 0, 0, time.Time{}
 	if cost.Copy > 0 {
@@ -112,8 +115,12 @@
 // switched records that the ranks have been switched to the stage by a switch that began at the given time.
 func (s *stages) switched(began time.Time) {
 	s.inSwitch, s.switchBegan, s.counted = true, began, false
-	if !s.more {
-		s.number, s.noticedAt = 0, time.Time{}
+	if s.more {
+		return
+	}
+	s.number = 0
+	if !s.noticedAt.After(s.plannedAt) { // otherwise the demand has shifted since the stage was planned
+		s.noticedAt = time.Time{}
 	}
 }
 
--- a/pkg/rankagent/term_test.go
+++ b/pkg/rankagent/term_test.go
@@ -1,7 +1,9 @@
 package rankagent
 
 import (
+	"context"
 	"testing"
+	"time"
 
 	"golang.org/x/sync/semaphore"
 
@@ -39,3 +41,30 @@
 		t.Error("a preparation that panics has no error")
 	}
 }
+
+// TestShiftDuringAStageIsPlannedAtOnce guards against a shift that waits for the least time between two maps because
+// the stage in which it was noticed has been abandoned, or was the last one of its change.
+func TestShiftDuringAStageIsPlannedAtOnce(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var s stages
+	s.begin(now, evenplan.Plan{Stages: 1}, evenplan.StageCost{})
+	s.demandShifted(now.Add(time.Millisecond))
+	s.switched(now.Add(2 * time.Millisecond))
+	if !s.due() {
+		t.Error("no plan is due after a shift during the last stage of a change")
+	}
+
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	ranks := newStagedGroup()
+	ranks.ranks[3].stuck = true // its copies take long
+	p, g := stagedPlanner(ctx, ranks, 1)
+	advanceUntil(t, p, g, ranks, func() bool { return g.next != nil })
+	if !observeDemand(g, 4) {
+		t.Fatal("no shift is detected")
+	}
+	p.noticeShift(g, time.Now())
+	if g.next != nil || !g.stages.due() {
+		t.Errorf("after a shift to other experts: next map %v, a plan is due: %v; want the stage abandoned and planned anew", g.next, g.stages.due())
+	}
+}
