Bound the measured parts of the time of a stage

One switch of 10 s, because a rank could not be reached, raised the expected time of a switch to 2.5 s. Copies that take less than that are made at once, so the next changes of 24 ranks with 16 sets were not staged at all: two copies of 76 ms in each set take 2.4 s. A single observation now counts for at most 0.5 s, three passes of the longest on-time pause.

--- a/pkg/rankagent/stages.go
+++ b/pkg/rankagent/stages.go
@@ -14,6 +14,9 @@
 	// initialOverhead is the assumed time of each part of a stage before it has been measured: reading
 	// the counts, planning, and switching.
 	initialOverhead = 50 * time.Millisecond
+	// maxOverhead bounds each observation of such a part, so that one partition or frozen process does not
+	// make the next changes unstaged. A switch takes up to three passes, of at most 150 ms if they are on time.
+	maxOverhead = 500 * time.Millisecond
 	// minStageTime is the least time limit of a stage. It allows for orders that are sent again.
 	minStageTime = time.Second
 	// unableTime is how long a rank that did not finish its copies gets no new experts.
@@ -70,7 +73,9 @@
 	return a.value
 }
 
-func (a *average) observe(d time.Duration) { a.value = a.current() + (d-a.current())/4 }
+func (a *average) observe(d time.Duration) {
+	a.value = a.current() + (min(d, maxOverhead)-a.current())/4
+}
 
 // demandShifted records that the demand has shifted.
 func (s *stages) demandShifted(now time.Time) { s.noticedAt = now }
--- a/pkg/rankagent/term_test.go
+++ b/pkg/rankagent/term_test.go
@@ -68,3 +68,17 @@
 		t.Errorf("after a shift to other experts: next map %v, a plan is due: %v; want the stage abandoned and planned anew", g.next, g.stages.due())
 	}
 }
+
+// TestLongSwitchDoesNotPreventStages guards against a link that fails during one switch: the switch must not be taken for
+// the usual one, with which a change would be made at once although its copies take seconds.
+func TestLongSwitchDoesNotPreventStages(t *testing.T) {
+	const copyTime = 76 * time.Millisecond
+	now := time.Unix(1000, 0)
+	var s stages
+	s.switched(now)
+	s.inUse(now.Add(10 * time.Second))
+	s.planning.observe(5 * time.Second)
+	if fixed := s.fixedTime(); fixed > 2*16*copyTime/4 {
+		t.Errorf("the fixed time of a stage is taken as %v after one switch of 10 s; two copies in each of 16 sets take %v", fixed, 2*16*copyTime)
+	}
+}
