Keep the base of changes when a late order is fenced off

An agent took the map of an order to prepare as the base of later changes before it checked the order's fence. A late order of a replaced planner therefore removed the map of the present one, and the next stage had to be sent whole to that rank. Only the maps of orders that are not fenced off are kept now.

--- a/pkg/rankagent/agent.go
+++ b/pkg/rankagent/agent.go
@@ -316,14 +316,17 @@
 		o.Map = full
 	}
 	verdict, err := a.orderFenced(ctx, o)
+	if o.Operation == rankcontrol.Prepare && verdict != rankcontrol.Fenced {
+		a.keepMap(o)
+	}
 	if err == nil && o.Operation == rankcontrol.Prepare && verdict == rankcontrol.Accepted {
 		a.awaitPrepared(ctx, o.Version)
 	}
 	return verdict, err
 }
 
-// fullMap returns the full map of an order to prepare, and keeps it as the base of later changes.
-// It returns false if the base is unknown or the changes do not fit it.
+// fullMap returns the full map of an order to prepare. It returns false if the base is unknown or the
+// changes do not fit it.
 func (a *Agent) fullMap(o rankcontrol.Order) (rankcontrol.Map, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -342,13 +345,20 @@
 			return nil, false
 		}
 	}
+	return full, true
+}
+
+// keepMap keeps the map of an order to prepare as the base of later changes, and its own base. An order
+// that the rank refused as fenced off must not replace the maps of the present planner.
+func (a *Agent) keepMap(o rankcontrol.Order) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	for version := range a.maps {
 		if version != o.Base {
 			delete(a.maps, version)
 		}
 	}
-	a.maps[o.Version] = full
-	return full, true
+	a.maps[o.Version] = o.Map
 }
 
 // awaitPrepared waits until the engine has prepared a map or a later one, for up to prepareTimeout.
--- a/pkg/rankagent/fullmap_test.go
+++ b/pkg/rankagent/fullmap_test.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/fescuehub/fescuehub/pkg/evenplan"
+	"github.com/fescuehub/fescuehub/pkg/fleet"
 	"github.com/fescuehub/fescuehub/pkg/netconn"
 	"github.com/fescuehub/fescuehub/pkg/rankcontrol"
 	"github.com/fescuehub/fescuehub/pkg/rpc"
@@ -100,3 +101,36 @@
 		t.Errorf("rows of an earlier release: verdict %q, error %v; want %q", verdict, err, rankcontrol.UnknownBase)
 	}
 }
+
+// acceptingRank accepts every order and has prepared every map.
+type acceptingRank struct{ rankcontrol.Rank }
+
+func (acceptingRank) Order(context.Context, rankcontrol.Order) (rankcontrol.Verdict, error) {
+	return rankcontrol.Accepted, nil
+}
+
+func (acceptingRank) Report(context.Context) (fleet.EngineReport, error) {
+	return fleet.EngineReport{Prepared: 1 << 40}, nil
+}
+
+// TestLateOrderLeavesTheBase guards the present planner's changes against a late order of a replaced
+// planner: if it removed their base, the next stage would need the full map.
+func TestLateOrderLeavesTheBase(t *testing.T) {
+	agent := &Agent{log: zap.NewNop(), maps: make(map[int64]rankcontrol.Map), local: acceptingRank{}}
+	present, next := rankcontrol.Map(evenplan.Uniform(2, 6, 3)), rankcontrol.Map(evenplan.Uniform(2, 6, 3))
+	next[0][0] = []int{0, 3, 5}
+	for _, c := range []struct {
+		name  string
+		order rankcontrol.Order
+		want  rankcontrol.Verdict
+	}{
+		{"map of the present planner", rankcontrol.Order{Version: 20, Map: present, Fence: 21}, rankcontrol.Accepted},
+		{"late map of the replaced planner", rankcontrol.Order{Version: 9, Map: next, Fence: 10}, rankcontrol.Fenced},
+		{"changes to the map of the present planner", rankcontrol.Order{Version: 22, Base: 20, Changes: present.DeltaTo(next), Fence: 23}, rankcontrol.Accepted},
+	} {
+		c.order.Operation = rankcontrol.Prepare
+		if verdict, err := agent.execute(t.Context(), c.order); err != nil || verdict != c.want {
+			t.Errorf("%s: verdict %q, error %v; want %q", c.name, verdict, err, c.want)
+		}
+	}
+}
