--- a/pkg/rankagent/planner.go
+++ b/pkg/rankagent/planner.go
@@ -118,7 +118,7 @@
 	passTimer      passTimer
 	armingEstimate armingEstimate
 	formingPhase   formingPhase
-	// digest is the group's newest digest, and digestReadAt when its loads were read.
+	// digest is the digest that was sent last, and digestReadAt when its loads were read.
 	digest       *gossip.Digest
 	digestReadAt time.Time
 	// pauseReason says why the group is not being planned; it is empty while the group is planned.
@@ -224,21 +224,32 @@
 
 // round reconciles a group once. An error means that this planner must stop.
 func (p *planner) round(ctx context.Context, g *group) error {
+	if g.preparation.ended() {
+		// This needs no announcement: awaitRound returns at once until the preparation is settled.
+		return p.withinConcurrency(ctx, len(g.preparation.group.Ranks), func() error { return p.switchAfterPreparation(ctx, g) })
+	}
 	servers := p.members()[g.name]
 	engine, _ := p.newestEngine()
 	if engine == nil || engine.Sets == 0 || len(servers) == 0 {
 		return nil
 	}
-	// All groups share this planner's link and processor.
-	ranks := min(int64(len(servers)), maxConcurrentRanks)
-	if err := p.concurrency.Acquire(ctx, ranks); err != nil {
+	return p.withinConcurrency(ctx, len(servers), func() error {
+		if g.preparation.ended() {
+			return p.switchAfterPreparation(ctx, g)
+		}
+		return p.reconcileGroup(ctx, g, servers, engine)
+	})
+}
+
+// withinConcurrency calls a function for a group of a number of ranks once the other groups leave it enough of
+// this planner's link and processor. It does not call the function if ctx ends before.
+func (p *planner) withinConcurrency(ctx context.Context, ranks int, call func() error) error {
+	weight := min(int64(ranks), maxConcurrentRanks)
+	if err := p.concurrency.Acquire(ctx, weight); err != nil {
 		return nil // ctx has ended
 	}
-	defer p.concurrency.Release(ranks)
-	if g.preparation.ended() {
-		return p.switchAfterPreparation(ctx, g)
-	}
-	return p.reconcileGroup(ctx, g, servers, engine)
+	defer p.concurrency.Release(weight)
+	return call()
 }
 
 // newestEngine returns the engine configuration of the newest version that this planner has read or an
@@ -287,8 +298,7 @@
 	if g.formingPhase.active(now) {
 		digest.State = fleet.GroupForming
 	}
-	p.agent.sendDigest(digest, now)
-	g.digest, g.digestReadAt = digest, now
+	p.sendGroupDigest(g, digest, now)
 	g.passTimer.observe(now, statuses[0].Report.Step)
 	g.demand.DecayTo(now)
 	for r, s := range statuses {
@@ -298,13 +308,23 @@
 		g.stages.reading.observe(time.Since(now))
 		if g.demand.MergeWindows() {
 			p.log.Info("expert demand has shifted; earlier counts are discarded", zap.String("group", g.name))
-			g.stages.demandShifted(now)
-			p.reviewStage(g)
+			p.noticeShift(g, now)
 		}
 	}
 	return p.advance(ctx, g, servers, statuses, engine)
 }
 
+// sendGroupDigest sends a digest of loads read at the given time. While the ranks are about to begin the pass
+// with a new map, the rounds follow each other sooner than the entries need digests, which would
+// delay the orders of the next stage on the planner's link.
+func (p *planner) sendGroupDigest(g *group, digest *gossip.Digest, readAt time.Time) {
+	if g.stages.inSwitch && g.digest != nil && g.digest.State == digest.State && readAt.Sub(g.digestReadAt) < roundInterval {
+		return
+	}
+	p.agent.sendDigest(digest, readAt)
+	g.digest, g.digestReadAt = digest, readAt
+}
+
 // announceOpen tells the entries that the group's first map is in use, if it is.
 func (p *planner) announceOpen(g *group) {
 	if g.digest != nil && g.digest.State == fleet.GroupForming && !g.formingPhase.active(time.Now()) {
@@ -563,6 +583,12 @@
 	return p.switchOver(ctx, g, f)
 }
 
+// noticeShift records that the demand has shifted, and reviews the stage in progress.
+func (p *planner) noticeShift(g *group, now time.Time) {
+	p.reviewStage(g)
+	g.stages.demandShifted(now) // abandoning the stage ends the earlier change only
+}
+
 // reviewStage abandons the stage that the ranks prepare if the demand has shifted so that its gain is lost.
 func (p *planner) reviewStage(g *group) {
 	if g.next == nil || g.preparation == nil || g.preparation.ended() || g.current == nil {
--- a/pkg/rankagent/stages.go
+++ b/pkg/rankagent/stages.go
@@ -6,6 +6,7 @@
 
 	"github.com/fescuehub/fescuehub/pkg/evenplan"
 	"github.com/fescuehub/fescuehub/pkg/mapswitch"
+	"github.com/fescuehub/fescuehub/pkg/panics"
 	"github.com/fescuehub/fescuehub/pkg/rankcontrol"
 )
 
@@ -13,6 +14,9 @@
 	// initialOverhead is the assumed time of each part of a stage before it has been measured: reading
 	// the counts, planning, and switching.
 	initialOverhead = 50 * time.Millisecond
+	// maxOverhead bounds each observation of such a part, so that one partition or frozen process does not
+	// make the next changes unstaged. A switch takes up to three passes, of at most 150 ms if they are on time.
+	maxOverhead = 500 * time.Millisecond
 	// minStageTime is the least time limit of a stage. It allows for orders that are sent again.
 	minStageTime = time.Second
 	// unableTime is how long a rank that did not finish its copies gets no new experts.
@@ -37,6 +41,8 @@
 	counted bool
 	// noticedAt is when the need for the change was noticed; zero if no change is due.
 	noticedAt time.Time
+	// plannedAt is when the present stage was planned.
+	plannedAt time.Time
 	// copying is the expected time of the copies of the present stage, and preparedAt when they are
 	// expected to be done; 0 and zero if unknown.
 	copying    time.Duration
@@ -67,7 +73,9 @@
 	return a.value
 }
 
-func (a *average) observe(d time.Duration) { a.value = a.current() + (d-a.current())/4 }
+func (a *average) observe(d time.Duration) {
+	a.value = a.current() + (min(d, maxOverhead)-a.current())/4
+}
 
 // demandShifted records that the demand has shifted.
 func (s *stages) demandShifted(now time.Time) { s.noticedAt = now }
@@ -78,6 +86,7 @@
 		s.noticedAt = now // the demand has drifted without a shift
 	}
 	s.number++
+	s.plannedAt = now
 	s.more = plan.Stages > 1
 	s.limit, s.copying, s.preparedAt = 0, 0, time.Time{}
 	if cost.Copy > 0 {
@@ -111,8 +120,12 @@
 // switched records that the ranks have been switched to the stage by a switch that began at the given time.
 func (s *stages) switched(began time.Time) {
 	s.inSwitch, s.switchBegan, s.counted = true, began, false
-	if !s.more {
-		s.number, s.noticedAt = 0, time.Time{}
+	if s.more {
+		return
+	}
+	s.number = 0
+	if !s.noticedAt.After(s.plannedAt) { // otherwise the demand has shifted since the stage was planned
+		s.noticedAt = time.Time{}
 	}
 }
 
@@ -200,7 +213,9 @@
 	go func() {
 		defer close(p.done)
 		defer cancel()
-		p.err = f.Prepare(ctx, version, m, base, present)
+		if panicked := panics.Catch(func() { p.err = f.Prepare(ctx, version, m, base, present) }); panicked != nil {
+			p.err = panicked
+		}
 		p.took = time.Since(began)
 	}()
 	return p
