roster: Keep a server draining when an older announcement is read

An entry that had learned from a message that a backend server drains used the server again when it read an announcement from before the drain: the message overtakes the entry's own reads of the shared log, for example after the log refused this entry. Until the next read, requests went to a server that was about to end, and the entry told the others of the drain a second time.

Announce now ignores an announcement of the same incarnation whose sequence is lower than that of the drain. Announcements without a sequence, later ones and those of another incarnation count as before.

--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -52,12 +52,16 @@
 // SetGracePeriod changes the grace period for lapsed announcements.
 func (r *Roster) SetGracePeriod(gracePeriod time.Duration) { r.gracePeriod = gracePeriod }
 
-// Announce adds or replaces the announcement of a server.
+// Announce adds or replaces the announcement of a server. One from before a drain that AnnounceDraining has recorded
+// is ignored.
 func (r *Roster) Announce(s fleet.Server) {
 	r.markSeen(s.ID)
 	if r.restored && r.isOutdated(s) {
 		return
 	}
+	if old := r.servers[s.ID]; old.Draining && s.Sequence > 0 && s.Incarnation == old.Incarnation && s.Sequence < old.Sequence {
+		return
+	}
 	r.servers[s.ID] = s
 	delete(r.lapsed, s.ID)
 	r.departed.remove(s.ID)
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -184,3 +184,31 @@
 		}
 	}
 }
+
+// TestOlderAnnouncementDoesNotEndADrain guards against requests to a server that drains, as a message has told: the
+// log holds announcements from before the drain that this entry has not read yet.
+func TestOlderAnnouncementDoesNotEndADrain(t *testing.T) {
+	first := fleet.Server{ID: "a", Address: "h:1", Incarnation: 1, Sequence: 1}
+	second := later(first, false)
+	restarted := fleet.Server{ID: "a", Address: "h:1", Incarnation: 2, Sequence: 1}
+	for name, c := range map[string]struct {
+		announced fleet.Server
+		usable    bool
+	}{
+		"from before the drain":   {second, false},
+		"of the drain":            {later(second, true), false},
+		"after the drain":         {later(later(second, false), false), true},
+		"of the next incarnation": {restarted, true},
+		"without a sequence":      {fleet.Server{ID: "a", Address: "h:1", Incarnation: 1}, true},
+	} {
+		r := roster.New(grace)
+		r.Announce(first)
+		if !r.AnnounceDraining("a", 1, 3) {
+			t.Fatalf("%s: the drain is not new", name)
+		}
+		r.Announce(c.announced)
+		if got := has(r, at(time.Hour), "a"); got != c.usable {
+			t.Errorf("%s: usable %v, want %v", name, got, c.usable)
+		}
+	}
+}
