balance: Treat servers that left an evacuated domain as gone

Operators evacuate a failure domain and then drain its servers. A response without a length that was complete when its server ended as planned was then thrown away: callers of a route that must not be repeated got 502, the others a second run of the request.

Evacuated looked only at the domain of the server, so that a server which had drained or restarted still counted as expected to run, and the end of its process as a crash. It now asks whether this incarnation is still listed. A crash in an evacuated domain is still noticed, as the test shows.

--- a/pkg/balance/evacuation.go
+++ b/pkg/balance/evacuation.go
@@ -20,11 +20,13 @@
 	b.index(list)
 }
 
-// Evacuated reports whether a server gets no requests because its failure domain is evacuated.
+// Evacuated reports whether a server gets no requests because its failure domain is evacuated. A server that has left
+// or restarted since it was chosen is not.
 func (b *Balancer) Evacuated(s fleet.Server) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.evacuated[s.Zone]
+	current := b.servers[s.ID]
+	return current != nil && current.evacuated && current.Incarnation == s.Incarnation
 }
 
 // EvacuatedReason says which evacuated failure domains leave a service without a server; empty if it has
--- a/pkg/relay/evacuation_test.go
+++ b/pkg/relay/evacuation_test.go
@@ -202,3 +202,31 @@
 		})
 	}
 }
+
+// TestWholeResponseOfServerThatLeavesEvacuatedDomain guards against a response without a length that is whole and is
+// thrown away, because its server drained after the evacuation and ended as planned.
+func TestWholeResponseOfServerThatLeavesEvacuatedDomain(t *testing.T) {
+	for name, c := range map[string]struct {
+		leaves bool
+		status int
+	}{"ended as planned": {true, 200}, "crashed": {false, 502}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var s *testRelay
+			var b *backend
+			b = newBackend(t, func(conn *net.TCPConn, r *http.Request, n int) bool {
+				s.balancer.SetEvacuated(evacuated("a"))
+				if c.leaves {
+					s.balancer.SetServers(nil)
+				}
+				b.listener.Close()
+				return writeRaw("HTTP/1.1 200 X\r\nId: ID\r\nSeal: s\r\n\r\nwhole", closeConn)(conn, r, n)
+			})
+			s = newTestRelay(t, route(fleet.Unsafe), fleet.Service{}, 94, b.zoned("a"))
+			status, body, _, err := s.send(context.Background(), "1")
+			if err != nil || status != c.status || c.status == 200 && body != "whole" {
+				t.Errorf("got status %d, body %q, error %v; want status %d", status, body, err, c.status)
+			}
+		})
+	}
+}
