gateway: Read the configuration of a request without the mutex

Each request took the gateway's mutex to check whether the evacuations had been read. The mutex is held while messages are merged, the usable servers are computed and changes are logged, so that requests waited for all of these.

The flag is now atomic.

--- a/pkg/gateway/caller.go
+++ b/pkg/gateway/caller.go
@@ -101,9 +101,7 @@
 
 // tableInForce returns the configuration, or nil if there is none or the evacuations have not been read yet.
 func (g *Gateway) tableInForce() *fleet.Table {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if !g.operatorsRead {
+	if !g.operatorsRead.Load() {
 		return nil
 	}
 	return g.table.Load()
--- a/pkg/gateway/evacuation_test.go
+++ b/pkg/gateway/evacuation_test.go
@@ -90,3 +90,23 @@
 		t.Error("a message of a build without evacuations changed something")
 	}
 }
+
+// TestRequestsDoNotWaitForSharedState guards against requests that wait while a message or a read of the log is being
+// applied, which holds the gateway's mutex.
+func TestRequestsDoNotWaitForSharedState(t *testing.T) {
+	g := newTestGateway()
+	g.table.Store(fleet.NewTable(fleet.Configuration{Version: 1}))
+	(*operatorsSink)(g).EndSnapshot()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	done := make(chan *fleet.Table, 1)
+	go func() { done <- g.tableInForce() }()
+	select {
+	case table := <-done:
+		if table == nil {
+			t.Error("no configuration is in force after the whole topic has been read")
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("the configuration of a request waits for the gateway's mutex")
+	}
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -114,7 +114,9 @@
 	cold       *coldstart.Limiter
 	relay      *relay.Relay
 	table      atomic.Pointer[fleet.Table]
-	drain      *drainState
+	// operatorsRead is true once the whole topic has been read. Each request reads it, so it needs no mutex.
+	operatorsRead atomic.Bool
+	drain         *drainState
 	// requestsCtx is the parent of the contexts of callers' requests, and abortRequests cancels them.
 	requestsCtx   context.Context
 	abortRequests context.CancelCauseFunc
@@ -138,9 +140,9 @@
 	digests     digestOrder
 	incarnation string
 	sequence    int64
-	// serversRead and operatorsRead are true once the whole topic has been read.
-	serversRead, operatorsRead bool
-	evacuations                *evacuation.Tracker
+	// serversRead is true once the whole topic has been read.
+	serversRead bool
+	evacuations *evacuation.Tracker
 	// unreadable holds the topics that this entry cannot read.
 	unreadable map[sharedlog.Topic]bool
 	// topics holds the read progress of each followed topic.
@@ -387,7 +389,7 @@
 func (g *Gateway) updateReady() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	ready := g.table.Load() != nil && g.operatorsRead && g.serversRead && !g.drain.draining()
+	ready := g.table.Load() != nil && g.operatorsRead.Load() && g.serversRead && !g.drain.draining()
 	if ready != g.directory.Ready() {
 		g.log.Info("readiness changed", zap.Bool("ready", ready))
 	}
--- a/pkg/gateway/sinks.go
+++ b/pkg/gateway/sinks.go
@@ -68,7 +68,7 @@
 	if g.applyEvacuationChanges(g.evacuations.EndSnapshot()) {
 		g.topics[sharedlog.Operators].markChanged()
 	}
-	g.operatorsRead = true
+	g.operatorsRead.Store(true)
 	g.mu.Unlock()
 	g.setReadable(sharedlog.Operators, true)
 	g.updateReady()
