gateway: Warn of wrong evacuations whatever servers have stated

An operator who evacuated a failure domain under a wrong name got no warning from an entry at which backend servers had stated 64 different values that cannot be parsed: both shared one bounded set of logged values, and a full set logs nothing more. Records of evacuations now have a set of their own.

--- a/pkg/gateway/evacuation.go
+++ b/pkg/gateway/evacuation.go
@@ -19,7 +19,7 @@
 		return false
 	}
 	evacuated := len(r.Value) > 0
-	if err != nil && g.malformed.add(r.Key+"="+string(r.Value)) {
+	if err != nil && g.malformedRecords.add(r.Key+"="+string(r.Value)) {
 		g.log.Warn("malformed record of an evacuation: without the name of a failure domain it is skipped, with one the domain is evacuated",
 			zap.String("key", r.Key), zap.Int64("offset", r.Offset), zap.Bool("skipped", domain == ""), telemetry.Err(err))
 	}
@@ -87,7 +87,7 @@
 		return
 	}
 	for domain := range g.evacuations.EvacuatedDomains() {
-		if !g.isKnownDomain(domain) && g.malformed.add("unknown domain "+domain) {
+		if !g.isKnownDomain(domain) && g.malformedRecords.add("unknown domain "+domain) {
 			g.log.Warn("the evacuated failure domain is unknown: no backend server is affected; remove the record, or correct its name to one of knownDomains",
 				zap.String("domain", domain), zap.Strings("knownDomains", g.knownDomains()))
 		}
--- a/pkg/gateway/evacuation_test.go
+++ b/pkg/gateway/evacuation_test.go
@@ -1,10 +1,12 @@
 package gateway
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/fescuehub/fescuehub/pkg/evacuation"
 	"github.com/fescuehub/fescuehub/pkg/fleet"
@@ -110,3 +112,20 @@
 		t.Error("the configuration of a request waits for the gateway's mutex")
 	}
 }
+
+// TestServersDoNotHideWarningsOfEvacuations guards against an operator who is not told of a wrong name, because
+// servers have stated many different values that cannot be parsed.
+func TestServersDoNotHideWarningsOfEvacuations(t *testing.T) {
+	core, logs := observer.New(zap.WarnLevel)
+	g := New(settings.Instance{Name: "a", FailureDomains: []string{"b"}}, nil, nil, zap.New(core), telemetry.NewMetrics())
+	for n := range 2 * maxLoggedValues {
+		g.RetryAfterIgnored("i-1", fmt.Sprint("soon ", n))
+	}
+	(*serversSink)(g).EndSnapshot()
+	g.mu.Lock()
+	g.applyEvacuationChanges(g.evacuations.Apply(evacuation.Record{Domain: "typo", Evacuated: true, Offset: 1}))
+	g.mu.Unlock()
+	if n := logs.FilterField(zap.String("domain", "typo")).FilterLevelExact(zap.WarnLevel).Len(); n != 1 {
+		t.Errorf("%d warnings of the unknown domain, want 1", n)
+	}
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -160,6 +160,8 @@
 	recordWritten chan struct{}
 	// malformed holds the malformed header values of backend servers that have been logged.
 	malformed loggedValues
+	// malformedRecords holds the records of evacuations that have been logged.
+	malformedRecords loggedValues
 
 	// socket is nil until Run has opened it. A drain may begin before that.
 	socket *gossip.Socket
