evacuation: Count messages again once the timeline rises

After the log had returned to an earlier position without a new timeline, an entry ignored the evacuations in messages for as long as it ran, also those of later timelines. When it lost the log it did not learn of an evacuation from the others and kept sending requests to the domain.

Messages are now ignored only up to the timeline in which positions could not be compared.

--- a/pkg/evacuation/evacuation.go
+++ b/pkg/evacuation/evacuation.go
@@ -69,10 +69,12 @@
 	snapshot map[string]bool
 	end      sharedlog.Position
 	// restores counts the restores of the log. restored is true until the snapshot after one has been
-	// read, and unordered once a restore did not raise the timeline: positions cannot be compared then.
-	restores  int
-	restored  bool
-	unordered bool
+	// read, and unordered once a restore did not raise the timeline: positions up to unorderedTimeline cannot
+	// be compared then.
+	restores          int
+	restored          bool
+	unordered         bool
+	unorderedTimeline sharedlog.Timeline
 }
 
 // New returns a tracker that knows no failure domain.
@@ -115,7 +117,7 @@
 func (t *Tracker) BeginSnapshot(end sharedlog.Position) {
 	t.snapshot, t.end = make(map[string]bool), end
 	if t.restored && end.Timeline <= t.read.Timeline {
-		t.unordered = true
+		t.unordered, t.unorderedTimeline = true, max(t.unorderedTimeline, end.Timeline)
 	}
 }
 
@@ -163,7 +165,7 @@
 	var changes []Change
 	for _, r := range reports[:min(len(reports), maxDomains)] {
 		s, ok := r.state()
-		if !ok || t.unordered && s.Position.Timeline <= t.read.Timeline {
+		if !ok || t.unordered && s.Position.Timeline <= t.unorderedTimeline {
 			continue
 		}
 		s.LearnedFrom = from
--- a/pkg/evacuation/evacuation_test.go
+++ b/pkg/evacuation/evacuation_test.go
@@ -205,3 +205,25 @@
 		t.Error("a record of the log was dropped")
 	}
 }
+
+// TestMessagesCountAfterTheTimelineRises guards against an entry that ignores what others have read for as long as it
+// runs, because the log once returned to an earlier position without a new timeline.
+func TestMessagesCountAfterTheTimelineRises(t *testing.T) {
+	k := started()
+	k.Restored()
+	snapshot(k, end(1, 5))
+	k.Merge("front-2", []evacuation.Report{{Domain: "a", Evacuated: true, Timeline: 1, Next: 20}})
+	if k.Evacuated("a") {
+		t.Error("a position that cannot be compared was adopted")
+	}
+	k.Restored()
+	snapshot(k, end(2, 20))
+	k.Merge("front-2", []evacuation.Report{{Domain: "a", Evacuated: true, Timeline: 1, Next: 30}})
+	if k.Evacuated("a") {
+		t.Error("a position of the earlier timeline was adopted")
+	}
+	k.Merge("front-2", []evacuation.Report{{Domain: "a", Evacuated: true, Timeline: 2, Next: 25}})
+	if !k.Evacuated("a") {
+		t.Error("a record of the new timeline was ignored")
+	}
+}
