coldstart: Bound the requests that are remembered and the rates

With a rate below one request per second the times of all requests of the last 1/rate seconds were kept, also while the server was not cold, and each request scanned them with the limiter's lock held. Only as many times as a share can depend on are kept now: eight times the requests of a span, the highest multiple that is compared after the cold state.

A rate beyond the integers ended each request with a panic, and one below 1e-10 lifted the limit, because the conversions overflowed. Both are clamped.

--- a/pkg/coldstart/coldstart.go
+++ b/pkg/coldstart/coldstart.go
@@ -24,6 +24,12 @@
 	// that doubles every rampDoubling: entries do not turn to an idle server at the same moment.
 	rampTime     = 3 * time.Second
 	rampDoubling = time.Second
+	// maxRamp is the highest multiple of the rate that is compared with the requests sent.
+	maxRamp = 1 << (rampTime / rampDoubling)
+	// maxUnits and maxSpan bound what a rate is converted to, so that no configuration exceeds the integers. No
+	// server is limited by a million requests in a second.
+	maxUnits = 1_000_000
+	maxSpan  = time.Duration(1 << 62)
 	// recordMemory is how long the record of a server that is not usable is kept.
 	recordMemory = time.Minute
 )
@@ -51,7 +57,8 @@
 	announcedAt time.Time
 	// told is true if the cold state has been returned by Advance.
 	told bool
-	// sent holds the times of this entry's requests within the window, also before the server turned cold.
+	// sent holds the times of this entry's last requests, also before the server turned cold. Those that no share
+	// depends on are dropped.
 	sent []time.Time
 	// rank is this entry's place in the order of the entries for this server, as of rankVersion.
 	rank        int
@@ -278,8 +285,9 @@
 	if l.wait(now, s) > 0 {
 		return false
 	}
-	_, span := units(l.aim(s.service))
-	s.sent = append(s.sent[len(s.sent)-s.sentWithin(now, span):], now)
+	count, span := units(l.aim(s.service))
+	kept := min(s.sentWithin(now, span), maxRamp*count-1)
+	s.sent = append(s.sent[len(s.sent)-kept:], now)
 	if s.cold(now) {
 		l.usage.Sent++
 	}
@@ -321,9 +329,9 @@
 // units returns how many requests all entries together may send in any span.
 func units(perSecond float64) (count int, span time.Duration) {
 	if perSecond >= 1 {
-		return int(perSecond), window
+		return int(min(perSecond, maxUnits)), window
 	}
-	return 1, time.Duration(float64(window) / perSecond)
+	return 1, time.Duration(min(float64(window)/perSecond, float64(maxSpan)))
 }
 
 // sentWithin returns the number of the last requests that were sent within a span.
--- a/pkg/coldstart/coldstart_test.go
+++ b/pkg/coldstart/coldstart_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -262,3 +263,49 @@
 		t.Errorf("after the cold state: changes %+v, %d cold", changes, cold)
 	}
 }
+
+// TestExtremeRates guards against a configuration whose rate exceeds the integers: it must neither end the process nor
+// lift the limit.
+func TestExtremeRates(t *testing.T) {
+	for _, c := range []struct {
+		rate float64
+		want int
+	}{{1e300, 1000}, {1 << 62, 1000}, {1e-12, 1}, {5e-324, 1}} {
+		l := newLimiter(1, c.rate, coldstart.Bounds{})
+		s := coldServer(time.Minute)
+		l.Announce(at(0), s)
+		l.SetServers([]fleet.Server{s})
+		if n := takeAll(l, at(2), s); n != c.want {
+			t.Errorf("rate %g: %d requests, want %d", c.rate, n, c.want)
+		}
+		s.WarmupLeft = 0
+		l.Announce(at(3), s)
+		if state := l.Admission(at(3.5), s); state == coldstart.Closed || c.rate > 1 && state != coldstart.Open {
+			t.Errorf("rate %g: state %d after the cold state", c.rate, state)
+		}
+	}
+}
+
+// TestWarmServersTakeBoundedMemory guards against memory that grows with the requests to servers that are not cold,
+// where the rate for cold ones is low.
+func TestWarmServersTakeBoundedMemory(t *testing.T) {
+	l := newLimiter(1, 0.001, coldstart.Bounds{})
+	s := coldServer(0)
+	l.Announce(at(0), s)
+	l.SetServers([]fleet.Server{s})
+	const requests = 100_000
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	for n := range requests {
+		if !l.Take(at(10+float64(n)/1000), s) {
+			t.Fatalf("request %d is not sent", n)
+		}
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	if grown := int64(after.HeapAlloc) - int64(before.HeapAlloc); grown > 256<<10 {
+		t.Errorf("the heap grew by %d bytes with %d requests, want at most 256 KB", grown, requests)
+	}
+	runtime.KeepAlive(l)
+}
