balance: Prefer recovering servers to those of a broken group

For three seconds after its cold state a server is skipped once it has got this entry's share, if others remain. The check came before that of the groups, so that the engines of a broken group counted as others: requests went to a group that refuses them all although a sound group had free engines, and were repeated until the share of these grew.

Broken and stalled groups are now left out first, in Choose and in Explain.

--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -441,12 +441,13 @@
 			candidates = append(candidates, s)
 		}
 	}
-	candidates = b.skipCold(now, candidates)
+	candidates, recovering := b.skipCold(now, candidates)
 	if service.Engine != nil {
 		candidates = skipGroups(candidates, func(key groupKey) bool { return b.isBroken(now, key) })
 		// If all groups are stalled, this process may have been suspended itself.
 		candidates = skipGroups(candidates, func(key groupKey) bool { return b.groupStalled(now, key) })
 	}
+	candidates = skipRecovering(candidates, recovering) // a group that refuses all requests is no alternative
 	if b.usesPrediction(now, service) {
 		return b.chooseEven(now, service, candidates, random)
 	}
--- a/pkg/balance/cold.go
+++ b/pkg/balance/cold.go
@@ -12,25 +12,42 @@
 // any other method.
 func (b *Balancer) LimitCold(l *coldstart.Limiter) { b.cold = l }
 
-// skipCold removes the candidates that this entry may not use now because they are cold, and those that were cold
-// until lately and have got this entry's share, if others remain. b.mu is held.
-func (b *Balancer) skipCold(now time.Time, candidates []*server) []*server {
+// skipCold removes the candidates that this entry may not use now because they are cold. It also returns those of the
+// remaining ones that were cold until lately and have got this entry's share. b.mu is held.
+func (b *Balancer) skipCold(now time.Time, candidates []*server) (usable []*server, recovering map[*server]bool) {
 	if !b.cold.Active() {
-		return candidates
+		return candidates, nil
 	}
-	var open, recovering []*server
 	for _, s := range candidates {
 		switch b.cold.Admission(now, s.Server) {
-		case coldstart.Open:
-			open = append(open, s)
+		case coldstart.Closed:
+			continue
 		case coldstart.Recovering:
-			recovering = append(recovering, s)
+			if recovering == nil {
+				recovering = make(map[*server]bool)
+			}
+			recovering[s] = true
 		}
+		usable = append(usable, s)
+	}
+	return usable, recovering
+}
+
+// skipRecovering removes the recovering candidates if others remain.
+func skipRecovering(candidates []*server, recovering map[*server]bool) []*server {
+	if len(recovering) == 0 {
+		return candidates
 	}
-	if len(open) == 0 {
-		return recovering
+	var kept []*server
+	for _, s := range candidates {
+		if !recovering[s] {
+			kept = append(kept, s)
+		}
+	}
+	if len(kept) == 0 {
+		return candidates
 	}
-	return open
+	return kept
 }
 
 // TakeCold records that a request is about to be sent to a server that was chosen earlier. It reports false if the
--- a/pkg/balance/explain.go
+++ b/pkg/balance/explain.go
@@ -92,11 +92,13 @@
 		}
 		candidates = kept
 	}
-	narrow(b.skipCold(now, candidates), "it was cold until lately, and has got this entry's share")
+	usable, recovering := b.skipCold(now, candidates)
+	candidates = usable // peekLeftOut has left out the others
 	if service.Engine != nil {
 		narrow(skipGroups(candidates, func(key groupKey) bool { broken, _ := b.peekBroken(now, key); return broken }), "its group is broken")
 		narrow(skipGroups(candidates, func(key groupKey) bool { return b.groupStalled(now, key) }), "its group is stalled")
 	}
+	narrow(skipRecovering(candidates, recovering), "it was cold until lately, and has got this entry's share")
 	switch {
 	case len(candidates) == 0:
 		x.Rule = "no server can be used"
