--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -424,12 +424,11 @@
 	return len(b.services[service])
 }
 
-// Choose returns the server with the lowest cost that is neither excluded nor paused, has reached
-// neither its rate limit nor this entry's share of its connections, and is not cold or this entry may use it all the
-// same; a server with a limit may need a permit. In large services it
-// compares only a random sample: load reports are older than the interval at which a server gets
-// new requests, so all entries would otherwise choose the same server. In large fleets it spreads requests by
-// the predicted load of the engines. random returns uniform values in [0, 1).
+// Choose returns the server with the lowest cost that is neither excluded nor paused and has reached neither its rate
+// limit nor this entry's share of its connections or, while it is cold, of its requests. A server with a limit may need
+// a permit. In large services it compares only a random sample: load reports are older than the interval at which a
+// server gets new requests, so all entries would otherwise choose the same server. In large fleets it spreads requests
+// by the predicted load of the engines. random returns uniform values in [0, 1).
 func (b *Balancer) Choose(now time.Time, service *fleet.Service, exclude map[string]bool, random func() float64) (fleet.Server, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/pkg/coldstart/coldstart.go
+++ b/pkg/coldstart/coldstart.go
@@ -1,4 +1,4 @@
-// Package coldstart bounds the requests that entries send to cold backend servers. A cold server bears only a few
+// Package coldstart bounds the requests that entries send to cold backend servers. A cold server can handle only a few
 // requests per second, summed over all entries; each entry keeps to a fixed share that it computes from the names of
 // the entries that it knows, so that the sum holds without a message. It has no I/O, clock or random source.
 package coldstart
@@ -55,8 +55,8 @@
 	// coldUntil is when the cold state ends; zero if the server has not been cold.
 	coldUntil   time.Time
 	announcedAt time.Time
-	// told is true if the cold state has been returned by Advance.
-	told bool
+	// reported is true if Advance has reported that the server is cold.
+	reported bool
 	// sent holds the times of this entry's last requests, also before the server turned cold. Those that no share
 	// depends on are dropped.
 	sent []time.Time
@@ -326,7 +326,8 @@
 	return bound, bound > 0
 }
 
-// units returns how many requests all entries together may send in any span.
+// units converts a rate, in requests per second, to the whole number of requests that all entries together may send in
+// any span.
 func units(perSecond float64) (count int, span time.Duration) {
 	if perSecond >= 1 {
 		return int(min(perSecond, maxUnits)), window
@@ -409,13 +410,13 @@
 			if s.cold(now) {
 				cold++
 			}
-			if s.cold(now) == s.told {
+			if s.cold(now) == s.reported {
 				continue
 			}
-			s.told = s.cold(now)
+			s.reported = s.cold(now)
 			count, _ := units(l.aim(name))
 			changes = append(changes, Change{
-				Server: s.id, Service: name, Incarnation: s.incarnation, Cold: s.told, Left: max(s.coldUntil.Sub(now), 0),
+				Server: s.id, Service: name, Incarnation: s.incarnation, Cold: s.reported, Left: max(s.coldUntil.Sub(now), 0),
 				Share: l.share(s, count), Entries: len(l.entries),
 			})
 		}
--- a/pkg/coldstart/coldstart_test.go
+++ b/pkg/coldstart/coldstart_test.go
@@ -51,7 +51,7 @@
 	}
 }
 
-// TestSharesAddUpToTheRate guards against shares that together are more or less than what a server bears, also where
+// TestSharesAddUpToTheRate guards against shares that together are more or less than what a server can handle, also where
 // the entries are fewer or more than its requests.
 func TestSharesAddUpToTheRate(t *testing.T) {
 	for _, entries := range []int{1, 3, 10, 18, 42, 150, 300} {
--- a/pkg/coldstart/fleet_test.go
+++ b/pkg/coldstart/fleet_test.go
@@ -19,7 +19,7 @@
 )
 
 const (
-	// perSecond is the rate that a cold server bears, and overage and slack make the operators' rule of it.
+	// perSecond is the rate that a cold server can handle, and overage and slack state the operators' rule.
 	perSecond, overage, slack = 18, 1.5, 5
 	// coldTime is how long servers are cold.
 	coldTime = 3 * time.Second
@@ -214,7 +214,7 @@
 	refused, sent int
 }
 
-// play plays a scenario until a second after the last server was cold.
+// play simulates a scenario until a second after the last server was cold.
 func play(s scenario, seed uint64) result {
 	m := &model{scenario: s, random: rand.New(rand.NewPCG(seed, 1)), byID: make(map[string]*modelServer)}
 	m.service = &fleet.Service{Name: "s", ColdPerSecond: perSecond}
@@ -349,7 +349,7 @@
 // maxArrivals is the operators' rule: the arrivals in any second at a cold server, summed over all entries.
 const maxArrivals = perSecond*overage + slack
 
-// seedCount returns the number of seeds that the model plays: 1, or the value of FESCUE_MATRIX_SEEDS.
+// seedCount returns the number of seeds that the model simulates: 1, or the value of FESCUE_MATRIX_SEEDS.
 func seedCount() uint64 {
 	if n, err := strconv.ParseUint(os.Getenv("FESCUE_MATRIX_SEEDS"), 10, 32); err == nil && n > 0 {
 		return n
@@ -357,11 +357,11 @@
 	return 1
 }
 
-// TestColdServersGetNoMoreThanTheyBear guards against cold servers that crash since the entries together send them
+// TestColdServersStayWithinTheOperatorsRule guards against cold servers that crash since the entries together send them
 // more than the operators' rule allows, with no message between entries: they know each other by a list that they
 // have read. It also guards against a limit that is kept by refusing callers: at most 1 in 100 where other servers are
 // usable or the shares of each entry are at least twice its part of the load.
-func TestColdServersGetNoMoreThanTheyBear(t *testing.T) {
+func TestColdServersStayWithinTheOperatorsRule(t *testing.T) {
 	for _, s := range scenarios() {
 		t.Run(s.name, func(t *testing.T) {
 			t.Parallel()
@@ -391,7 +391,7 @@
 }
 
 // TestServerThatIsNoLongerColdIsNotOverrun guards against entries that all turn to an idle server in the second after
-// its cold state: they may send it twice the rate that it bears while cold, and the requests that were under way.
+// its cold state: they may send it twice the rate that it can handle while cold, and the requests that were under way.
 func TestServerThatIsNoLongerColdIsNotOverrun(t *testing.T) {
 	for _, entries := range []int{10, 42, 150} {
 		r := play(scenario{entries: entries, servers: 4, load: 89, cold: only, idle: true, known: 1}, 0)
--- a/pkg/coldstart/share.go
+++ b/pkg/coldstart/share.go
@@ -80,10 +80,10 @@
 
 func (v *service) sameServers(other *service) bool { return slices.Equal(v.servers, other.servers) }
 
-// isWidened reports whether this entry may send a request per second to a server although it has no share of it. Where
-// all servers of a service are cold, an entry without a share of any would serve nothing: it gets one of the server
-// that is first for it, as far as half of the room between the rate and the operators' bound suffices. The other half
-// is left to entries that know different entries or servers. l.mu is held.
+// isWidened reports whether this entry may send one request per second to a server although it has no share of it. While
+// all servers of a service are cold, an entry without any share could serve no request. It may use the server that comes
+// first in its order, as long as such entries need at most half of the difference between the rate and the operators'
+// bound. The other half is a reserve for entries that know different entries or servers. l.mu is held.
 func (l *Limiter) isWidened(now time.Time, s *server) bool {
 	v := l.services[s.service]
 	if v == nil {
--- a/pkg/fleet/configuration.go
+++ b/pkg/fleet/configuration.go
@@ -123,7 +123,7 @@
 	MaxConnections int
 	// ColdStart is how long a backend server is cold after it started.
 	ColdStart time.Duration
-	// ColdPerSecond is the number of requests per second that a cold backend server bears, summed over all
+	// ColdPerSecond is the number of requests per second that a cold backend server can handle, summed over all
 	// entries; 0 if there is no such limit.
 	ColdPerSecond float64
 	// Engine is nil for services that are not model engines.
--- a/pkg/gateway/evacuation.go
+++ b/pkg/gateway/evacuation.go
@@ -20,7 +20,7 @@
 	}
 	evacuated := len(r.Value) > 0
 	if err != nil && g.malformedRecords.add(r.Key+"="+string(r.Value)) {
-		g.log.Warn("malformed record of an evacuation: without the name of a failure domain it is skipped, with one the domain is evacuated",
+		g.log.Warn("malformed evacuation record: it is skipped if its key names no failure domain, otherwise it still counts",
 			zap.String("key", r.Key), zap.Int64("offset", r.Offset), zap.Bool("skipped", domain == ""), telemetry.Err(err))
 	}
 	if domain == "" {
