evacuation: Do not adopt a removed record from an entry that was cut off

A domain was evacuated again, until the entry restarted or an operator wrote its record anew, when an entry that had been cut off from the log told of an evacuation that was removed meanwhile. The rule that an entry ignores records which it has read past held only for domains that it did not know.

It now holds for all domains that are in service, and the entry that was cut off learns that the record is gone.

--- a/pkg/evacuation/evacuation.go
+++ b/pkg/evacuation/evacuation.go
@@ -171,12 +171,10 @@
 		s.LearnedFrom = from
 		d, known := t.domains[s.Domain]
 		switch {
-		case known && newer(s, d.State):
-			changes = append(changes, t.set(s, s.Position.Timeline)...)
-		case known:
+		case known && !newer(s, d.State):
 			t.confirm(d, s)
-		case len(t.domains) >= maxDomains:
-		case s.Evacuated && t.complete && s.Position.Timeline == t.read.Timeline && s.Position.Next <= t.read.Next:
+		case !known && len(t.domains) >= maxDomains:
+		case s.Evacuated && !d.Evacuated && t.complete && s.Position.Timeline == t.read.Timeline && s.Position.Next <= t.read.Next:
 			// This entry has read past the record, and the log does not contain it any more. Knowing the
 			// end, it can tell the entry that does not.
 			t.set(State{Domain: s.Domain, Position: t.read, Past: append(s.Past, s.Position.Next)}, t.read.Timeline)
--- a/pkg/evacuation/evacuation_test.go
+++ b/pkg/evacuation/evacuation_test.go
@@ -227,3 +227,35 @@
 		t.Error("a record of the new timeline was ignored")
 	}
 }
+
+// TestRemovedRecordDoesNotReturnByAMessage guards against a domain that is evacuated for good, because an entry that
+// was cut off tells of a record that was written and removed while this one read neither: the log has been compacted.
+func TestRemovedRecordDoesNotReturnByAMessage(t *testing.T) {
+	for name, c := range map[string]struct {
+		report evacuation.Report
+		want   bool
+	}{
+		"already read past":  {evacuation.Report{Domain: "a", Evacuated: true, Timeline: 1, Next: 21}, false},
+		"not read yet":       {evacuation.Report{Domain: "a", Evacuated: true, Timeline: 1, Next: 41}, true},
+		"of a new timeline":  {evacuation.Report{Domain: "a", Evacuated: true, Timeline: 2, Next: 21}, true},
+		"evacuation is over": {evacuation.Report{Domain: "a", Timeline: 1, Next: 21}, false},
+	} {
+		k := started(record(5, true))
+		k.Apply(record(12, false))
+		snapshot(k, end(1, 40))
+		k.Merge("front-2", []evacuation.Report{c.report})
+		if k.Evacuated("a") != c.want {
+			t.Errorf("%s: evacuated %v, want %v", name, k.Evacuated("a"), c.want)
+		}
+		if name != "already read past" {
+			continue
+		}
+		// The entry that was cut off learns that the record is gone.
+		other := evacuation.New()
+		snapshot(other, end(1, 20))
+		other.Apply(record(20, true))
+		if other.Merge("front-1", k.Reports(all)); other.Evacuated("a") {
+			t.Error("the entry that was cut off still evacuates the domain")
+		}
+	}
+}
