--- a/pkg/evacuation/evacuation.go
+++ b/pkg/evacuation/evacuation.go
@@ -69,10 +69,12 @@
 	snapshot map[string]bool
 	end      sharedlog.Position
 	// restores counts the restores of the log. restored is true until the snapshot after one has been
-	// read, and unordered once a restore did not raise the timeline: positions cannot be compared then.
-	restores  int
-	restored  bool
-	unordered bool
+	// read, and unordered once a restore did not raise the timeline: positions up to unorderedTimeline cannot
+	// be compared then.
+	restores          int
+	restored          bool
+	unordered         bool
+	unorderedTimeline sharedlog.Timeline
 }
 
 // New returns a tracker that knows no failure domain.
@@ -115,7 +117,7 @@
 func (t *Tracker) BeginSnapshot(end sharedlog.Position) {
 	t.snapshot, t.end = make(map[string]bool), end
 	if t.restored && end.Timeline <= t.read.Timeline {
-		t.unordered = true
+		t.unordered, t.unorderedTimeline = true, max(t.unorderedTimeline, end.Timeline)
 	}
 }
 
@@ -163,18 +165,16 @@
 	var changes []Change
 	for _, r := range reports[:min(len(reports), maxDomains)] {
 		s, ok := r.state()
-		if !ok || t.unordered && s.Position.Timeline <= t.read.Timeline {
+		if !ok || t.unordered && s.Position.Timeline <= t.unorderedTimeline {
 			continue
 		}
 		s.LearnedFrom = from
 		d, known := t.domains[s.Domain]
 		switch {
-		case known && newer(s, d.State):
-			changes = append(changes, t.set(s, s.Position.Timeline)...)
-		case known:
+		case known && !newer(s, d.State):
 			t.confirm(d, s)
-		case len(t.domains) >= maxDomains:
-		case s.Evacuated && t.complete && s.Position.Timeline == t.read.Timeline && s.Position.Next <= t.read.Next:
+		case !known && len(t.domains) >= maxDomains:
+		case s.Evacuated && !d.Evacuated && t.complete && s.Position.Timeline == t.read.Timeline && s.Position.Next <= t.read.Next:
 			// This entry has read past the record, and the log does not contain it any more. Knowing the
 			// end, it can tell the entry that does not.
 			t.set(State{Domain: s.Domain, Position: t.read, Past: append(s.Past, s.Position.Next)}, t.read.Timeline)
--- a/pkg/evacuation/evacuation_test.go
+++ b/pkg/evacuation/evacuation_test.go
@@ -205,3 +205,57 @@
 		t.Error("a record of the log was dropped")
 	}
 }
+
+// TestMessagesCountAfterTheTimelineRises guards against an entry that ignores what others have read for as long as it
+// runs, because the log once returned to an earlier position without a new timeline.
+func TestMessagesCountAfterTheTimelineRises(t *testing.T) {
+	k := started()
+	k.Restored()
+	snapshot(k, end(1, 5))
+	k.Merge("front-2", []evacuation.Report{{Domain: "a", Evacuated: true, Timeline: 1, Next: 20}})
+	if k.Evacuated("a") {
+		t.Error("a position that cannot be compared was adopted")
+	}
+	k.Restored()
+	snapshot(k, end(2, 20))
+	k.Merge("front-2", []evacuation.Report{{Domain: "a", Evacuated: true, Timeline: 1, Next: 30}})
+	if k.Evacuated("a") {
+		t.Error("a position of the earlier timeline was adopted")
+	}
+	k.Merge("front-2", []evacuation.Report{{Domain: "a", Evacuated: true, Timeline: 2, Next: 25}})
+	if !k.Evacuated("a") {
+		t.Error("a record of the new timeline was ignored")
+	}
+}
+
+// TestRemovedRecordDoesNotReturnByAMessage guards against a domain that is evacuated for good, because an entry that
+// was cut off tells of a record that was written and removed while this one read neither: the log has been compacted.
+func TestRemovedRecordDoesNotReturnByAMessage(t *testing.T) {
+	for name, c := range map[string]struct {
+		report evacuation.Report
+		want   bool
+	}{
+		"already read past":  {evacuation.Report{Domain: "a", Evacuated: true, Timeline: 1, Next: 21}, false},
+		"not read yet":       {evacuation.Report{Domain: "a", Evacuated: true, Timeline: 1, Next: 41}, true},
+		"of a new timeline":  {evacuation.Report{Domain: "a", Evacuated: true, Timeline: 2, Next: 21}, true},
+		"evacuation is over": {evacuation.Report{Domain: "a", Timeline: 1, Next: 21}, false},
+	} {
+		k := started(record(5, true))
+		k.Apply(record(12, false))
+		snapshot(k, end(1, 40))
+		k.Merge("front-2", []evacuation.Report{c.report})
+		if k.Evacuated("a") != c.want {
+			t.Errorf("%s: evacuated %v, want %v", name, k.Evacuated("a"), c.want)
+		}
+		if name != "already read past" {
+			continue
+		}
+		// The entry that was cut off learns that the record is gone.
+		other := evacuation.New()
+		snapshot(other, end(1, 20))
+		other.Apply(record(20, true))
+		if other.Merge("front-1", k.Reports(all)); other.Evacuated("a") {
+			t.Error("the entry that was cut off still evacuates the domain")
+		}
+	}
+}
