Collect the priorities of organisations once per configuration

Each target of each route appended the priorities of all organisations that have one and sorted the list, so that an entry stood still for longer at each new configuration the more routes it had. The priorities of the organisations are now collected and compacted once.

--- a/pkg/fleet/table.go
+++ b/pkg/fleet/table.go
@@ -50,18 +50,25 @@
 // indexPriorities collects the priorities of each service's routes and those of the organisations, which
 // override them.
 func (t *Table) indexPriorities() {
+	// Collected once: a configuration can have thousands of routes and of organisations.
+	var own []int
+	for _, o := range t.Organisations {
+		if o.Priority != nil {
+			own = append(own, *o.Priority)
+		}
+	}
 	for _, r := range t.Routes {
 		for _, target := range r.Targets {
-			list := append(t.priorities[target.Service], r.Priority)
-			for _, o := range t.Organisations {
-				if o.Priority != nil {
-					list = append(list, *o.Priority)
-				}
-			}
-			slices.Sort(list)
-			t.priorities[target.Service] = slices.Compact(list)
+			t.priorities[target.Service] = append(t.priorities[target.Service], r.Priority)
 		}
 	}
+	slices.Sort(own)
+	own = slices.Compact(own)
+	for service, list := range t.priorities {
+		list = append(list, own...)
+		slices.Sort(list)
+		t.priorities[service] = slices.Compact(list)
+	}
 }
 
 // Priorities returns the priorities that requests to a service can have, in ascending order, so the most
--- a/pkg/fleet/table_test.go
+++ b/pkg/fleet/table_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 
@@ -70,3 +71,24 @@
 	check("model", 0, 1, 2)
 	check("plain", 0, 3)
 }
+
+// BenchmarkNewTable measures the index of a configuration of 1,600 routes and 4,900 organisations, half of which
+// have a priority of their own.
+func BenchmarkNewTable(b *testing.B) {
+	var c fleet.Configuration
+	for n := range 1600 {
+		c.Routes = append(c.Routes, fleet.Route{Host: fmt.Sprint("h", n), Priority: n % 3, Targets: []fleet.Target{{Service: fmt.Sprint("s", n%8)}}})
+	}
+	for n := range 4900 {
+		o := fleet.Organisation{Name: fmt.Sprint("o", n), Keys: []string{fmt.Sprint("k", n)}}
+		if n%2 == 0 {
+			o.Priority = new(int)
+			*o.Priority = n % 10
+		}
+		c.Organisations = append(c.Organisations, o)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		fleet.NewTable(c)
+	}
+}
