--- a/pkg/relay/wait.go
+++ b/pkg/relay/wait.go
@@ -42,7 +42,8 @@
 const waitedForPermit = "rate-limit-permit"
 
 // waitForGroup waits while the group of engines accepts no requests, but not with a prompt that is
-// refused nor once this process stops before the request can end, and reports whether enough time for an attempt remains.
+// refused nor once this process stops before the request can end, and reports whether enough time for an
+// attempt remains.
 func (x *exchange) waitForGroup(ctx context.Context) bool {
 	if x.q.Service.Engine == nil {
 		return x.remaining() > minAttemptTime
@@ -72,17 +73,20 @@
 	if needsSlot && x.lateTicket == nil {
 		x.lateTicket = x.queue.JoinLate(x.shortageRequest())
 	}
-	if reason := x.balancer.WaitReason(now, x.q.Service); reason != "" {
-		return reason
+	if !needsSlot {
+		return x.balancer.WaitReason(now, x.q.Service)
 	}
-	if !needsSlot || x.allEvacuated() || x.acquireLateSlot(now) {
-		return ""
+	// Only a request that may be sent takes the probe of a broken group.
+	if reason := x.balancer.PeekWaitReason(now, x.q.Service); reason != "" {
+		return reason
 	}
-	if x.callerDisconnectsAt().Sub(now) <= lateSendMargin {
+	if !x.allEvacuated() && !x.acquireLateSlot(now) {
+		if x.callerDisconnectsAt().Sub(now) > lateSendMargin {
+			return balance.WaitLateLimit
+		}
 		x.leaveLateQueue()
-		return ""
 	}
-	return balance.WaitLateLimit
+	return x.balancer.WaitReason(now, x.q.Service)
 }
 
 // isLate reports whether the first event of an attempt that begins now is expected after the target
@@ -227,9 +231,13 @@
 	if slotWait == 0 && (x.limits.Admission(now, s.ID, s.Incarnation) != ratelimit.Unlimited || x.balancer.IsCold(now, s)) {
 		return "" // a cold server or one at its rate limit has free slots, whatever queue stands at the others
 	}
-	order := x.queue.Order(now, x.q.Priority)
-	limits := queueLimits(target, order)
-	if x.balancer.ShouldRefuse(now, x.q.Service.Name, slotWait, limits) {
+	return x.slotRefusal(now, slotWait, x.queue.Order(now, x.q.Priority), x.balancer.ShouldRefuse)
+}
+
+// slotRefusal returns why the request is refused because of the expected wait for a slot; empty if it is not.
+// shouldRefuse is ShouldRefuse or WouldRefuse of the balancer.
+func (x *exchange) slotRefusal(now time.Time, slotWait time.Duration, order shortage.Order, shouldRefuse func(time.Time, string, time.Duration, balance.QueueLimits) bool) string {
+	if shouldRefuse(now, x.q.Service.Name, slotWait, queueLimits(x.q.Route.TargetLatency, order)) {
 		return fmt.Sprintf("standing queue at the engines: the expected wait for a slot is %v", slotWait.Round(time.Millisecond))
 	}
 	slotWait = time.Duration(order.ShareBefore * float64(slotWait))
