Bound the memory and the connections of callers

What callers saw: 48 bodies of 4 MB that stopped short of their end took an entry of 96 MB to 289 MB; bodies over the limit, and heads of very many short fields, to 118 to 221 MB; and 400 connections that sent nothing, or a part of a request, at any of its ports gave it 416 descriptors or more of 260.

Cause: nothing bounded what all requests hold together. Bodies over the limit were read up to it, http.Server accepted heads of 1 MB and waited without an end for the rest of a short body that nobody reads, and no listener counted its connections.

Change: - pkg/membudget shares a quarter of the instance's memory among the heads and bodies of requests. Without room, what has stalled longest gives way (at least 0.5 s without 16 KB); if nothing has, the request is refused: 503, Retry-After, not run. - Listeners have a bound of connections, from limits.maxFds. At the bound they close a connection without a request that has stalled, then the one idle longest, then one whose caller has not read its response for 2 s; otherwise they refuse the new one. - A body whose announced length is over the limit is refused unread; the rest of an unread body is awaited for 0.5 s at most; a write without progress ends after 20 s. - The readiness, directory and metrics ports have heads of 32 KB at most, read no bodies, and close idle connections. - A connection that the listener closes while idle reads nothing more, so that no request runs that arrives in that moment.

--- a/pkg/gateway/caller.go
+++ b/pkg/gateway/caller.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -14,6 +13,8 @@
 	"go.uber.org/zap/zapcore"
 
 	"github.com/fescuehub/fescuehub/pkg/fleet"
+	"github.com/fescuehub/fescuehub/pkg/httpserver"
+	"github.com/fescuehub/fescuehub/pkg/membudget"
 	"github.com/fescuehub/fescuehub/pkg/relay"
 )
 
@@ -46,11 +47,17 @@
 	case <-g.startupCtx.Done():
 	case <-r.Context().Done():
 	}
-	q, version, refused := g.admit(http.NewResponseController(w), r, arrived)
+	held := g.memory.Receive(time.Now(), func(reason membudget.Reason) { g.giveWay(w, r, reason) })
+	defer held.Release()
+	q, version, refused := g.admit(http.NewResponseController(w), r, arrived, held)
+	if refused == nil && !held.Complete() {
+		refused = g.noMemory("headers")
+	}
 	if refused != nil {
+		closeUnread(w, r, q, refused)
 		relay.WriteError(w, refused.status, refused.reason, refused.retryAfter)
 		g.log.Info("request refused", zap.String("request", q.ID), zap.Int("status", refused.status), zap.String("reason", refused.reason),
-			zap.String("host", r.Host), zap.String("path", r.URL.Path), zap.Int64("version", version))
+			zap.String("host", shortened(r.Host)), zap.String("path", shortened(r.URL.Path)), zap.Int64("version", version))
 		g.scope.Counter("requests_refused").Inc(1)
 		return
 	}
@@ -63,12 +70,15 @@
 
 // admit reads a request and resolves its route, the organisation that holds its key, and its
 // service. It also returns the version of the configuration that applied, 0 if none did.
-func (g *Gateway) admit(conn *http.ResponseController, r *http.Request, arrived time.Time) (*relay.Request, int64, *refusal) {
+func (g *Gateway) admit(conn *http.ResponseController, r *http.Request, arrived time.Time, held *membudget.Claim) (*relay.Request, int64, *refusal) {
 	q := &relay.Request{Method: r.Method, Target: r.RequestURI, Host: r.Host, Arrived: arrived}
 	limits := g.limits()
 	if maxBytes := limits.MaxHeaderBytes; maxBytes > 0 && headerBytes(r) > maxBytes {
 		return q, 0, &refusal{http.StatusRequestHeaderFieldsTooLarge, "the request headers exceed the configured limit", 0}
 	}
+	if !httpserver.Claim(g.memory, held, httpserver.HeaderCost(r.Header)) {
+		return q, 0, g.noMemory("headers")
+	}
 	headers, err := g.codec.DecodeRequestHeaders(r.Header)
 	q.CallerHeaders = headers
 	if err != nil {
@@ -87,7 +97,7 @@
 	if refused := authorise(table, q); refused != nil {
 		return q, table.Version, refused
 	}
-	if refused := readBody(conn, r, q, limits.MaxBodyBytes); refused != nil {
+	if refused := g.readBody(conn, r, q, limits.MaxBodyBytes, held); refused != nil {
 		return q, table.Version, refused
 	}
 	service, ok := table.Service(pickService(route.Targets))
@@ -100,17 +110,24 @@
 }
 
 // readBody reads the whole request body, no longer than until the request's deadline or the end of
-// this process, and no larger than maxBytes.
-func readBody(conn *http.ResponseController, r *http.Request, q *relay.Request, maxBytes int64) *refusal {
+// this process, and no larger than maxBytes. held claims the memory for it.
+func (g *Gateway) readBody(conn *http.ResponseController, r *http.Request, q *relay.Request, maxBytes int64, held *membudget.Claim) *refusal {
 	if r.Body == http.NoBody {
 		return nil
 	}
+	if r.ContentLength > maxBytes {
+		return &refusal{http.StatusRequestEntityTooLarge, "the request body exceeds the configured limit", 0}
+	}
 	// The error is ignored: only connections in tests do not support a read deadline.
 	_ = conn.SetReadDeadline(q.Deadline())
 	stop := context.AfterFunc(r.Context(), func() { _ = conn.SetReadDeadline(time.Now()) })
 	defer stop()
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxBytes+1))
+	body, err := g.receive(r, maxBytes+1, held)
 	switch {
+	case errors.Is(err, errNoMemory):
+		return g.noMemory("body")
+	case !held.Complete():
+		return g.noMemory("body") // it had to give way
 	case errors.Is(err, os.ErrDeadlineExceeded) && r.Context().Err() != nil:
 		return &refusal{http.StatusRequestTimeout, "this entry stops before the request body has arrived", startupRetryAfter}
 	case errors.Is(err, os.ErrDeadlineExceeded):
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/fescuehub/fescuehub/pkg/follow"
 	"github.com/fescuehub/fescuehub/pkg/gossip"
 	"github.com/fescuehub/fescuehub/pkg/httpserver"
+	"github.com/fescuehub/fescuehub/pkg/membudget"
 	"github.com/fescuehub/fescuehub/pkg/netconn"
 	"github.com/fescuehub/fescuehub/pkg/quarantine"
 	"github.com/fescuehub/fescuehub/pkg/ratelimit"
@@ -151,6 +152,8 @@
 
 	// socket is nil until Run has opened it. A drain may begin before that.
 	socket *gossip.Socket
+	// memory bounds the bytes that are held for requests.
+	memory *membudget.Budget
 	// callerConns holds the connections of callers.
 	callerConns *httpserver.Listener
 }
@@ -178,6 +181,7 @@
 		republish:  make(chan struct{}, 1), recordWritten: make(chan struct{}, 1),
 
 		quarantineWrites: newPendingWrites(),
+		memory:           membudget.New(s.RequestMemory()),
 	}
 	g.startupCtx, g.endStartup = context.WithTimeout(context.Background(), maxStartupWait)
 	g.addressLifetimeNanos.Store(int64(s.Bounds.AddressLifetime))
@@ -290,14 +294,20 @@
 }
 
 func (g *Gateway) listen(ctx context.Context) ([]server, error) {
+	internal := func(handler http.Handler) func(net.Listener) server {
+		return func(l net.Listener) server {
+			s, conns := httpserver.NewInternal(l, g.connBounds(g.settings.InternalConns()), handler)
+			return server{s, conns}
+		}
+	}
 	endpoints := []struct {
-		address string
-		handler http.Handler
+		address   string
+		newServer func(net.Listener) server
 	}{
-		{g.settings.CallerAddress, http.HandlerFunc(g.serveCaller)},
-		{g.settings.ReadyAddress, http.HandlerFunc(g.serveReady)},
-		{g.settings.DirectoryAddress, http.HandlerFunc(g.serveAddresses)},
-		{net.JoinHostPort(g.settings.IP, portText(g.settings.MetricsPort)), g.operatorHandler()},
+		{g.settings.CallerAddress, g.callerServer},
+		{g.settings.ReadyAddress, internal(http.HandlerFunc(g.serveReady))},
+		{g.settings.DirectoryAddress, internal(http.HandlerFunc(g.serveAddresses))},
+		{net.JoinHostPort(g.settings.IP, portText(g.settings.MetricsPort)), internal(g.operatorHandler())},
 	}
 	var servers []server
 	for _, h := range endpoints {
@@ -308,20 +318,25 @@
 			}
 			return nil, errors.Wrapf(err, "listen at %s", h.address)
 		}
-		servers = append(servers, server{
-			&http.Server{Handler: h.handler, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout, ErrorLog: zap.NewStdLog(g.log)}, listener,
-		})
+		s := h.newServer(listener)
+		s.ErrorLog = zap.NewStdLog(g.log)
+		servers = append(servers, s)
 	}
-	// Caller connections are bounded by the limits of the current configuration, which change
-	// at run time, and not by the fixed timeouts of http.Server.
-	callers := &servers[0]
-	g.callerConns = httpserver.NewListener(callers.listener, g.connLimits)
-	callers.ReadHeaderTimeout, callers.IdleTimeout, callers.ConnState = 0, 0, g.callerConns.ConnState
-	callers.listener = g.callerConns
-	callers.BaseContext = func(net.Listener) context.Context { return g.requestsCtx }
 	return servers, nil
 }
 
+// callerServer returns the server of callers. Its connections are bounded by the limits of the current
+// configuration, which change at run time, and not by the fixed timeouts of http.Server.
+func (g *Gateway) callerServer(l net.Listener) server {
+	g.callerConns = httpserver.NewListener(l, g.connLimits)
+	g.callerConns.SetBounds(g.connBounds(g.settings.CallerConns()))
+	return server{&http.Server{
+		Handler: http.HandlerFunc(g.serveCaller), MaxHeaderBytes: httpserver.RequestHeadBytes,
+		ConnState: g.callerConns.ConnState, ConnContext: httpserver.WithConn,
+		BaseContext: func(net.Listener) context.Context { return g.requestsCtx },
+	}, g.callerConns}
+}
+
 func (g *Gateway) serveReady(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != g.codec.ReadyPath() {
 		http.NotFound(w, r)
--- a/pkg/gateway/limits.go
+++ b/pkg/gateway/limits.go
@@ -45,6 +45,11 @@
 	return httpserver.ConnLimits{HeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout + idleTimeoutMargin}
 }
 
+// connBounds returns the bounds of a listener with a number of connections.
+func (g *Gateway) connBounds(maxConns int) httpserver.Bounds {
+	return httpserver.Bounds{MaxConns: maxConns, Memory: g.memory, Scope: g.scope}
+}
+
 // headerBytes returns the size of a request's method, target, host, and header names and
 // values.
 func headerBytes(r *http.Request) int {
--- a/pkg/httpserver/conns.go
+++ b/pkg/httpserver/conns.go
@@ -5,10 +5,12 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/fescuehub/fescuehub/pkg/membudget"
 	"github.com/fescuehub/fescuehub/pkg/netconn"
 )
 
@@ -35,6 +37,8 @@
 type Listener struct {
 	net.Listener
 	limits func() ConnLimits
+	// bounds are set before the first connection is accepted.
+	bounds Bounds
 
 	// stopped is closed once no more connections are accepted.
 	stopped  chan struct{}
@@ -53,22 +57,33 @@
 
 // Accept implements net.Listener. The error is net.ErrClosed once the listener has stopped.
 func (l *Listener) Accept() (net.Conn, error) {
-	nc, err := l.Listener.Accept()
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		// The listener stops. The deadline has ended the wait, but connections may be queued.
-		nc, err = netconn.AcceptQueued(l.Listener)
-	}
-	if err != nil {
-		l.stopOnce.Do(func() { close(l.stopped) })
-		return nil, err
+	for {
+		nc, err := l.Listener.Accept()
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			// The listener stops. The deadline has ended the wait, but connections may be queued.
+			nc, err = netconn.AcceptQueued(l.Listener)
+		}
+		if err != nil {
+			l.stopOnce.Do(func() { close(l.stopped) })
+			return nil, err
+		}
+		if !l.makeRoom() {
+			l.bounds.onRefused()
+			_ = nc.Close() // nothing was read from it
+			continue
+		}
+		c := &conn{Conn: nc, listener: l, phase: fresh, phaseStart: time.Now()}
+		c.startTimer()
+		l.add(c)
+		return c, nil
 	}
-	c := &conn{Conn: nc, listener: l, phase: fresh, phaseStart: time.Now()}
-	c.startTimer()
+}
+
+func (l *Listener) add(c *conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.conns[c] = struct{}{}
 	l.accepted++
-	return c, nil
 }
 
 // StopAccepting makes Accept return net.ErrClosed after acceptGrace, once the connections that the
@@ -132,6 +147,7 @@
 	case http.StateClosed, http.StateHijacked:
 		l.remove(c)
 		c.timer.Stop()
+		c.releaseHead()
 	}
 }
 
@@ -158,21 +174,78 @@
 	phase      phase
 	phaseStart time.Time
 	timer      *time.Timer
+	// closed is true once the listener has closed the connection. What arrives later is not read, so that no
+	// request runs whose response cannot be sent.
+	closed bool
+	// head holds the bytes that the head of a request takes while it arrives; nil in the other phases.
+	head *membudget.Claim
+	// writingSince is when the write in progress began, in nanoseconds since 1970; 0 if there is none.
+	writingSince atomic.Int64
 }
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 {
-		c.mu.Lock()
-		if c.phase == idle || c.phase == fresh {
-			c.startPhase(reading)
+		if refused := c.received(p[:n]); refused != nil {
+			return 0, refused
 		}
-		c.mu.Unlock()
 	}
 	return n, err
 }
 
+// received records that data has arrived. The error means that the connection is closed instead.
+func (c *conn) received(data []byte) error {
+	c.mu.Lock()
+	if c.closed {
+		c.mu.Unlock()
+		return net.ErrClosed
+	}
+	if c.phase == idle || c.phase == fresh {
+		c.startPhase(reading)
+		if memory := c.listener.bounds.Memory; memory != nil {
+			c.head = memory.Receive(c.phaseStart, c.giveWay)
+		}
+	}
+	head := c.head
+	c.mu.Unlock()
+	if head == nil || c.listener.bounds.claimHead(head, data) {
+		return nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.close()
+	return errHeadMemory
+}
+
+// giveWay closes the connection while the head of a request arrives.
+func (c *conn) giveWay(reason membudget.Reason) {
+	c.listener.bounds.onEvicted(reason)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == reading {
+		c.close()
+	}
+}
+
+// close closes the connection, on which no request is in flight. The caller holds c.mu.
+func (c *conn) close() {
+	c.closed = true
+	c.timer.Stop()
+	_ = c.Conn.Close()
+}
+
+// releaseHead returns the bytes of the head of a request, whose handler has begun or which is not read any more.
+func (c *conn) releaseHead() {
+	c.mu.Lock()
+	head := c.head
+	c.head = nil
+	c.mu.Unlock()
+	if head != nil {
+		head.Release()
+	}
+}
+
 // CloseWrite closes the sending side. http.Server does so before it closes a connection with
 // unread bytes, so that a TCP reset does not discard the response.
 func (c *conn) CloseWrite() error {
@@ -195,14 +268,15 @@
 	case c.phase == fresh && time.Since(c.phaseStart) < newConnTimeout, netconn.HasData(c.Conn):
 		return true
 	}
-	_ = c.Close() // no request is in flight on it
+	c.close()
 	return false
 }
 
 func (c *conn) setPhase(p phase) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.startPhase(p)
+	c.mu.Unlock()
+	c.releaseHead()
 }
 
 // startPhase starts a phase and its timer. The caller holds c.mu.
@@ -240,5 +314,5 @@
 		c.timer.Reset(remaining)
 		return
 	}
-	_ = c.Close() // no request is in flight on it
+	c.close()
 }
--- a/pkg/settings/instance.go
+++ b/pkg/settings/instance.go
@@ -27,7 +27,10 @@
 	SharedLogAddress string
 	// MemoryBytes bounds the memory of the process.
 	MemoryBytes int64
-	Bounds      Bounds
+	// MaxDescriptors bounds the open descriptors of the process, of which ReservedDescriptors are not for its
+	// connections; 0 if there is no bound.
+	MaxDescriptors int
+	Bounds         Bounds
 }
 
 // Bounds are the limits that the operators guarantee to their users.
--- a/pkg/settings/reload.go
+++ b/pkg/settings/reload.go
@@ -23,6 +23,7 @@
 		{"address of the backend server", s.BackendAddress != later.BackendAddress},
 		{"service", s.Service != later.Service},
 		{"address of the log", s.SharedLogAddress != later.SharedLogAddress},
+		{"descriptors", s.MaxDescriptors != later.MaxDescriptors},
 		{"memory", s.MemoryBytes != later.MemoryBytes},
 		{"window of the retry budget", s.Bounds.RetryWindow != later.Bounds.RetryWindow},
 	} {
