Bound the messages and connections at an agent's ports

What was seen: 16 messages of 15 MB without an end took an agent of 96 MB to 317 MB, and 400 silent connections at its rpc or metrics port gave it 412 descriptors or more of 260.

Cause: a message could have 16 MB, any number could arrive at a time, and neither port bounded its connections. The metrics port had no time-out for idle ones.

At the bound of connections the one with the oldest last message gives way: a planner sends several a second. 64 calls of one connection run at a time, and a message that cannot be written within 15 s ends its connection. The metrics port has the bounds of an entry's internal ports.

--- a/pkg/rankagent/agent.go
+++ b/pkg/rankagent/agent.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"net/netip"
 	"strconv"
 	"sync"
@@ -20,6 +19,8 @@
 	"github.com/fescuehub/fescuehub/pkg/evenplan"
 	"github.com/fescuehub/fescuehub/pkg/fleet"
 	"github.com/fescuehub/fescuehub/pkg/gossip"
+	"github.com/fescuehub/fescuehub/pkg/httpserver"
+	"github.com/fescuehub/fescuehub/pkg/membudget"
 	"github.com/fescuehub/fescuehub/pkg/netconn"
 	"github.com/fescuehub/fescuehub/pkg/popularity"
 	"github.com/fescuehub/fescuehub/pkg/rankcontrol"
@@ -46,6 +47,8 @@
 	// orderTimeout bounds an order to the local engine. The planner's own timeout is longer, so
 	// that the agent can report a lost answer to it.
 	orderTimeout = 30 * time.Millisecond
+	// maxOrderBytes bounds a message of a planner. The largest ones, the map of a group of 300 ranks, have 200 KB.
+	maxOrderBytes = 1 << 20
 )
 
 // The methods that a planner calls.
@@ -146,18 +149,21 @@
 		_ = listener.Close() // nothing was served on it
 		return errors.Wrap(err, "open the metrics port")
 	}
-	metricsServer := &http.Server{Handler: a.metrics.Handler, ReadHeaderTimeout: localTimeout}
+	memory := membudget.New(a.settings.RequestMemory())
+	control := rpc.NewServer(listener, a.scope, a.methods())
+	control.SetBounds(rpc.Bounds{MaxMessageBytes: maxOrderBytes, MaxConns: a.settings.InternalConns(), Memory: memory, Scope: a.scope})
+	metricsServer, metricsConns := httpserver.NewInternal(metrics, httpserver.Bounds{MaxConns: a.settings.InternalConns(), Memory: memory, Scope: a.scope}, a.metrics.Handler)
 	var group sync.WaitGroup
 	a.socket = socket
 	group.Go(func() { socket.Run(ctx, a.handleMessage) })
 	group.Go(func() { a.electAndPlan(ctx) })
 	group.Go(func() {
-		if err := rpc.NewServer(listener, a.scope, a.methods()).Run(ctx); err != nil {
+		if err := control.Run(ctx); err != nil {
 			a.log.Error("planner port closed", telemetry.Err(err))
 		}
 	})
 	group.Go(func() {
-		if err := metricsServer.Serve(metrics); err != nil && ctx.Err() == nil {
+		if err := metricsServer.Serve(metricsConns); err != nil && ctx.Err() == nil {
 			a.log.Error("metrics port closed", telemetry.Err(err))
 		}
 	})
--- a/pkg/rpc/codec.go
+++ b/pkg/rpc/codec.go
@@ -21,14 +21,21 @@
 )
 
 // lineCodec encodes each message as one line of JSON. It implements jsonrpc2.ObjectCodec.
-type lineCodec struct{ nc net.Conn }
+type lineCodec struct {
+	nc     net.Conn
+	bounds *Bounds
+	active *activity
+}
 
 // WriteObject implements jsonrpc2.ObjectCodec.
-func (lineCodec) WriteObject(stream io.Writer, obj any) error {
+func (c lineCodec) WriteObject(stream io.Writer, obj any) error {
 	data, err := json.Marshal(obj)
 	if err != nil {
 		return errors.Wrap(err, "encode message")
 	}
+	if err := c.nc.SetWriteDeadline(time.Now().Add(messageTimeout)); err != nil {
+		return errors.Wrap(err, "set the write deadline of a message")
+	}
 	_, err = stream.Write(append(data, '\n'))
 	return err
 }
@@ -43,33 +50,36 @@
 	if err := c.nc.SetReadDeadline(time.Now().Add(messageTimeout)); err != nil {
 		return errors.Wrap(err, "set the read deadline of a message")
 	}
-	line, err := readLine(stream)
-	if err != nil {
+	message := c.bounds.newLine(c.nc)
+	defer message.release()
+	if err := readLine(stream, message, c.bounds.maxMessageBytes()); err != nil {
 		return err
 	}
+	c.active.touch()
 	if err := c.nc.SetReadDeadline(time.Time{}); err != nil {
 		return errors.Wrap(err, "clear the read deadline of a message")
 	}
-	if err := json.Unmarshal(line, v); err != nil {
+	if err := json.Unmarshal(message.data, v); err != nil {
 		return problem.New(problem.BadRequest, "run the same release on every instance", "malformed message: %v", err)
 	}
 	return nil
 }
 
-// readLine reads a line of at most MaxMessageBytes.
-func readLine(stream *bufio.Reader) ([]byte, error) {
-	var line []byte
+// readLine reads a line of at most a number of bytes.
+func readLine(stream *bufio.Reader, message *line, maxBytes int) error {
 	for {
 		part, err := stream.ReadSlice('\n')
-		line = append(line, part...)
-		if len(line) > MaxMessageBytes {
-			return nil, problem.New(problem.TooLarge, "run the same release on every instance", "message larger than %d bytes", MaxMessageBytes)
+		if len(message.data)+len(part) > maxBytes {
+			return problem.New(problem.TooLarge, "run the same release on every instance", "message larger than %d bytes", maxBytes)
+		}
+		if err := message.add(part); err != nil {
+			return err
 		}
 		if err == nil {
-			return line, nil
+			return nil
 		}
 		if !errors.Is(err, bufio.ErrBufferFull) {
-			return nil, err
+			return err
 		}
 	}
 }
--- a/pkg/rpc/rpc.go
+++ b/pkg/rpc/rpc.go
@@ -44,7 +44,11 @@
 
 // Conn is one connection. Both ends can call methods of the other.
 type Conn struct {
-	rpc *jsonrpc2.Conn
+	rpc    *jsonrpc2.Conn
+	nc     net.Conn
+	active activity
+	// calls holds an element for each call that runs; nil if their number is not bounded.
+	calls chan struct{}
 }
 
 // Dial connects to an address within defaultDialTimeout and serves methods to the peer. The
@@ -60,7 +64,7 @@
 	if err != nil {
 		return nil, unavailable(address, err)
 	}
-	return newConn(ctx, nc, methods, tally.NoopScope.Counter("broken")), nil
+	return newConn(ctx, nc, methods, tally.NoopScope.Counter("broken"), nil), nil
 }
 
 // errorCounter counts the messages that a connection could not read or write. It implements
@@ -70,19 +74,45 @@
 // Printf implements jsonrpc2.Logger.
 func (c errorCounter) Printf(string, ...any) { c.counter.Inc(1) }
 
-func newConn(ctx context.Context, nc net.Conn, methods Methods, brokenMessages tally.Counter) *Conn {
-	c := &Conn{}
+func newConn(ctx context.Context, nc net.Conn, methods Methods, brokenMessages tally.Counter, bounds *Bounds) *Conn {
+	c := &Conn{nc: nc}
+	c.active.touch()
+	if bounds != nil {
+		c.calls = make(chan struct{}, maxCallsPerConn)
+	}
 	ready := make(chan struct{})
 	handler := jsonrpc2.HandlerWithError(func(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
 		<-ready
 		return c.handle(ctx, methods, req)
 	})
-	c.rpc = jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(nc, lineCodec{nc}), jsonrpc2.AsyncHandler(handler),
+	c.rpc = jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(nc, lineCodec{nc, bounds, &c.active}), c.boundCalls(handler),
 		jsonrpc2.SetLogger(errorCounter{brokenMessages}))
 	close(ready)
 	return c
 }
 
+// boundCalls returns a handler that runs each call in a goroutine of its own, at most cap(c.calls) at a time.
+func (c *Conn) boundCalls(h jsonrpc2.Handler) jsonrpc2.Handler {
+	if c.calls == nil {
+		return jsonrpc2.AsyncHandler(h)
+	}
+	return jsonrpc2HandlerFunc(func(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+		c.calls <- struct{}{}
+		go func() {
+			defer func() { <-c.calls }()
+			h.Handle(ctx, conn, req)
+		}()
+	})
+}
+
+// jsonrpc2HandlerFunc is a function that implements jsonrpc2.Handler.
+type jsonrpc2HandlerFunc func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request)
+
+// Handle implements jsonrpc2.Handler.
+func (f jsonrpc2HandlerFunc) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	f(ctx, conn, req)
+}
+
 func (c *Conn) handle(ctx context.Context, methods Methods, req *jsonrpc2.Request) (any, error) {
 	method, ok := methods[req.Method]
 	if !ok {
@@ -130,8 +160,10 @@
 	listener       net.Listener
 	methods        Methods
 	brokenMessages tally.Counter
-	mu             sync.Mutex
-	conns          map[*Conn]struct{}
+	// bounds is nil if the connections are not bounded.
+	bounds *Bounds
+	mu     sync.Mutex
+	conns  map[*Conn]struct{}
 }
 
 // NewServer returns a server on an open listener. It counts the messages that it cannot read or
@@ -158,7 +190,8 @@
 		if err != nil {
 			return err
 		}
-		s.add(newConn(ctx, nc, s.methods, s.brokenMessages))
+		s.makeRoom()
+		s.add(newConn(ctx, nc, s.methods, s.brokenMessages, s.bounds))
 	}
 }
 
