Keep no long texts and no more than 1,024 names from peers' messages

What was seen: datagrams that name 4,000 entries that do not exist, with names of 48 KB, took an entry of 96 MB to 145 MB.

Cause: an entry kept the name and address of every entry that a datagram named.

Change: a state message is dropped if its name, incarnation, address or failure domain has more than 256 bytes, or if it names an unknown entry when 1,024 are known. Dropped messages are counted (peer_messages_refused).

--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -214,9 +214,30 @@
 	}
 }
 
+const (
+	// maxPeers bounds the entries that are known, several times the size of the largest fleets, and maxPeerTextBytes
+	// the length of a text in their messages that is kept.
+	maxPeers         = 1024
+	maxPeerTextBytes = 256
+)
+
+// plausible reports whether the texts of an entry's state that are kept are as short as those of an entry.
+func plausible(e *gossip.EntryState) bool {
+	return max(len(e.Name), len(e.Incarnation), len(e.CallerAddress), len(e.FailureDomain)) <= maxPeerTextBytes
+}
+
 // handleEntryState merges the state that another entry has sent.
 func (g *Gateway) handleEntryState(now time.Time, from netip.AddrPort, e *gossip.EntryState) {
+	if !plausible(e) {
+		g.scope.Counter("peer_messages_refused").Inc(1)
+		return
+	}
 	g.mu.Lock()
+	if g.peerAddresses[e.Name] == (netip.AddrPort{}) && len(g.peerAddresses) >= maxPeers {
+		g.mu.Unlock()
+		g.scope.Counter("peer_messages_refused").Inc(1)
+		return
+	}
 	change := g.directory.Update(now, directory.Entry{
 		Name: e.Name, Address: e.CallerAddress, Incarnation: e.Incarnation, Sequence: e.Sequence, FailureDomain: e.FailureDomain,
 		Ready: e.Ready, LogReachable: e.LogReachable, ReadsLog: e.ReadsLog,
