Hold the start of responses within the memory for requests

Cause: an entry buffers up to 256 KB of each response, whatever it holds already.

Change: the buffer of a response is claimed from the memory for requests, of which responses leave half to requests; a response without room is passed on as it arrives, which gives up its retry. A request whose connection the listener has closed before the handler begins is not run.

--- a/pkg/gateway/caller.go
+++ b/pkg/gateway/caller.go
@@ -37,6 +37,9 @@
 }
 
 func (g *Gateway) serveCaller(w http.ResponseWriter, r *http.Request) {
+	if httpserver.Closed(r.Context()) {
+		panic(http.ErrAbortHandler) // it cannot be answered
+	}
 	arrived := time.Now()
 	g.drain.beginRequest()
 	defer g.drain.endRequest()
@@ -71,7 +74,7 @@
 // admit reads a request and resolves its route, the organisation that holds its key, and its
 // service. It also returns the version of the configuration that applied, 0 if none did.
 func (g *Gateway) admit(conn *http.ResponseController, r *http.Request, arrived time.Time, held *membudget.Claim) (*relay.Request, int64, *refusal) {
-	q := &relay.Request{Method: r.Method, Target: r.RequestURI, Host: r.Host, Arrived: arrived}
+	q := &relay.Request{Method: r.Method, Target: r.RequestURI, Host: r.Host, Arrived: arrived, Held: held}
 	limits := g.limits()
 	if maxBytes := limits.MaxHeaderBytes; maxBytes > 0 && headerBytes(r) > maxBytes {
 		return q, 0, &refusal{http.StatusRequestHeaderFieldsTooLarge, "the request headers exceed the configured limit", 0}
@@ -124,7 +127,7 @@
 	defer stop()
 	body, err := g.receive(r, maxBytes+1, held)
 	switch {
-	case errors.Is(err, errNoMemory):
+	case errors.Is(err, membudget.ErrNoMemory):
 		return g.noMemory("body")
 	case !held.Complete():
 		return g.noMemory("body") // it had to give way
--- a/pkg/gateway/held.go
+++ b/pkg/gateway/held.go
@@ -6,16 +6,12 @@
 	"net/http"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/fescuehub/fescuehub/pkg/httpserver"
 	"github.com/fescuehub/fescuehub/pkg/membudget"
 	"github.com/fescuehub/fescuehub/pkg/relay"
 )
 
 const (
-	// firstBodyBytes is the size of the first buffer of a body, which doubles as it fills.
-	firstBodyBytes = 4 << 10
 	// maxDiscardedBody is the size of an unread body up to which the connection of a refused request is kept: less
 	// than a caller loses by a new connection.
 	maxDiscardedBody = 16 << 10
@@ -26,36 +22,26 @@
 	maxLoggedText = 256
 )
 
-var errNoMemory = errors.New("no memory is left for the request body")
-
-// receive reads a body of up to limit bytes. The claim grows with its buffer; the error is errNoMemory if it cannot.
+// receive reads a body of up to limit bytes. The claim grows with its buffer; the error is membudget.ErrNoMemory if it
+// cannot.
 func (g *Gateway) receive(r *http.Request, limit int64, held *membudget.Claim) ([]byte, error) {
 	if r.ContentLength >= 0 {
 		limit = min(limit, r.ContentLength)
 	}
-	var body []byte
-	reader := io.LimitReader(r.Body, limit)
-	for {
-		if len(body) == cap(body) {
-			size := min(max(2*int64(cap(body)), firstBodyBytes), limit)
-			if size == int64(cap(body)) {
-				size++ // the next read returns io.EOF
-			}
-			if !httpserver.Claim(g.memory, held, size-int64(cap(body))) {
-				return nil, errNoMemory
-			}
-			body = append(make([]byte, 0, size), body...)
-		}
-		n, err := reader.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		held.Received(time.Now(), n)
-		if err == io.EOF {
-			return body, nil
-		}
-		if err != nil {
-			return nil, err
-		}
-	}
+	return membudget.Read(progressReader{r.Body, held}, limit, func(n int64) bool { return httpserver.Claim(g.memory, held, n) })
+}
+
+// progressReader records the progress of a body.
+type progressReader struct {
+	io.Reader
+	held *membudget.Claim
+}
+
+// Read implements io.Reader.
+func (r progressReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	r.held.Received(time.Now(), n)
+	return n, err
 }
 
 // noMemory refuses a request that has not been sent to a backend server.
--- a/pkg/httpserver/bounds.go
+++ b/pkg/httpserver/bounds.go
@@ -231,6 +231,17 @@
 	}
 }
 
+// Closed reports whether the listener closed the connection of a request before its handler began.
+func Closed(ctx context.Context) bool {
+	c, ok := ctx.Value(connKey{}).(*conn)
+	if !ok {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closed
+}
+
 // NewInternal returns a server, and the listener that it must serve, for a port whose requests have no bodies: a
 // connection whose request announces one is closed after the response.
 func NewInternal(listener net.Listener, b Bounds, handler http.Handler) (*http.Server, *Listener) {
--- a/pkg/membudget/membudget.go
+++ b/pkg/membudget/membudget.go
@@ -67,11 +67,17 @@
 }
 
 // Grow adds bytes to the claim. It returns false, and adds none, if the budget has no room.
-func (c *Claim) Grow(n int64) bool {
+func (c *Claim) Grow(n int64) bool { return c.growWithin(n, 1) }
+
+// GrowOptional is like Grow for bytes that can be done without: it leaves half of the budget to others.
+func (c *Claim) GrowOptional(n int64) bool { return c.growWithin(n, 2) }
+
+// growWithin adds bytes if the budget, divided by a number, has room.
+func (c *Claim) growWithin(n, divisor int64) bool {
 	b := c.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.limit > 0 && b.used+n > b.limit {
+	if b.limit > 0 && b.used+n > b.limit/divisor {
 		return false
 	}
 	b.used += n
--- a/pkg/membudget/membudget_test.go
+++ b/pkg/membudget/membudget_test.go
@@ -44,7 +44,11 @@
 	if b.Used() != 0 {
 		t.Errorf("%d bytes used after all were released", b.Used())
 	}
-	if unlimited := New(0).Receive(start, nil); !unlimited.Grow(1 << 40) {
+	optional := b.Receive(start, nil)
+	if !optional.GrowOptional(12<<20) || optional.GrowOptional(1) || !optional.Grow(1) {
+		t.Error("optional bytes do not leave half of the budget to others")
+	}
+	if unlimited := New(0).Receive(start, nil); !unlimited.Grow(1<<40) || !unlimited.GrowOptional(1<<40) {
 		t.Error("a budget without a limit refuses")
 	}
 }
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -16,6 +16,7 @@
 	"github.com/fescuehub/fescuehub/pkg/balance"
 	"github.com/fescuehub/fescuehub/pkg/eventstream"
 	"github.com/fescuehub/fescuehub/pkg/fleet"
+	"github.com/fescuehub/fescuehub/pkg/membudget"
 	"github.com/fescuehub/fescuehub/pkg/ratelimit"
 )
 
@@ -230,14 +231,15 @@
 }
 
 // relayBuffered reads a response that is not an event stream into memory and passes it on. The
-// remainder of a body longer than maxBufferedBytes is streamed.
+// remainder of a body longer than maxBufferedBytes, or for which no memory is left, is streamed.
 func (x *exchange) relayBuffered(ctx context.Context, s fleet.Server, response *backendconn.Response, success bool) (outcome, error) {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes+1))
-	if err != nil {
+	body, err := membudget.Read(response.Body, maxBufferedBytes+1, x.q.claim)
+	whole := err == nil && len(body) <= maxBufferedBytes
+	if err != nil && !errors.Is(err, membudget.ErrNoMemory) {
 		x.exclude(s.ID)
 		return x.brokenOffOr(notKnown), errors.Wrap(err, "read the response body")
 	}
-	if len(body) <= maxBufferedBytes && x.cutShort(ctx, s, response) {
+	if whole && x.cutShort(ctx, s, response) {
 		x.exclude(s.ID)
 		return x.brokenOffOr(notKnown), errCutShort
 	}
@@ -248,7 +250,7 @@
 		return ran, nil
 	}
 	x.report.Status = response.Status
-	if len(body) > maxBufferedBytes {
+	if !whole {
 		return x.relayUnbuffered(ctx, s, response, buffered)
 	}
 	buffered.write(x.w)
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -116,6 +116,8 @@
 	// Header holds the headers that are forwarded.
 	Header http.Header
 	Body   []byte
+	// Held claims the memory for a response that is buffered; nil if it is not bounded.
+	Held Memory
 	// Arrived is when the first bytes of the request were read.
 	Arrived time.Time
 }
@@ -140,6 +142,16 @@
 // tokens returns the number of context tokens that the request adds to an engine.
 func (r *Request) tokens() int { return r.PromptTokens }
 
+// Memory is the memory that a request holds.
+type Memory interface {
+	// GrowOptional claims n more bytes that the request can do without, and returns false if there is no room for
+	// them.
+	GrowOptional(n int64) bool
+}
+
+// claim claims memory for the request.
+func (r *Request) claim(n int64) bool { return r.Held == nil || r.Held.GrowOptional(n) }
+
 // Transport sends requests to backend servers.
 type Transport interface {
 	Start(ctx context.Context, server, address string, r *backendconn.Request) (*backendconn.Response, error)
