Time writes and messages of connections by the steady clock

No caller saw it. Cause: the time of the write in progress and of the last message were kept in nanoseconds of the time of day, which may jump by seconds: a jump would have closed connections that had not stalled, or kept those that had. Change: netconn.Instant holds a time of the steady clock.

--- a/pkg/httpserver/bounds.go
+++ b/pkg/httpserver/bounds.go
@@ -136,11 +136,11 @@
 // writeBlockedSince returns since when the peer has taken nothing of a response, if that is for at least
 // minWriteStall, and the zero time otherwise.
 func (c *conn) writeBlockedSince() time.Time {
-	since := c.writingSince.Load()
-	if since == 0 || time.Since(time.Unix(0, since)) < minWriteStall {
+	since := c.writingSince.Get()
+	if since.IsZero() || time.Since(since) < minWriteStall {
 		return time.Time{}
 	}
-	return time.Unix(0, since)
+	return since
 }
 
 // evict closes the connection unless it has got a request meanwhile, or its peer reads again.
@@ -204,9 +204,9 @@
 		if err := c.Conn.SetWriteDeadline(now.Add(writeProgressTimeout)); err != nil {
 			return written, err
 		}
-		c.writingSince.Store(now.UnixNano())
+		c.writingSince.Set(now)
 		n, err := c.Conn.Write(piece)
-		c.writingSince.Store(0)
+		c.writingSince.Clear()
 		written += n
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			c.listener.bounds.count("connections_closed_no_progress")
--- a/pkg/httpserver/conns.go
+++ b/pkg/httpserver/conns.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"os"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -179,8 +178,8 @@
 	closed bool
 	// head holds the bytes that the head of a request takes while it arrives; nil in the other phases.
 	head *membudget.Claim
-	// writingSince is when the write in progress began, in nanoseconds since 1970; 0 if there is none.
-	writingSince atomic.Int64
+	// writingSince is when the write in progress began; not set if there is none.
+	writingSince netconn.Instant
 }
 
 // Read implements net.Conn.
--- a/pkg/rpc/bounds.go
+++ b/pkg/rpc/bounds.go
@@ -2,7 +2,6 @@
 
 import (
 	"net"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -50,7 +49,7 @@
 	}
 	var victim *Conn
 	for c := range s.conns {
-		if victim == nil || c.active.Load() < victim.active.Load() {
+		if victim == nil || c.active.Get().Before(victim.active.Get()) {
 			victim = c
 		}
 	}
@@ -107,8 +106,3 @@
 	}
 	return b.MaxMessageBytes
 }
-
-// activity is the time of the last complete message, in nanoseconds since 1970.
-type activity struct{ atomic.Int64 }
-
-func (a *activity) touch() { a.Store(time.Now().UnixNano()) }
--- a/pkg/rpc/codec.go
+++ b/pkg/rpc/codec.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/fescuehub/fescuehub/pkg/netconn"
 	"github.com/fescuehub/fescuehub/pkg/problem"
 )
 
@@ -24,7 +25,7 @@
 type lineCodec struct {
 	nc     net.Conn
 	bounds *Bounds
-	active *activity
+	active *netconn.Instant
 }
 
 // WriteObject implements jsonrpc2.ObjectCodec.
@@ -55,7 +56,7 @@
 	if err := readLine(stream, message, c.bounds.maxMessageBytes()); err != nil {
 		return err
 	}
-	c.active.touch()
+	c.active.Set(time.Now())
 	if err := c.nc.SetReadDeadline(time.Time{}); err != nil {
 		return errors.Wrap(err, "clear the read deadline of a message")
 	}
--- a/pkg/rpc/rpc.go
+++ b/pkg/rpc/rpc.go
@@ -13,6 +13,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/fescuehub/fescuehub/pkg/panics"
+	"github.com/fescuehub/fescuehub/pkg/netconn"
 	"github.com/fescuehub/fescuehub/pkg/problem"
 )
 
@@ -46,7 +47,7 @@
 type Conn struct {
 	rpc    *jsonrpc2.Conn
 	nc     net.Conn
-	active activity
+	active netconn.Instant
 	// calls holds an element for each call that runs; nil if their number is not bounded.
 	calls chan struct{}
 }
@@ -76,7 +77,7 @@
 
 func newConn(ctx context.Context, nc net.Conn, methods Methods, brokenMessages tally.Counter, bounds *Bounds) *Conn {
 	c := &Conn{nc: nc}
-	c.active.touch()
+	c.active.Set(time.Now())
 	if bounds != nil {
 		c.calls = make(chan struct{}, maxCallsPerConn)
 	}
