--- a/pkg/rpc/rpc.go
+++ b/pkg/rpc/rpc.go
@@ -12,8 +12,8 @@
 	"github.com/sourcegraph/jsonrpc2"
 	"github.com/uber-go/tally/v4"
 
-	"github.com/fescuehub/fescuehub/pkg/panics"
 	"github.com/fescuehub/fescuehub/pkg/netconn"
+	"github.com/fescuehub/fescuehub/pkg/panics"
 	"github.com/fescuehub/fescuehub/pkg/problem"
 )
 
