Let a guaranteed turn take the slot of the most urgent request

Requests of priority 1 waited until shortly before they were late although slots were free for them, once the guaranteed turn of a request of priority 2 had come: that one needs more free slots, and nobody goes before the first in the order. The turn was not counted when the request left without a slot, so the next of its class kept the others waiting in turn. A guaranteed turn now needs as many free slots as the most urgent request, which it precedes.

--- a/pkg/shortage/line.go
+++ b/pkg/shortage/line.go
@@ -72,18 +72,20 @@
 	return t
 }
 
-// first returns the request whose turn is next, nil if none waits.
-func (l *line) first() *Ticket {
-	var urgent, starved *lineClass
+// first returns the request whose turn is next, nil if none waits. urgent is the first of the most urgent requests: the
+// same one, unless a less urgent class has a guaranteed turn.
+func (l *line) first() (next, urgent *Ticket) {
+	var mostUrgent, starved *lineClass
 	urgentPriority := 0
 	for priority, c := range l.classes {
-		if c.length > 0 && (urgent == nil || priority < urgentPriority) {
-			urgent, urgentPriority = c, priority
+		if c.length > 0 && (mostUrgent == nil || priority < urgentPriority) {
+			mostUrgent, urgentPriority = c, priority
 		}
 	}
-	if urgent == nil {
-		return nil
+	if mostUrgent == nil {
+		return nil, nil
 	}
+	urgent = mostUrgent.first()
 	if l.sinceGuaranteed >= guaranteedTurn-1 {
 		for priority, c := range l.classes {
 			if c.length > 0 && priority != urgentPriority && (starved == nil || c.lastTurn < starved.lastTurn) {
@@ -92,11 +94,14 @@
 		}
 	}
 	if starved != nil {
-		urgent = starved
+		return starved.first(), urgent
 	}
-	return urgent.waiting[urgent.organisations[0]][0]
+	return urgent, urgent
 }
 
+// first returns the request of a class that has waiting ones whose turn is next.
+func (c *lineClass) first() *Ticket { return c.waiting[c.organisations[0]][0] }
+
 // leave removes a request from the line. hadTurn tells whether it goes on because its turn came.
 func (l *line) leave(t *Ticket, hadTurn bool) {
 	if t.left {
--- a/pkg/shortage/queue.go
+++ b/pkg/shortage/queue.go
@@ -12,7 +12,8 @@
 	// shareWindow is the time constant of the counts of arrivals by class and organisation. Bursts last 3
 	// to 6 s, so that the counts follow within one.
 	shareWindow = 4 * time.Second
-	// An organisation that sends fairShareFactor times the mean of the others, or more, takes more than its fair share. At one entry, counts of a few requests scatter by less than that.
+	// An organisation that sends fairShareFactor times the mean of the others, or more, takes more than its fair share.
+	// At one entry, counts of a few requests scatter by less than that.
 	fairShareFactor = 2
 	// gapWeight is the weight of a new sample in the mean pause between events. An entry passes on
 	// some hundred events per second.
@@ -111,8 +112,9 @@
 	q.gapAt = now
 }
 
-// Join returns the place of a request, which Arrive has counted, if it has to wait; nil if it is to be sent at once. No more requests wait than the
-// service has slots. capacity is called only if there are several priorities or organisations.
+// Join returns the place of a request, which Arrive has counted, if it has to wait; nil if it is to be sent at once. No
+// more requests wait than the service has slots. capacity is called only if there are several priorities or
+// organisations.
 func (q *Queue) Join(now time.Time, r Request, capacity func() Capacity) *Ticket {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -125,8 +127,9 @@
 	return q.waiting.join(r)
 }
 
-// MaySend reports whether a waiting request may be sent now: its turn has come and slots are free for
-// it, or it can wait no longer. It then leaves the queue. capacity is called only for the first in the order.
+// MaySend reports whether a waiting request may be sent now: its turn has come and slots are free, or it can wait no
+// longer. It then leaves the queue. A guaranteed turn takes the slot of the most urgent request, so that it never waits
+// for more free slots than that one, which it precedes. capacity is called only for the first in the order.
 func (q *Queue) MaySend(now time.Time, t *Ticket, capacity func() Capacity) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -134,7 +137,7 @@
 		q.waiting.leave(t, false)
 		return true
 	}
-	if q.waiting.first() != t || q.short(now, t.Request, capacity()) {
+	if next, urgent := q.waiting.first(); next != t || q.short(now, urgent.Request, capacity()) {
 		return false
 	}
 	q.waiting.leave(t, true)
@@ -252,7 +255,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for !t.granted {
-		first := q.late.first()
+		first, _ := q.late.first()
 		if first == nil || !acquire() {
 			break
 		}
--- a/pkg/shortage/queue_test.go
+++ b/pkg/shortage/queue_test.go
@@ -242,3 +242,41 @@
 		})
 	}
 }
+
+// TestGuaranteedTurnHoldsNobodyUp guards against a less urgent request whose guaranteed turn has come but for which too
+// few slots are free, and which keeps all more urgent ones waiting until they are sent without a turn.
+func TestGuaranteedTurnHoldsNobodyUp(t *testing.T) {
+	q := shortage.NewQueue()
+	arrive(q, 40, 0, "a")
+	arrive(q, 40, 1, "a")
+	arrive(q, 20, 2, "a")
+	less := q.Join(start, request(2, "a"), noneFree)
+	var urgent []*shortage.Ticket
+	for range 20 {
+		urgent = append(urgent, q.Join(start, request(1, "a"), noneFree))
+	}
+	// Priority 0 takes 80 of the 720 slots within its target latency, priorities 0 and 1 take 160.
+	between := func() shortage.Capacity { return free(120) }
+	lessSent := 0
+	for round := range urgent {
+		sent := false
+		for n, ticket := range append(urgent, less) {
+			if ticket == nil || !q.MaySend(start, ticket, between) {
+				continue
+			}
+			sent = true
+			if ticket == less {
+				less, lessSent = nil, round
+			} else {
+				urgent[n] = nil
+			}
+			break
+		}
+		if !sent {
+			t.Fatalf("after %d requests no more is sent although 120 slots are free", round)
+		}
+	}
+	if lessSent != 7 {
+		t.Errorf("the guaranteed turn is number %d, want number 7, counted from 0", lessSent)
+	}
+}
