Let only late requests that have a slot probe a broken group

While a group is known to be broken by responses alone, because no planner reports it, one request per 0.3 s probes it. A late request took that probe before it asked for a late slot. Since late slots are given in the order of the queue, it mostly gave them to others, waited on itself, and the probe was lost: in the test, 40 waiting requests mostly sent none within 0.5 s after the first probe was due. A late request now asks for its slot first, while the group can be probed, and then takes the probe.

--- a/pkg/balance/explain.go
+++ b/pkg/balance/explain.go
@@ -145,7 +145,14 @@
 	return ""
 }
 
-// peekWaitReason returns what WaitReason would return, without a probe of a broken group. b.mu is held.
+// PeekWaitReason returns what WaitReason would return. It lets no request through as a probe of a broken group.
+func (b *Balancer) PeekWaitReason(now time.Time, service *fleet.Service) WaitReason {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.peekWaitReason(now, service)
+}
+
+// peekWaitReason is PeekWaitReason. b.mu is held.
 func (b *Balancer) peekWaitReason(now time.Time, service *fleet.Service) WaitReason {
 	var reason WaitReason
 	for key, members := range b.groupMembers[service.Name] {
--- a/pkg/relay/hold_test.go
+++ b/pkg/relay/hold_test.go
@@ -151,3 +151,20 @@
 		t.Errorf("the engine got %d requests, want only the urgent one", sent)
 	}
 }
+
+// TestOnlyLateRequestWithSlotProbesGroup guards against late requests that use up the probes of a broken group without a
+// late slot, so that none is sent and nobody notices that the group serves again.
+func TestOnlyLateRequestWithSlotProbesGroup(t *testing.T) {
+	engine := newBackend(t, complete)
+	r := route(fleet.Streaming)
+	r.TargetLatency, r.Timeout = 300*time.Millisecond, 8*time.Second
+	s := newTestRelay(t, r, fleet.Service{Engine: &fleet.Engine{Slots: 4}}, 94, engine.server("a"))
+	s.balancer.ReportGroupFault(time.Now(), "a") // one late slot; the first probe is 0.3 s from now
+	for n := range 40 {
+		s.heldRequest(context.Background(), t, strconv.Itoa(n), 0)
+	}
+	time.Sleep(800 * time.Millisecond) // each request checks every 50 ms
+	if sent, _ := engine.count(); sent == 0 {
+		t.Error("no request has probed the group 0.5 s after the first probe was due")
+	}
+}
--- a/pkg/relay/wait.go
+++ b/pkg/relay/wait.go
@@ -72,17 +72,20 @@
 	if needsSlot && x.lateTicket == nil {
 		x.lateTicket = x.queue.JoinLate(x.shortageRequest())
 	}
-	if reason := x.balancer.WaitReason(now, x.q.Service); reason != "" {
-		return reason
+	if !needsSlot {
+		return x.balancer.WaitReason(now, x.q.Service)
 	}
-	if !needsSlot || x.allEvacuated() || x.acquireLateSlot(now) {
-		return ""
+	// Only a request that may be sent takes the probe of a broken group.
+	if reason := x.balancer.PeekWaitReason(now, x.q.Service); reason != "" {
+		return reason
 	}
-	if x.callerDisconnectsAt().Sub(now) <= lateSendMargin {
+	if !x.allEvacuated() && !x.acquireLateSlot(now) {
+		if x.callerDisconnectsAt().Sub(now) > lateSendMargin {
+			return balance.WaitLateLimit
+		}
 		x.leaveLateQueue()
-		return ""
 	}
-	return balance.WaitLateLimit
+	return x.balancer.WaitReason(now, x.q.Service)
 }
 
 // isLate reports whether the first event of an attempt that begins now is expected after the target
