Refuse requests of one priority after a wait for their group as before

Requests that had waited for longer than an eighth of their target latency were never refused for lack of slots, also those of services with one priority and one organisation that had waited for their group: after an outage they were sent to full engines although their callers would leave before the first event. The exemption now applies only where requests of several priorities or organisations have arrived, which are the ones that the queue may hold.

--- a/pkg/relay/hold.go
+++ b/pkg/relay/hold.go
@@ -125,9 +125,10 @@
 	return x.holdsLateSlot
 }
 
-// heldTooLong reports whether the request has been held for so long that it may not be refused for lack of slots.
+// heldTooLong reports whether the request, which competes with others, has been held for so long that it may not be
+// refused for lack of slots.
 func (x *exchange) heldTooLong(now time.Time) bool {
-	return len(x.report.Attempts) == 0 && now.Sub(x.began) > x.q.Route.TargetLatency/maxHoldBeforeRefusal
+	return len(x.report.Attempts) == 0 && now.Sub(x.began) > x.q.Route.TargetLatency/maxHoldBeforeRefusal && x.queue.Competing()
 }
 
 // recordGap records the pause before an event of a stream, which is the length of a pass of the engine.
--- a/pkg/relay/hold_test.go
+++ b/pkg/relay/hold_test.go
@@ -152,6 +152,27 @@
 	}
 }
 
+// TestWaitForGroupExemptsNoSinglePriority guards against a change for services with one priority and one organisation: a
+// request that has waited for its group, and not for other requests, is still refused if its caller would leave before
+// its first event.
+func TestWaitForGroupExemptsNoSinglePriority(t *testing.T) {
+	engine := newBackend(t, complete)
+	r := route(fleet.Streaming)
+	r.TargetLatency, r.Timeout = time.Second, 8*time.Second
+	s := newTestRelay(t, r, fleet.Service{Engine: &fleet.Engine{Slots: 1}}, 94, engine.server("a"))
+	for range 20 {
+		s.balancer.Begin(time.Now(), "a", 0) // the expected wait for a slot is 34 s
+	}
+	s.balancer.UpdateGroup(time.Now(), "s", "", fleet.GroupBroken, nil)
+	time.AfterFunc(300*time.Millisecond, func() { s.balancer.UpdateGroup(time.Now(), "s", "", fleet.GroupOpen, nil) })
+	if status, _, _, err := s.send(context.Background(), "waits"); err != nil || status != http.StatusServiceUnavailable {
+		t.Errorf("got status %d, %v, want 503", status, err)
+	}
+	if sent, _ := engine.count(); sent != 0 {
+		t.Errorf("the engine got %d requests", sent)
+	}
+}
+
 // TestOnlyLateRequestWithSlotProbesGroup guards against late requests that use up the probes of a broken group without a
 // late slot, so that none is sent and nobody notices that the group serves again.
 func TestOnlyLateRequestWithSlotProbesGroup(t *testing.T) {
--- a/pkg/shortage/queue.go
+++ b/pkg/shortage/queue.go
@@ -112,13 +112,23 @@
 	q.gapAt = now
 }
 
+// Competing reports whether requests of several priorities or organisations have arrived: otherwise none waits here.
+func (q *Queue) Competing() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.competing()
+}
+
+// competing is Competing. q.mu is held.
+func (q *Queue) competing() bool { return len(q.classes) > 1 || len(q.organisations) > 1 }
+
 // Join returns the place of a request, which Arrive has counted, if it has to wait; nil if it is to be sent at once. No
 // more requests wait than the service has slots. capacity is called only if there are several priorities or
 // organisations.
 func (q *Queue) Join(now time.Time, r Request, capacity func() Capacity) *Ticket {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if !now.Before(r.SendBy) || len(q.classes) < 2 && len(q.organisations) < 2 {
+	if !now.Before(r.SendBy) || !q.competing() {
 		return nil
 	}
 	if c := capacity(); q.waiting.length >= c.Slots || !q.short(now, r, c) {
