Explain refusals with the order of the priorities

The explanation of a choice took the whole queue at the engines for the wait of an urgent request, and said that it would be refused where the entry sends it: requests overtake the less urgent ones at the engines. The explanation and the request path now share the rule.

--- a/pkg/gateway/explain.go
+++ b/pkg/gateway/explain.go
@@ -102,7 +102,7 @@
 		s.Refused = "no backend server is available"
 	} else {
 		s.Cheapest = e.Servers[e.Cheapest].ID
-		s.Refused = relay.RefusalOf(now, g.balancer, q, e.SlotWait)
+		s.Refused = g.relay.RefusalOf(now, q, e.SlotWait)
 	}
 	for _, c := range e.Servers {
 		s.Servers = append(s.Servers, ExplainedCandidate{
--- a/pkg/gateway/explain_test.go
+++ b/pkg/gateway/explain_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
@@ -12,10 +13,34 @@
 	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/fescuehub/fescuehub/pkg/fleet"
+	"github.com/fescuehub/fescuehub/pkg/relay"
 	"github.com/fescuehub/fescuehub/pkg/settings"
 	"github.com/fescuehub/fescuehub/pkg/telemetry"
 )
 
+// TestExplainKnowsOrderOfPriorities guards against an explanation that says that an urgent request would be refused because
+// of requests that it overtakes at the engines.
+func TestExplainKnowsOrderOfPriorities(t *testing.T) {
+	g := New(settings.Instance{Name: "entry0", Bounds: settings.Bounds{RetryWindow: 10 * time.Second}}, nil, nil, zap.NewNop(), telemetry.NewMetrics())
+	service := fleet.Service{Name: "model", Engine: &fleet.Engine{Slots: 1}}
+	r := fleet.Route{Name: "chat", Host: "h", PathPrefix: "/v1", Kind: fleet.Streaming, Timeout: 10 * time.Second, TargetLatency: time.Second, Targets: []fleet.Target{{Service: "model", Weight: 1}}}
+	g.table.Store(fleet.NewTable(fleet.Configuration{Routes: []fleet.Route{r}, Services: []fleet.Service{service}}))
+	g.balancer.SetServers([]fleet.Server{{ID: "r0", Service: "model", Address: "10.0.0.1:1", Incarnation: 1}})
+	gone, leave := context.WithCancel(context.Background())
+	leave()
+	for n := range 40 { // nine of ten requests are less urgent; their callers leave at once
+		priority := min(n%10, 1)
+		g.relay.Serve(gone, httptest.NewRecorder(), &relay.Request{Route: &r, Service: &service, Priority: priority, Arrived: time.Now()})
+	}
+	for range 8 { // 13.6 s until a slot is free, of which the urgent request waits for a tenth
+		g.balancer.Begin(time.Now(), "r0", 0)
+	}
+	x, ok := g.Explain(time.Now(), "h", "/v1", "", 0)
+	if !ok || len(x.Services) != 1 || x.Services[0].Refused != "" || x.Services[0].SlotWaitMS < 4000 {
+		t.Errorf("%+v", x)
+	}
+}
+
 // TestExplain checks what an operator is told about a request, and that its key is neither logged nor returned.
 func TestExplain(t *testing.T) {
 	core, logs := observer.New(zap.DebugLevel)
--- a/pkg/relay/explain.go
+++ b/pkg/relay/explain.go
@@ -1,26 +1,28 @@
 package relay
 
 import (
-	"fmt"
 	"time"
 
-	"github.com/fescuehub/fescuehub/pkg/balance"
+	"github.com/fescuehub/fescuehub/pkg/shortage"
 )
 
 // RefusalOf returns why a request that arrives now would be refused because of the wait for a slot; empty if it
 // would not. It decides as refusalReason does for the first attempt, without a change of any state.
-func RefusalOf(now time.Time, b *balance.Balancer, q *Request, slotWait time.Duration) string {
-	target := q.Route.TargetLatency
-	if target <= 0 || q.Service.Engine == nil {
+func (r *Relay) RefusalOf(now time.Time, q *Request, slotWait time.Duration) string {
+	if q.Route.TargetLatency <= 0 || q.Service.Engine == nil {
 		return ""
 	}
-	limits := balance.QueueLimits{MaxWait: target, MaxWaitStanding: max(target-firstEventTime, 0)}
-	if b.WouldRefuse(now, q.Service.Name, slotWait, limits) {
-		return fmt.Sprintf("standing queue at the engines: the expected wait for a slot is %v", slotWait.Round(time.Millisecond))
-	}
 	x := &exchange{q: q, lastProgress: now}
-	if now.Add(slotWait + firstEventTime).After(x.callerDisconnectsAt()) {
-		return fmt.Sprintf("expected wait of %v for a slot exceeds the time until the caller leaves", slotWait.Round(time.Millisecond))
+	return x.slotRefusal(now, slotWait, r.shortage.order(now, q), r.balancer.WouldRefuse)
+}
+
+// order returns the place of a request among the recent arrivals. It creates no queue.
+func (s *shortageQueues) order(now time.Time, q *Request) shortage.Order {
+	s.mu.Lock()
+	queue := s.queues[q.Service.Name]
+	s.mu.Unlock()
+	if queue == nil {
+		return shortage.Order{ShareBefore: 1}
 	}
-	return ""
+	return queue.Order(now, q.Priority)
 }
--- a/pkg/relay/wait.go
+++ b/pkg/relay/wait.go
@@ -230,9 +230,13 @@
 	if slotWait == 0 && (x.limits.Admission(now, s.ID, s.Incarnation) != ratelimit.Unlimited || x.balancer.IsCold(now, s)) {
 		return "" // a cold server or one at its rate limit has free slots, whatever queue stands at the others
 	}
-	order := x.queue.Order(now, x.q.Priority)
-	limits := queueLimits(target, order)
-	if x.balancer.ShouldRefuse(now, x.q.Service.Name, slotWait, limits) {
+	return x.slotRefusal(now, slotWait, x.queue.Order(now, x.q.Priority), x.balancer.ShouldRefuse)
+}
+
+// slotRefusal returns why the request is refused because of the expected wait for a slot; empty if it is not.
+// shouldRefuse is ShouldRefuse or WouldRefuse of the balancer.
+func (x *exchange) slotRefusal(now time.Time, slotWait time.Duration, order shortage.Order, shouldRefuse func(time.Time, string, time.Duration, balance.QueueLimits) bool) string {
+	if shouldRefuse(now, x.q.Service.Name, slotWait, queueLimits(x.q.Route.TargetLatency, order)) {
 		return fmt.Sprintf("standing queue at the engines: the expected wait for a slot is %v", slotWait.Round(time.Millisecond))
 	}
 	slotWait = time.Duration(order.ShareBefore * float64(slotWait))
