--- a/pkg/balance/pause.go
+++ b/pkg/balance/pause.go
@@ -45,7 +45,8 @@
 }
 
 // AcceptsIn returns the time until the first server of a service accepts a request, after its pause, within
-// its rate limit and within this entry's share of it while it is cold. It is 0 if one accepts a request now or the service has no server.
+// its rate limit and within this entry's share of it while it is cold. It is 0 if one accepts a request now or
+// the service has no server.
 func (b *Balancer) AcceptsIn(now time.Time, service string) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/pkg/relay/wait.go
+++ b/pkg/relay/wait.go
@@ -42,7 +42,8 @@
 const waitedForPermit = "rate-limit-permit"
 
 // waitForGroup waits while the group of engines accepts no requests, but not with a prompt that is
-// refused nor once this process stops before the request can end, and reports whether enough time for an attempt remains.
+// refused nor once this process stops before the request can end, and reports whether enough time for an
+// attempt remains.
 func (x *exchange) waitForGroup(ctx context.Context) bool {
 	if x.q.Service.Engine == nil {
 		return x.remaining() > minAttemptTime
--- a/pkg/shortage/load_test.go
+++ b/pkg/shortage/load_test.go
@@ -238,8 +238,8 @@
 }
 
 // TestOverloadServesUrgentAsOften guards against urgent requests that are served less often than the least urgent ones:
-// a burst of 2.2 times the most urgent while the busiest rank has 2.3 times the mean work asks for a third more than the slots
-// serve. Known to fail, see KNOWN-RED.txt.
+// a burst of 2.2 times the most urgent while the busiest rank has 2.3 times the mean work asks for a third more than
+// the slots serve. Known to fail, see KNOWN-RED.txt.
 func TestOverloadServesUrgentAsOften(t *testing.T) {
 	l := baseLoad(2.3, 12*time.Second)
 	l.factor = burst(0, 2.2)
--- a/pkg/shortage/queue_test.go
+++ b/pkg/shortage/queue_test.go
@@ -219,8 +219,8 @@
 	}
 }
 
-// BenchmarkQueue measures the decisions for one request: count it, join, one check that it is first, leave. The requests that
-// wait at one entry are as many as its part of one second of L's requests at the given number of entries.
+// BenchmarkQueue measures the decisions for one request: count it, join, one check that it is first, leave. The
+// requests that wait at one entry are as many as its part of one second of L's requests at the given number of entries.
 func BenchmarkQueue(b *testing.B) {
 	for _, entries := range []int{10, 100, 300} {
 		b.Run(fmt.Sprint(entries, "-entries"), func(b *testing.B) {
