Explain no request before the evacuations have been read

Until an entry has read the operators' records it refuses all requests, but its explanation named a server, possibly one in an evacuated failure domain. It now answers 503, as the request path does.

--- a/pkg/gateway/explain.go
+++ b/pkg/gateway/explain.go
@@ -61,10 +61,10 @@
 }
 
 // Explain returns where a request would be sent now. It changes no state and sends nothing. It reports false if
-// this entry has no configuration.
+// this entry has no configuration or has not read the evacuations yet.
 func (g *Gateway) Explain(now time.Time, host, path, key string, tokens int) (RequestExplanation, bool) {
 	x := RequestExplanation{PromptTokens: tokens, Services: []ServiceExplanation{}}
-	table := g.table.Load()
+	table := g.tableInForce()
 	if table == nil {
 		return x, false
 	}
@@ -125,7 +125,7 @@
 	}
 	x, ok := g.Explain(time.Now(), query.Get("host"), query.Get("path"), r.Header.Get(ExplainKeyHeader), tokens)
 	if !ok {
-		relay.WriteError(w, http.StatusServiceUnavailable, "this entry has not received a configuration yet", startupRetryAfter)
+		relay.WriteError(w, http.StatusServiceUnavailable, "this entry has not read the configuration or the evacuations yet", startupRetryAfter)
 		return
 	}
 	g.writeList(w, x)
--- a/pkg/gateway/explain_test.go
+++ b/pkg/gateway/explain_test.go
@@ -25,6 +25,7 @@
 	service := fleet.Service{Name: "model", Engine: &fleet.Engine{Slots: 1}}
 	r := fleet.Route{Name: "chat", Host: "h", PathPrefix: "/v1", Kind: fleet.Streaming, Timeout: 10 * time.Second, TargetLatency: time.Second, Targets: []fleet.Target{{Service: "model", Weight: 1}}}
 	g.table.Store(fleet.NewTable(fleet.Configuration{Routes: []fleet.Route{r}, Services: []fleet.Service{service}}))
+	g.operatorsRead = true
 	g.balancer.SetServers([]fleet.Server{{ID: "r0", Service: "model", Address: "10.0.0.1:1", Incarnation: 1}})
 	gone, leave := context.WithCancel(context.Background())
 	leave()
@@ -62,6 +63,10 @@
 		Services:      []fleet.Service{{Name: "model", Engine: &fleet.Engine{Slots: 1}}},
 		Organisations: []fleet.Organisation{{Name: "escuelas", Keys: []string{"secret"}}},
 	}))
+	if w := get("host=h&path=/v1", "secret"); w.Code != http.StatusServiceUnavailable {
+		t.Errorf("before the evacuations have been read: status %d", w.Code)
+	}
+	g.operatorsRead = true
 	g.balancer.SetServers([]fleet.Server{{ID: "r0", Service: "model", Address: "10.0.0.1:1", Incarnation: 1}})
 	for _, c := range []struct {
 		query, key                      string
