--- a/pkg/balance/evenload.go
+++ b/pkg/balance/evenload.go
@@ -238,9 +238,6 @@
 		b.advancePrediction(now, service, e)
 	} else {
 		e.since, e.at = now, now
-		for _, s := range b.services[service] {
-			s.prediction.history[e.ticks(now)%historyTicks] = float32(s.predicted())
-		}
 	}
 	e.reportAt = now
 }
@@ -257,10 +254,6 @@
 	reported := float64(load.Running + load.Waiting)
 	if readAt.Before(e.since) || e.ticks(now)-e.ticks(readAt) >= historyTicks {
 		s.prediction.others = max(reported-float64(s.ownLoad.Requests), 0)
-		last := e.ticks(now)
-		for t := max(e.ticks(e.since), last-historyTicks+1); t <= last; t++ {
-			s.prediction.history[t%historyTicks] = float32(s.predicted())
-		}
 		return
 	}
 	first, last := e.ticks(readAt), e.ticks(now)
--- a/pkg/balance/evenload_test.go
+++ b/pkg/balance/evenload_test.go
@@ -4,10 +4,6 @@
 	"fmt"
 	"testing"
 	"time"
-
-	"github.com/fescuehub/fescuehub/pkg/balance"
-	"github.com/fescuehub/fescuehub/pkg/fleet"
-	"github.com/fescuehub/fescuehub/pkg/ratelimit"
 )
 
 // maxOldReports is the share of the requests that may be sent to an engine which has queued beside free slots for
@@ -104,33 +100,3 @@
 		})
 	}
 }
-
-// TestPredictionBeginsWithReport guards against a second report that is compared with a history from before the
-// prediction began: engines under a steady load then count twice until the next report.
-func TestPredictionBeginsWithReport(t *testing.T) {
-	const reported = 8
-	limits := ratelimit.New("entry0")
-	var names []string
-	for i := range 42 {
-		names = append(names, fmt.Sprint("entry", i))
-	}
-	limits.SetEntries(start, names, 42)
-	b := balance.New(limits)
-	list := servers(24)
-	b.SetServers(list)
-	var loads []balance.EngineLoad
-	for _, s := range list {
-		loads = append(loads, balance.EngineLoad{Address: s.Address, Incarnation: 1, Running: reported, Age: 100 * time.Millisecond})
-	}
-	// The reports stop after the third one and come again later.
-	for _, at := range []time.Duration{0, 100, 200, 9000, 9100, 9200} {
-		now := start.Add(at * time.Millisecond)
-		b.UpdateGroup(now, "s", "", fleet.GroupOpen, loads)
-		for _, c := range b.Explain(now, engines).Servers {
-			if at > 0 && (c.Requests < reported/2 || c.Requests > reported*3/2) {
-				t.Fatalf("after the report at %d ms: %.1f requests at server %s, reported are %d", at, c.Requests, c.ID, reported)
-			}
-		}
-		b.Choose(now, engines, nil, func() float64 { return 0.5 })
-	}
-}
