State the signals of a site's processes as they are

The help of fescuehub site said that a second SIGTERM stops a process at once; since the repeated stop signal was found to cut requests off it is ignored.

--- a/pkg/cli/site.go
+++ b/pkg/cli/site.go
@@ -26,7 +26,7 @@
 	cmd := &cobra.Command{
 		Use:     "site",
 		Short:   "Run a process on the operators' platform",
-		Long:    "Run a process on the operators' platform. The settings come from the file that the environment variable " + platform.SettingsPathEnv + " names. SIGTERM drains the process; a second SIGTERM stops it immediately. SIGHUP reloads the settings; the file is also read at regular intervals.",
+		Long:    "Run a process on the operators' platform. The settings come from the file that the environment variable " + platform.SettingsPathEnv + " names. SIGTERM drains the process; a repeated one changes nothing, and SIGINT or SIGKILL ends the process at once. SIGHUP reloads the settings; the file is also read at regular intervals.",
 		Example: "  " + platform.SettingsPathEnv + "=/etc/fescuehub/local.json fescuehub site entry",
 		Args:    noArgs,
 		RunE:    func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
