--- /dev/null
+++ b/review/harness-2/replica.go
@@ -0,0 +1,151 @@
+//go:build review
+
+package main
+
+import (
+	"bufio"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// replicaSettings are the settings of a replica process.
+type replicaSettings struct {
+	id, address, log string
+	// events is the number of events of a stream, and pause the time before each but the first. A response that is no
+	// stream is sent in two halves with the same pause between them.
+	events int
+	pause  time.Duration
+	// withoutLength is the number of answers, the first ones, that have no length and end with their connection.
+	withoutLength int64
+}
+
+// runReplica runs a replica until it is killed, or exits by itself when a line arrives on its standard input. It
+// writes to its log what it ran and which answers it finished.
+func runReplica(args []string) error {
+	var s replicaSettings
+	flags := flag.NewFlagSet("replica", flag.ContinueOnError)
+	flags.StringVar(&s.id, "id", "", "ID")
+	flags.StringVar(&s.address, "address", "", "IP:port")
+	flags.StringVar(&s.log, "log", "", "file to append to")
+	flags.IntVar(&s.events, "events", 0, "events of a stream; 0 for a plain answer")
+	flags.DurationVar(&s.pause, "pause", 0, "pause within an answer")
+	flags.Int64Var(&s.withoutLength, "without-length", 0, "number of answers without a length")
+	if err := flags.Parse(args); err != nil {
+		return err
+	}
+	log, err := os.OpenFile(s.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	listener, err := net.Listen("tcp", s.address)
+	if err != nil {
+		return err
+	}
+	go func() {
+		// The platform ends the process by closing its standard input.
+		_, _ = io.Copy(io.Discard, os.Stdin)
+		fmt.Fprintf(log, "%s exits\n", s.id)
+		os.Exit(0)
+	}()
+	r := &replica{replicaSettings: s, log: log}
+	for {
+		nc, err := listener.Accept()
+		if err != nil {
+			return err
+		}
+		go r.serve(nc)
+	}
+}
+
+type replica struct {
+	replicaSettings
+	answers atomic.Int64
+	mu      sync.Mutex
+	log     *os.File
+}
+
+func (r *replica) record(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	fmt.Fprintf(r.log, format+"\n", args...)
+}
+
+// serve serves one request at a time on a connection.
+func (r *replica) serve(nc net.Conn) {
+	defer nc.Close()
+	br := bufio.NewReader(nc)
+	for {
+		req, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(req.Body)
+		if err != nil || !r.answer(nc, req, body) {
+			return
+		}
+	}
+}
+
+// answer answers one request. It reports whether the connection is kept.
+func (r *replica) answer(nc net.Conn, req *http.Request, body []byte) bool {
+	id := req.Header.Get("X-Fescuehub-Request-Id")
+	if expected := req.Header.Get("X-Fescuehub-Expect-Replica"); expected != "" && expected != r.id {
+		fmt.Fprintf(nc, "HTTP/1.1 421 Misdirected Request\r\nX-Fescuehub-Request-Id: %s\r\nX-Fescuehub-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", id)
+		return true
+	}
+	framed := r.answers.Add(1) > r.withoutLength
+	r.record("%s runs %s (%d bytes in, after event %q), answer with a length or chunks: %t", r.id, id, len(body), req.Header.Get("Last-Event-Id"), framed)
+	var head strings.Builder
+	fmt.Fprintf(&head, "HTTP/1.1 200 OK\r\nX-Fescuehub-Request-Id: %s\r\nX-Fescuehub-Response-Seal: seal.%s\r\n", id, id)
+	var pieces []string
+	if r.events > 0 {
+		head.WriteString("Content-Type: text/event-stream\r\n")
+		first, _ := strconv.Atoi(req.Header.Get("Last-Event-Id")) // 0 if missing
+		for n := first + 1; n <= r.events; n++ {
+			pieces = append(pieces, fmt.Sprintf("id: %d\ndata: piece %d of %d\n\n", n, n, r.events))
+		}
+	} else {
+		half := strings.Repeat("a", 400)
+		pieces = []string{half, strings.Repeat("b", 400)}
+	}
+	switch {
+	case !framed:
+		head.WriteString("Connection: close\r\n")
+	case r.events > 0:
+		head.WriteString("Transfer-Encoding: chunked\r\n")
+	default:
+		head.WriteString("Content-Length: 800\r\n")
+	}
+	head.WriteString("\r\n")
+	if _, err := io.WriteString(nc, head.String()); err != nil {
+		return false
+	}
+	for n, piece := range pieces {
+		if n > 0 {
+			time.Sleep(r.pause)
+		}
+		if framed && r.events > 0 {
+			piece = fmt.Sprintf("%x\r\n%s\r\n", len(piece), piece)
+		}
+		if _, err := io.WriteString(nc, piece); err != nil {
+			r.record("%s drops %s at piece %d of %d: its connection closed", r.id, id, n+1, len(pieces))
+			return false
+		}
+	}
+	if framed && r.events > 0 {
+		if _, err := io.WriteString(nc, "0\r\n\r\n"); err != nil {
+			return false
+		}
+	}
+	r.record("%s has sent the whole answer to %s", r.id, id)
+	return framed
+}
