--- a/review/harness-2/client.go
+++ b/review/harness-2/client.go
@@ -24,8 +24,8 @@
 }
 
 // send sends one request on a new connection and reads the answer to its end.
-func send(e *entry, method, path, id string, body []byte, deadline time.Duration, headers map[string]string) answer {
-	a := answer{id: id}
+func send(e *entry, method, path, id string, body []byte, deadline time.Duration, headers map[string]string) (a answer) {
+	a.id = id
 	began := time.Now()
 	defer func() { a.took = time.Since(began) }()
 	ctx, cancel := context.WithTimeout(context.Background(), deadline)
--- a/review/harness-2/cutshort.go
+++ b/review/harness-2/cutshort.go
@@ -127,6 +127,77 @@
 	return short > 0, nil
 }
 
+// gone plays the crash of a replica whose machine is gone with it, while the replica sends its answers. Two of forty
+// answers have no length.
+func gone(s *site) (bool, error) {
+	const requests, pause = 40, 600 * time.Millisecond
+	s.configure(1, `{"name":"hold","host":"shop.example","pathPrefix":"/hold/","kind":"unsafe","timeoutMs":1500,"targetLatencyMs":300,"service":"till","maxAttempts":1}`,
+		`{"name":"till","healthPath":"/health","maxConnections":110}`)
+	var victim *announced
+	var network *link
+	for n := range 3 {
+		args := []string{"-pause", pause.String()}
+		if n == 0 {
+			args = append(args, "-without-length", "2")
+		}
+		r, err := s.startReplica(fmt.Sprintf("i-%d", n), "till", "", args...)
+		if err != nil {
+			return false, err
+		}
+		if n == 0 {
+			victim = r
+			if network, err = newLink(s.subnet+"2", r.address); err != nil {
+				return false, err
+			}
+			s.mu.Lock()
+			r.address = network.address
+			s.mu.Unlock()
+			s.announce(r, "ready")
+		}
+	}
+	e, err := s.startEntry(1)
+	if err != nil {
+		return false, err
+	}
+	answers := make([]answer, requests)
+	var all sync.WaitGroup
+	ask := func(from, to int) {
+		for n := from; n < to; n++ {
+			all.Go(func() {
+				answers[n] = send(e, "POST", "/hold/x", fmt.Sprintf("hold-%02d", n), []byte("one tube"), 3*time.Second, nil)
+				s.note("client got %v", answers[n])
+			})
+		}
+	}
+	ask(0, 12)
+	time.Sleep(150 * time.Millisecond) // each replica has sent the first half of its answers
+	if s.trouble {
+		if err := network.cut(); err != nil {
+			return false, err
+		}
+		s.note("the machine of %s is gone: packets to it are not answered any more", victim.id)
+		s.signal(victim.cmd, victim.id, syscall.SIGKILL)
+		s.mu.Lock()
+		victim.gone = true // its entry stays in the store, as for three heartbeats
+		s.mu.Unlock()
+	}
+	all.Wait()
+	if s.trouble {
+		s.remove(victim)
+	}
+	ask(12, requests)
+	all.Wait()
+	whole := strings.Repeat("a", 400) + strings.Repeat("b", 400)
+	short := 0
+	for _, a := range answers {
+		if a.complete() && !bytes.Equal(a.body, []byte(whole)) {
+			short++
+		}
+	}
+	s.note("%d answers ended as complete without the second half of the replica's body", short)
+	return short > 0, nil
+}
+
 var errRestart = errors.New("the replica did not start again")
 
 // restart starts a replica again under its ID and address, as a new incarnation.
--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -18,6 +18,7 @@
 var cases = map[string]func(*site) (bool, error){
 	"leaving": leaving,
 	"frozen":  frozen,
+	"gone":    gone,
 }
 
 func main() {
--- a/review/harness-2/replica.go
+++ b/review/harness-2/replica.go
@@ -24,6 +24,8 @@
 	// stream is sent in two halves with the same pause between them.
 	events int
 	pause  time.Duration
+	// bodyBytes is the length of the body of an answer that is no stream.
+	bodyBytes int
 	// withoutLength is the number of answers, the first ones, that have no length and end with their connection.
 	withoutLength int64
 }
@@ -38,6 +40,7 @@
 	flags.StringVar(&s.log, "log", "", "file to append to")
 	flags.IntVar(&s.events, "events", 0, "events of a stream; 0 for a plain answer")
 	flags.DurationVar(&s.pause, "pause", 0, "pause within an answer")
+	flags.IntVar(&s.bodyBytes, "body-bytes", 800, "length of the body of a plain answer")
 	flags.Int64Var(&s.withoutLength, "without-length", 0, "number of answers without a length")
 	if err := flags.Parse(args); err != nil {
 		return err
@@ -114,8 +117,7 @@
 			pieces = append(pieces, fmt.Sprintf("id: %d\ndata: piece %d of %d\n\n", n, n, r.events))
 		}
 	} else {
-		half := strings.Repeat("a", 400)
-		pieces = []string{half, strings.Repeat("b", 400)}
+		pieces = []string{strings.Repeat("a", r.bodyBytes/2), strings.Repeat("b", r.bodyBytes-r.bodyBytes/2)}
 	}
 	switch {
 	case !framed:
@@ -123,7 +125,7 @@
 	case r.events > 0:
 		head.WriteString("Transfer-Encoding: chunked\r\n")
 	default:
-		head.WriteString("Content-Length: 800\r\n")
+		fmt.Fprintf(&head, "Content-Length: %d\r\n", r.bodyBytes)
 	}
 	head.WriteString("\r\n")
 	if _, err := io.WriteString(nc, head.String()); err != nil {
