--- a/review/harness-2/cutshort.go
+++ b/review/harness-2/cutshort.go
@@ -64,7 +64,7 @@
 		}
 	}
 	s.note("%d streams ended as complete before their last event", short)
-	return short > 0, nil
+	return short > 0, served(answers)
 }
 
 // frozen plays the crash and restart of a replica while the entry that passes on its answers stands still. Two of forty
@@ -124,7 +124,7 @@
 		}
 	}
 	s.note("%d answers ended as complete without the second half of the replica's body", short)
-	return short > 0, nil
+	return short > 0, served(answers)
 }
 
 // gone plays the crash of a replica whose machine is gone with it, while the replica sends its answers. Two of forty
@@ -195,7 +195,21 @@
 		}
 	}
 	s.note("%d answers ended as complete without the second half of the replica's body", short)
-	return short > 0, nil
+	return short > 0, served(answers)
+}
+
+// served returns an error unless most requests were served: otherwise the case says nothing.
+func served(answers []answer) error {
+	complete := 0
+	for _, a := range answers {
+		if a.complete() {
+			complete++
+		}
+	}
+	if 2*complete < len(answers) {
+		return fmt.Errorf("only %d of %d requests were served", complete, len(answers))
+	}
+	return nil
 }
 
 var errRestart = errors.New("the replica did not start again")
--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -7,8 +7,14 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 )
 
+// maxTime is the longest time that a case may take.
+const maxTime = 100 * time.Second
+
 // The exit codes of a case.
 const (
 	held, broken, notRun = 0, 1, 2
@@ -43,9 +49,28 @@
 		return notRun
 	}
 	defer s.close()
+	type result struct {
+		isBroken bool
+		err      error
+	}
+	ended := make(chan result, 1)
+	go func() {
+		r := result{err: err}
+		if err == nil {
+			r.isBroken, r.err = cases[name](s)
+		}
+		ended <- r
+	}()
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
 	isBroken := false
-	if err == nil {
-		isBroken, err = cases[name](s)
+	select {
+	case r := <-ended:
+		isBroken, err = r.isBroken, r.err
+	case sig := <-stop:
+		err = fmt.Errorf("stopped by signal %v", sig)
+	case <-time.After(maxTime):
+		err = fmt.Errorf("not done within %v", maxTime)
 	}
 	switch {
 	case err != nil:
--- a/review/harness-2/site.go
+++ b/review/harness-2/site.go
@@ -181,6 +181,7 @@
 	}
 	defer out.Close()
 	cmd.Stdout, cmd.Stderr = out, out
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // it ends with this process
 	if err := cmd.Start(); err != nil {
 		return err
 	}
