Add case 10: a replica's failure is cut to nothing and looks complete

Twelve requests with bodies of 3.6 MB are in flight at one entry while lookups fail at their replicas.

--- a/review/rig/case9.go
+++ b/review/rig/case9.go
@@ -26,12 +26,11 @@
 }
 
 // openStream sends a request for a stream on a new connection and returns the answer's head.
-func openStream(front, id string) (net.Conn, *http.Response, error) {
+func openStream(front, id, body string) (net.Conn, *http.Response, error) {
 	c, err := net.DialTimeout("tcp", front, time.Second)
 	if err != nil {
 		return nil, nil, err
 	}
-	body := "draft a rota"
 	_ = c.SetDeadline(time.Now().Add(12 * time.Second))
 	_, err = fmt.Fprintf(c, "POST /lohu930/2f HTTP/1.1\r\nHost: %s\r\nX-Fescuehub-Request-Id: %s\r\nX-Fescuehub-Model: m\r\nX-Fescuehub-Token-Counts: 700,350\r\n"+
 		"X-Fescuehub-Request-Deadline-Ms: 8000\r\nX-Fescuehub-Key: %s\r\nContent-Length: %d\r\n\r\n%s", host, id, tenantKey, len(body), body)
@@ -46,9 +45,9 @@
 }
 
 // readStream reads the events of a stream until it ends.
-func readStream(front, id string) stream {
+func readStream(front, id, body string) stream {
 	s := stream{id: id}
-	c, res, err := openStream(front, id)
+	c, res, err := openStream(front, id, body)
 	if err != nil {
 		s.err = err
 		return s
@@ -83,7 +82,7 @@
 		if n == 0 {
 			args = append(args, "-unframed-every", "5") // 2 of its about 10 answers, 2 of all 40
 		}
-		s, err := w.startServer(fmt.Sprintf("i-%d", n+1), args...)
+		s, err := w.startServer(fmt.Sprintf("i-%d", n+1), "model", args...)
 		if err != nil {
 			return false, err
 		}
@@ -96,7 +95,7 @@
 	results := make([]stream, streams9)
 	var all sync.WaitGroup
 	for n := range results {
-		all.Go(func() { results[n] = readStream(e.front, fmt.Sprintf("stream-%02d", n)) })
+		all.Go(func() { results[n] = readStream(e.front, fmt.Sprintf("stream-%02d", n), "draft a rota") })
 		time.Sleep(10 * time.Millisecond)
 	}
 	time.Sleep(200 * time.Millisecond)
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -21,21 +21,23 @@
 
 func main() {
 	if len(os.Args) < 2 {
-		fmt.Fprintln(os.Stderr, "usage: rig replica|case9 ...")
+		fmt.Fprintln(os.Stderr, "usage: rig replica|case9|case10 ...")
 		os.Exit(2)
 	}
 	switch os.Args[1] {
 	case "replica":
 		os.Exit(runReplica(os.Args[2:]))
 	case "case9":
-		os.Exit(runCase())
+		os.Exit(runCase((*world).case9))
+	case "case10":
+		os.Exit(runCase((*world).case10))
 	}
 	os.Exit(2)
 }
 
 // runCase runs a case. The arguments are the program of the deploy file and the file of the record; TROUBLE=0 leaves
 // the disruption out. The result is 1 if the rule was broken, 0 if it held and 2 if the case could not run.
-func runCase() int {
+func runCase(run func(*world) (bool, error)) int {
 	if len(os.Args) != 4 {
 		return 2
 	}
@@ -54,7 +56,7 @@
 	w := &world{binary: os.Args[2], dir: dir, record: record, start: time.Now(), store: newStore(),
 		ip: fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), 1+rand.IntN(250), 2+rand.IntN(250)), trouble: os.Getenv("TROUBLE") != "0"}
 	defer w.endAll()
-	broken, err := w.case9()
+	broken, err := run(w)
 	switch {
 	case err != nil:
 		w.say("the case could not run: %v", err)
@@ -201,24 +203,27 @@
 	host      = "ficu95.example"
 )
 
-// putConfiguration writes the operator's configuration: one route of streams that may be resumed.
+// putConfiguration writes the operator's configuration: a route of streams that may be resumed, and one of safe
+// requests.
 func (w *world) putConfiguration() {
-	w.store.put("keyed.op", "config", []byte(`{"version":7,"routes":[{"name":"r-1","host":"`+host+`","pathPrefix":"/lohu930/","kind":"streaming","timeoutMs":8000,"targetLatencyMs":400,"priority":1,"service":"model","maxAttempts":2,"allowAnonymous":false,"sessionAffinity":true,"resumeStreams":true,"gapAimMs":120}],
-"services":[{"name":"model","healthPath":"/health","maxConnections":358,"protocol":"h1","tls":false,"engine":{"slots":12,"kvCapacity":372000,"stride":5,"step_ms":5.85,"per_seq_ms":0.355,"context_per_k":0.036,"read_per_s":61200.0,"usual":{"prompt":835,"answer":139},"sets":4,"experts":72,"places":8,"spare":3,"expertMb":780.0,"linkMbps":180000.0,"expertShare":0.85,"form_ms":600.0}}],
+	w.store.put("keyed.op", "config", []byte(`{"version":7,"routes":[{"name":"r-1","host":"`+host+`","pathPrefix":"/lohu930/","kind":"streaming","timeoutMs":8000,"targetLatencyMs":400,"priority":1,"service":"model","maxAttempts":2,"allowAnonymous":false,"sessionAffinity":true,"resumeStreams":true,"gapAimMs":120},
+{"name":"r-2","host":"`+host+`","pathPrefix":"/cufi504/","kind":"safe","timeoutMs":800,"targetLatencyMs":300,"priority":2,"service":"desk","maxAttempts":2,"allowAnonymous":false}],
+"services":[{"name":"model","healthPath":"/health","maxConnections":358,"protocol":"h1","tls":false,"engine":{"slots":12,"kvCapacity":372000,"stride":5,"step_ms":5.85,"per_seq_ms":0.355,"context_per_k":0.036,"read_per_s":61200.0,"usual":{"prompt":835,"answer":139},"sets":4,"experts":72,"places":8,"spare":3,"expertMb":780.0,"linkMbps":180000.0,"expertShare":0.85,"form_ms":600.0}},
+{"name":"desk","healthPath":"/health","maxConnections":110,"protocol":"h1","tls":false}],
 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
 "tenants":[{"name":"hule930","apiKeys":["`+tenantKey+`"]}]}`))
 }
 
 // server is a replica of the deployment.
 type server struct {
-	id, address string
-	born        int64
-	sequence    int
-	process     *exec.Cmd
+	id, service, address string
+	born                 int64
+	sequence             int
+	process              *exec.Cmd
 }
 
 // startServer starts a replica and registers it.
-func (w *world) startServer(id string, args ...string) (*server, error) {
+func (w *world) startServer(id, service string, args ...string) (*server, error) {
 	address, err := w.freeAddress()
 	if err != nil {
 		return nil, err
@@ -227,7 +232,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &server{id: id, address: address, born: time.Now().UnixMilli()}
+	s := &server{id: id, service: service, address: address, born: time.Now().UnixMilli()}
 	listening := make(chan struct{})
 	var once sync.Once
 	s.process, err = w.run(id+".log", nil, func(line string) {
@@ -249,7 +254,7 @@
 // announce writes the registration of a replica.
 func (w *world) announce(s *server, state string) {
 	s.sequence++
-	data, _ := json.Marshal(map[string]any{"service": "model", "address": s.address, "zone": "a", "version": "v1", "slots": 12, "state": state,
+	data, _ := json.Marshal(map[string]any{"service": s.service, "address": s.address, "zone": "a", "version": "v1", "slots": 12, "state": state,
 		"coldRemainingMs": 0, "born": s.born, "sequence": s.sequence})
 	w.store.put("keyed.servers", s.id, data)
 	w.say("store: %s is %s", s.id, state)
--- a/review/rig/replica.go
+++ b/review/rig/replica.go
@@ -5,16 +5,19 @@
 import (
 	"flag"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 )
 
 // runReplica is a replica in a process of its own. It answers with streams of events and prints a line for each
 // request that it runs. Each unframedEvery-th answer, from the first on, has no length and ends with its connection.
+// With plain, it answers with deskBody instead, and with status 500 and deskFailure where the path asks for it.
 func runReplica(args []string) int {
 	flags := flag.NewFlagSet("replica", flag.ContinueOnError)
 	address := flags.String("address", "", "")
@@ -22,6 +25,7 @@
 	events := flags.Int("events", 0, "")
 	gap := flags.Duration("gap", 0, "")
 	eventBytes := flags.Int("event-bytes", 65, "")
+	plain := flags.Bool("plain", false, "")
 	unframedEvery := flags.Int64("unframed-every", 0, "")
 	if flags.Parse(args) != nil {
 		return 2
@@ -50,6 +54,11 @@
 			return
 		}
 		framing := "chunked"
+		_, _ = io.Copy(io.Discard, r.Body)
+		if *plain {
+			answerPlainly(w, r, *id, request)
+			return
+		}
 		if n := answers.Add(1) - 1; *unframedEvery > 0 && n%*unframedEvery == 0 {
 			framing = "unframed"
 			w.Header().Set("Transfer-Encoding", "identity") // the answer has no length and ends with its connection
@@ -77,3 +86,26 @@
 	fmt.Fprintln(os.Stderr, err)
 	return 2
 }
+
+// deskWork is the time of a plain request.
+const deskWork = 60 * time.Millisecond
+
+// The bodies of plain answers, 800 bytes each.
+var (
+	deskBody    = strings.Repeat("crew and pen\n", 61) + "the end"
+	deskFailure = strings.Repeat("no such pen.\n", 61) + "the end"
+)
+
+// answerPlainly answers a plain request. One whose path holds "unknown" fails, at whichever replica it runs.
+func answerPlainly(w http.ResponseWriter, r *http.Request, id, request string) {
+	time.Sleep(deskWork)
+	status, body := http.StatusOK, deskBody
+	if strings.Contains(r.URL.Path, "unknown") {
+		status, body = http.StatusInternalServerError, deskFailure
+	}
+	fmt.Println("RUN", id, request, "status", status, "body", len(body))
+	w.Header().Set("X-Fescuehub-Response-Seal", "seal."+request)
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(status)
+	_, _ = io.WriteString(w, body)
+}
