--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"sync"
 	"syscall"
@@ -56,6 +57,14 @@
 	w := &world{binary: os.Args[2], dir: dir, record: record, start: time.Now(), store: newStore(),
 		ip: fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), 1+rand.IntN(250), 2+rand.IntN(250)), trouble: os.Getenv("TROUBLE") != "0"}
 	defer w.endAll()
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-stop
+		w.endAll()
+		_ = os.RemoveAll(dir)
+		os.Exit(2)
+	}()
 	broken, err := run(w)
 	switch {
 	case err != nil:
