--- a/review/rig/case9.go
+++ b/review/rig/case9.go
@@ -103,6 +103,9 @@
 	if before*4 < sentBefore {
 		return false, fmt.Errorf("less than a quarter was served before the fault")
 	}
+	if !w.runs(e) {
+		return false, fmt.Errorf("the entry has ended by itself")
+	}
 	return after*4 < sentAfter, nil
 }
 
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -15,6 +15,7 @@
 	"os/exec"
 	"os/signal"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -190,7 +191,22 @@
 	if err := os.WriteFile(e.settings, data, 0o600); err != nil {
 		return nil, err
 	}
-	return e, w.startProcess(e)
+	if err := w.startProcess(e); err != nil {
+		return nil, err
+	}
+	// At later starts the system does not start for the first time.
+	settings["bootstrap"] = false
+	if data, err = json.Marshal(settings); err != nil {
+		return nil, err
+	}
+	return e, os.WriteFile(e.settings, data, 0o600)
+}
+
+// runs reports whether the process of an entry has not ended by itself.
+func (w *world) runs(e *entry) bool {
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", e.process.Process.Pid))
+	_, state, _ := strings.Cut(string(stat), ") ")
+	return err == nil && !strings.HasPrefix(state, "Z")
 }
 
 // startProcess starts the process of an entry and waits until it is ready.
