Report the failure of a write to the reader of the same connection

What callers saw: an answer without a length or chunks whose server reset the connection while a long upload was still being written was passed on as whole, with the part that had come: a 200 with four bytes, also a 404 or 500, events, HTTP/1.0, over 256 KiB. The same in both halves: pkg/relay, and callers of pkg/agent for model requests, plain calls and unrepeatable writes.

Cause: the upload is written and the answer is read at the same time. Linux reports the failure of a connection once, to the call that comes first. If the write takes it (ECONNRESET, or ETIMEDOUT from a peer that reads nothing for 2 s), the read returns 0, as after the peer has closed its side in order. For a body that ends with its connection this is the end of a whole answer. The error of the write was not looked at, and the server still ran, so cutShort had no reason to doubt. net/http in the agent has the same two goroutines.

Ruled out: a reset after the upload has been written is an error today, and so is any framed body that is cut.

Change: netconn.NewClient returns a connection whose reads do not end in order once a write has failed. While a write is in progress, the state of the connection in the kernel tells whether it has been reset: after an orderly close by the peer it is still open for writes. All readers of answers use it: backendconn, store and ranks by netconn.Dial, engines, plain services, log, lists, weights and the command line by httpclient, and entries' links to agents.

Why it works: a read returns 0 without an error only after an orderly close by the peer or when another call has taken the error; that call is a write that has returned, which is recorded, or one in progress, for which the state is closed.

--- /dev/null
+++ b/pkg/agent/broken_test.go
@@ -0,0 +1,165 @@
+package agent
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/fescuehub/fescuehub/pkg/answer"
+	"github.com/fescuehub/fescuehub/pkg/ident"
+	"github.com/fescuehub/fescuehub/pkg/peer/agentlink"
+	"github.com/fescuehub/fescuehub/pkg/peer/logservice"
+	"github.com/fescuehub/fescuehub/pkg/settings"
+	"github.com/fescuehub/fescuehub/pkg/standin/rawserver"
+	"github.com/fescuehub/fescuehub/pkg/telemetry"
+	"github.com/fescuehub/fescuehub/pkg/writeonce"
+)
+
+const (
+	// longUpload does not fit into the buffers of a connection.
+	longUpload = 4 << 20
+	// resetPause is longer than an answer takes to arrive.
+	resetPause = 20 * time.Millisecond
+)
+
+// testAgent is an agent beside a raw server, and a client that reads its frames as an entry does.
+type testAgent struct {
+	agent   *Agent
+	address string
+	client  *agentlink.Client
+	server  *rawserver.Server
+}
+
+func newTestAgent(t *testing.T, kind string, a rawserver.Answer) *testAgent {
+	t.Helper()
+	server, err := rawserver.Start(func(*http.Request) rawserver.Answer { return a })
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Close)
+	s := settings.Agent{Name: "agent-1", Pool: "p", Backend: settings.Backend{Kind: kind, URL: "http://" + server.Address()}}
+	metrics := telemetry.NewMetrics()
+	t.Cleanup(metrics.Close)
+	own := New(s, zap.NewNop(), metrics, NewBackend(s), logservice.New("http://127.0.0.1:1"))
+	front := httptest.NewServer(own.dataHandler())
+	t.Cleanup(front.Close)
+	return &testAgent{agent: own, address: strings.TrimPrefix(front.URL, "http://"), client: agentlink.NewClient(), server: server}
+}
+
+// received is what a caller gets of an answer.
+type received struct {
+	status int
+	body   string
+	whole  bool
+}
+
+// send sends one attempt with a body of a number of bytes.
+func (a *testAgent) send(t *testing.T, request agentlink.AttemptRequest, bytes int) (received, error) {
+	t.Helper()
+	request.Attempt, request.Incarnation = ident.NewAttemptID(), a.agent.incarnation
+	request.Pool, request.Method, request.Path, request.DeadlineMS = "p", http.MethodPost, "/p", 5000
+	reader, err := a.client.Start(context.Background(), a.address, request, []byte(strings.Repeat("u", bytes)))
+	if err != nil {
+		return received{}, err
+	}
+	defer reader.Close()
+	assembler := answer.New(request.Stream, 1<<20)
+	assembler.BeginAttempt(request.Attempt)
+	var got received
+	for !assembler.Complete() {
+		f, err := reader.Next()
+		if err != nil {
+			return got, err
+		}
+		out, err := assembler.Accept(f)
+		if err != nil {
+			return got, err
+		}
+		if out.Head != nil {
+			got.status = out.Head.Status
+		}
+		got.body += string(out.Data)
+		got.whole = out.Done
+	}
+	return got, nil
+}
+
+func (a *testAgent) permit() string {
+	block := a.agent.writes.issuePermits(1)
+	return writeonce.NewPermit(block.Incarnation, time.Duration(block.IssuedMS)*time.Millisecond, block.First).String()
+}
+
+// requestKinds are the kinds of requests that an agent sends to its backend server. Each call returns a request of its own.
+var requestKinds = map[string]struct {
+	backend string
+	request func(*testAgent) agentlink.AttemptRequest
+}{
+	"model":              {settings.EngineBackend, func(*testAgent) agentlink.AttemptRequest { return agentlink.AttemptRequest{} }},
+	"plain call":         {settings.ServiceBackend, func(*testAgent) agentlink.AttemptRequest { return agentlink.AttemptRequest{} }},
+	"unrepeatable write": {settings.ServiceBackend, func(a *testAgent) agentlink.AttemptRequest { return agentlink.AttemptRequest{Key: a.permit()} }},
+}
+
+// TestAnswerResetDuringUploadIsNotWhole guards against a part of an answer that passes for the whole one: its end is
+// known only by its connection, and the backend server resets that while the upload is still being written.
+func TestAnswerResetDuringUploadIsNotWhole(t *testing.T) {
+	const uploads = 24
+	const untilClose = "HTTP/1.1 200 X\r\n\r\n"
+	answers := map[string]rawserver.Answer{
+		"reset":               {Text: untilClose + "part", Pause: resetPause, End: rawserver.Reset},
+		"not found":           {Text: "HTTP/1.1 404 X\r\n\r\npart", Pause: resetPause, End: rawserver.Reset},
+		"HTTP/1.0":            {Text: "HTTP/1.0 200 X\r\n\r\npart", Pause: resetPause, End: rawserver.Reset},
+		"long":                {Text: untilClose + strings.Repeat("x", 300<<10), Pause: resetPause, End: rawserver.Reset},
+		"upload left unread":  {Text: untilClose + "part", Pause: resetPause, End: rawserver.CloseUnread},
+		"reset without pause": {Text: untilClose + "part", End: rawserver.Reset},
+	}
+	for kind, k := range requestKinds {
+		for name, c := range answers {
+			t.Run(kind+"/"+name, func(t *testing.T) {
+				t.Parallel()
+				a := newTestAgent(t, k.backend, c)
+				for n := range uploads {
+					if got, err := a.send(t, k.request(a), longUpload); err == nil {
+						t.Errorf("upload %d: status %d and %d bytes passed for a whole answer", n, got.status, len(got.body))
+					}
+				}
+				if a.server.Requests() < uploads {
+					t.Errorf("the server got %d of %d requests", a.server.Requests(), uploads)
+				}
+			})
+		}
+	}
+}
+
+// TestEarlyWholeAnswerToUpload guards against whole answers that count as broken because the backend server sends them
+// before it has read the upload.
+func TestEarlyWholeAnswerToUpload(t *testing.T) {
+	const uploads = 12
+	text := strings.Repeat("whole", 10<<10)
+	length := "Content-Length: " + strconv.Itoa(len(text)) + "\r\n\r\n" + text
+	answers := map[string]rawserver.Answer{
+		"until close, upload read":       {Text: "HTTP/1.1 200 X\r\n\r\n" + text, End: rawserver.CloseSending},
+		"until close, upload read first": {Text: "HTTP/1.1 200 X\r\n\r\n" + text, AfterUpload: true, End: rawserver.Close},
+		"length, upload read":            {Text: "HTTP/1.1 200 X\r\n" + length},
+		"informational answer before":    {Text: "HTTP/1.1 103 X\r\nLink: x\r\n\r\nHTTP/1.1 200 X\r\n" + length, AfterUpload: true},
+	}
+	for kind, k := range requestKinds {
+		for name, c := range answers {
+			t.Run(kind+"/"+name, func(t *testing.T) {
+				t.Parallel()
+				a := newTestAgent(t, k.backend, c)
+				for n := range uploads {
+					got, err := a.send(t, k.request(a), longUpload)
+					if err != nil || !got.whole || got.status != http.StatusOK || got.body != text {
+						t.Errorf("upload %d: status %d, %d bytes, %v; want the whole answer of %d bytes", n, got.status, len(got.body), err, len(text))
+					}
+				}
+			})
+		}
+	}
+}
--- a/pkg/httpclient/httpclient.go
+++ b/pkg/httpclient/httpclient.go
@@ -9,9 +9,12 @@
 	"fmt"
 	"io"
 	"maps"
+	"net"
 	"net/http"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/fescuehub/fescuehub/pkg/netconn"
 )
 
 const (
@@ -29,11 +32,27 @@
 func NewTransport() *http.Transport {
 	transport := http.DefaultTransport.(*http.Transport).Clone()
 	transport.Proxy = nil
+	transport.DialContext = DialWith(transport.DialContext)
 	transport.MaxIdleConnsPerHost = maxIdleConnsPerHost
 	transport.MaxResponseHeaderBytes = maxHeadBytes
 	return transport
 }
 
+// DialFunc opens a connection, as in http.Transport.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// DialWith returns a function that opens connections with dial whose reads report the errors of writes: net/http writes
+// the body of a request and reads the response at the same time.
+func DialWith(dial DialFunc) DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		nc, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return netconn.NewClient(nc), nil
+	}
+}
+
 // StatusError reports a response with a status other than 200.
 type StatusError struct {
 	Status int
--- a/pkg/netconn/netconn.go
+++ b/pkg/netconn/netconn.go
@@ -29,10 +29,14 @@
 	})
 }
 
-// Dial opens a connection within DialTimeout. The connection detects an unresponsive peer.
+// Dial opens a connection within DialTimeout, as NewClient returns it. The connection detects an unresponsive peer.
 func Dial(ctx context.Context, address string) (net.Conn, error) {
 	d := net.Dialer{Timeout: DialTimeout, KeepAliveConfig: keepAlive, Control: setUserTimeout}
-	return d.DialContext(ctx, "tcp", address)
+	nc, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return NewClient(nc), nil
 }
 
 // Listen opens a listener whose connections detect an unresponsive peer.
@@ -65,8 +69,8 @@
 // Abort closes a connection with a TCP reset. It discards data that has not been delivered yet, so
 // that an abandoned request does not reach its server later.
 func Abort(nc net.Conn) {
-	if tc, ok := nc.(*net.TCPConn); ok {
-		_ = tc.SetLinger(0) // an already closed connection needs no reset
+	if l, ok := nc.(interface{ SetLinger(int) error }); ok {
+		_ = l.SetLinger(0) // an already closed connection needs no reset
 	}
 	_ = nc.Close()
 }
--- a/pkg/peer/agentlink/client.go
+++ b/pkg/peer/agentlink/client.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/fescuehub/fescuehub/pkg/frame"
+	"github.com/fescuehub/fescuehub/pkg/httpclient"
 	"github.com/fescuehub/fescuehub/pkg/problem"
 )
 
@@ -35,7 +36,7 @@
 func NewClient() *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Client{http: &http.Client{Transport: &http.Transport{
-		DialContext:            dialer.DialContext,
+		DialContext:            httpclient.DialWith(dialer.DialContext),
 		MaxIdleConnsPerHost:    idleConnsPerAgent,
 		MaxResponseHeaderBytes: maxHeadBytes,
 		IdleConnTimeout:        time.Minute,
