Return a whole answer whose server does not read the rest of the request

What callers saw: in the half of pkg/entry and pkg/agent, a server that answered a long upload at once, with a length, and then closed or reset the connection gave a 502 (or "answer lost" for an unrepeatable write) although its answer had arrived whole. pkg/relay passes such an answer on.

Cause: net/http gives up the response as soon as it cannot write the rest of the request: it closes the connection with the bytes that it has not read yet.

Evidence: the three new cases of TestEarlyWholeAnswerToUpload (reset 20 ms after the answer, reset at once, closed with the upload unread).

Change: httpclient.Transport reports the failure of a connection to the reader alone once a part of the request has been written. The reader gets the bytes that have arrived, and then the error of the write in place of the end. A write that fails before any byte of a request, on a connection that the server closed while it was idle, is still reported as such, so that net/http takes another connection. Clients of the store, ranks, engines, plain services, log, lists and weights, the command line and entries' links to agents all use this transport.

Why it works: whether an answer is whole depends on its own bytes and end, not on what becomes of the upload; and a connection that has failed ends every read, so that no read waits for bytes that cannot come.

--- a/pkg/httpclient/httpclient.go
+++ b/pkg/httpclient/httpclient.go
@@ -9,49 +9,14 @@
 	"fmt"
 	"io"
 	"maps"
-	"net"
 	"net/http"
 
 	"github.com/cockroachdb/errors"
-
-	"github.com/fescuehub/fescuehub/pkg/netconn"
-)
-
-const (
-	// maxIdleConnsPerHost limits the idle connections to one address.
-	maxIdleConnsPerHost = 256
-	// maxHeadBytes bounds the head of a response.
-	maxHeadBytes = 64 << 10
 )
 
 // New returns a client without a proxy. It sets no timeout; the context of a
 // request limits its duration.
-func New() *http.Client { return &http.Client{Transport: NewTransport()} }
-
-// NewTransport returns a transport without a proxy.
-func NewTransport() *http.Transport {
-	transport := http.DefaultTransport.(*http.Transport).Clone()
-	transport.Proxy = nil
-	transport.DialContext = DialWith(transport.DialContext)
-	transport.MaxIdleConnsPerHost = maxIdleConnsPerHost
-	transport.MaxResponseHeaderBytes = maxHeadBytes
-	return transport
-}
-
-// DialFunc opens a connection, as in http.Transport.
-type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
-
-// DialWith returns a function that opens connections with dial whose reads report the errors of writes: net/http writes
-// the body of a request and reads the response at the same time.
-func DialWith(dial DialFunc) DialFunc {
-	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		nc, err := dial(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		return netconn.NewClient(nc), nil
-	}
-}
+func New() *http.Client { return &http.Client{Transport: NewTransport(nil)} }
 
 // StatusError reports a response with a status other than 200.
 type StatusError struct {
--- /dev/null
+++ b/pkg/httpclient/transport.go
@@ -0,0 +1,76 @@
+package httpclient
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fescuehub/fescuehub/pkg/netconn"
+)
+
+const (
+	// maxIdleConnsPerHost limits the idle connections to one address.
+	maxIdleConnsPerHost = 256
+	// maxHeadBytes bounds the head of a response.
+	maxHeadBytes = 64 << 10
+)
+
+// DialFunc opens a connection, as in http.Transport.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Transport is an http.Transport that returns the response of a server that does not read the whole request. net/http
+// alone discards the response if the rest of the request cannot be written.
+type Transport struct{ *http.Transport }
+
+// NewTransport returns a transport without a proxy. It opens its connections with dial, nil for that of net/http.
+func NewTransport(dial DialFunc) *Transport {
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.Proxy = nil
+	transport.MaxIdleConnsPerHost = maxIdleConnsPerHost
+	transport.MaxResponseHeaderBytes = maxHeadBytes
+	if dial == nil {
+		dial = transport.DialContext
+	}
+	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		nc, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &requestConn{Conn: netconn.NewClient(nc)}, nil
+	}
+	return &Transport{transport}
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if c, ok := info.Conn.(*requestConn); ok {
+			c.begun.Store(false)
+		}
+	}}
+	return t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+}
+
+// requestConn is a connection that reports a failure to the reader of the response alone, after the bytes that have
+// arrived, once a part of the request has been written. The write of the rest seems to succeed.
+type requestConn struct {
+	net.Conn
+	// begun is true once a part of the current request has been written.
+	begun atomic.Bool
+}
+
+// Write implements net.Conn.
+func (c *requestConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if n > 0 {
+		c.begun.Store(true)
+	}
+	if err != nil && c.begun.Load() && !errors.Is(err, net.ErrClosed) {
+		return len(p), nil
+	}
+	return n, err
+}
--- a/pkg/netconn/client.go
+++ b/pkg/netconn/client.go
@@ -25,7 +25,12 @@
 
 // NewClient returns a connection that shares the errors of writes with reads. A read that returns io.EOF means that
 // the peer has closed its side of the connection in order, and that no write has failed.
-func NewClient(nc net.Conn) net.Conn { return &clientConn{Conn: nc} }
+func NewClient(nc net.Conn) net.Conn {
+	if _, ok := nc.(*clientConn); ok {
+		return nc
+	}
+	return &clientConn{Conn: nc}
+}
 
 // Write implements net.Conn.
 func (c *clientConn) Write(p []byte) (int, error) {
--- a/pkg/peer/agentlink/client.go
+++ b/pkg/peer/agentlink/client.go
@@ -19,8 +19,6 @@
 
 const (
 	dialTimeout = 2 * time.Second
-	// maxHeadBytes limits the head of a response.
-	maxHeadBytes = 64 << 10
 	// maxFrameBytes limits the size of one encoded frame.
 	maxFrameBytes       = 8 << 20
 	idleConnsPerAgent   = 64
@@ -35,13 +33,12 @@
 // NewClient returns a client that never resends an attempt.
 func NewClient() *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &Client{http: &http.Client{Transport: &http.Transport{
-		DialContext:            httpclient.DialWith(dialer.DialContext),
-		MaxIdleConnsPerHost:    idleConnsPerAgent,
-		MaxResponseHeaderBytes: maxHeadBytes,
-		IdleConnTimeout:        time.Minute,
-		DisableCompression:     true,
-	}}}
+	transport := httpclient.NewTransport(dialer.DialContext)
+	transport.MaxIdleConns = 0 // bounded for each agent
+	transport.MaxIdleConnsPerHost = idleConnsPerAgent
+	transport.IdleConnTimeout = time.Minute
+	transport.DisableCompression = true
+	return &Client{http: &http.Client{Transport: transport}}
 }
 
 // Start sends an attempt and returns a reader of its frames. The error has the kind
--- a/pkg/peer/plainservice/plainservice.go
+++ b/pkg/peer/plainservice/plainservice.go
@@ -34,7 +34,7 @@
 
 // New returns a client of the service at the base URL. The client never resends a call.
 func New(base string) *Client {
-	transport := httpclient.NewTransport()
+	transport := httpclient.NewTransport(nil)
 	// If the service closes an idle connection, net/http resends some calls on another one. A new
 	// connection for each call prevents that.
 	transport.DisableKeepAlives = true
--- a/pkg/standin/engine/ranklink.go
+++ b/pkg/standin/engine/ranklink.go
@@ -28,7 +28,7 @@
 func newRankLink(base string) *rankLink {
 	return &rankLink{
 		url:    base + peer.RankBarrierPath,
-		client: &http.Client{Transport: httpclient.NewTransport(), Timeout: rankLinkTimeout},
+		client: &http.Client{Transport: httpclient.NewTransport(nil), Timeout: rankLinkTimeout},
 		queue:  make(chan expertmap.Report, reportQueueLength),
 	}
 }
