Refuse responses whose status is none

What callers saw: a server in trouble answered with status 000 and a second head; the second one was passed on as the answer (pkg/relay). With 000 alone the request was held until its deadline if the connection stayed open. Callers of pkg/agent got a long answer with status 0, and an unrepeatable call kept it as its answer. The same for 099, +20, -00, and for 101, which no request asks for.

Cause: net/http takes any three characters that strconv reads as a number that is not negative. pkg/backendconn took each status below 200 for an informational response and read on; the bytes of the body became the next head. net/http's own transport returns such a response as final, and pkg/agent sent it on.

Change: httphead.Check refuses a status below 100, and 101, in each head, final or informational. backendconn calls it for every head that it reads, and httpclient.Transport for the responses of all other servers; the connection is closed.

Why it works: nothing after such a status line has a known meaning, so the attempt ends there as with any other broken response: repeatable requests go to another server within their budget, others get 502.

--- a/pkg/agent/broken_test.go
+++ b/pkg/agent/broken_test.go
@@ -15,6 +15,7 @@
 	"github.com/fescuehub/fescuehub/pkg/ident"
 	"github.com/fescuehub/fescuehub/pkg/peer/agentlink"
 	"github.com/fescuehub/fescuehub/pkg/peer/logservice"
+	"github.com/fescuehub/fescuehub/pkg/problem"
 	"github.com/fescuehub/fescuehub/pkg/settings"
 	"github.com/fescuehub/fescuehub/pkg/standin/rawserver"
 	"github.com/fescuehub/fescuehub/pkg/telemetry"
@@ -166,3 +167,49 @@
 		}
 	}
 }
+
+// malformedStatuses are responses whose status is not a number from 200 to 999, nor one of an informational response.
+var malformedStatuses = map[string]string{
+	"000":                   "HTTP/1.1 000 X\r\nContent-Length: 4\r\n\r\nwhat",
+	"000 without a body":    "HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n",
+	"000, long":             "HTTP/1.1 000 X\r\nContent-Length: 2097152\r\n\r\n" + strings.Repeat("x", 2<<20),
+	"000 and a second head": "HTTP/1.1 000 X\r\n\r\nHTTP/1.1 200 X\r\nContent-Length: 5\r\n\r\nother",
+	"099":                   "HTTP/1.1 099 X\r\nContent-Length: 4\r\n\r\nwhat",
+	"a sign":                "HTTP/1.1 +20 X\r\nContent-Length: 4\r\n\r\nwhat",
+	"other protocol":        "HTTP/1.1 101 X\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\nwhat",
+	"letters":               "HTTP/1.1 2OO X\r\nContent-Length: 4\r\n\r\nwhat",
+}
+
+// TestMalformedStatusIsNotAnAnswer guards against an answer with a status that is none, which callers get or which is
+// kept as the answer of an unrepeatable call.
+func TestMalformedStatusIsNotAnAnswer(t *testing.T) { requireMalformed(t, malformedStatuses) }
+
+// requireMalformed checks that none of the responses is sent or kept as an answer, nor its connection used again.
+func requireMalformed(t *testing.T, responses map[string]string) {
+	const requests = 4
+	for kind, k := range requestKinds {
+		for name, text := range responses {
+			t.Run(kind+"/"+name, func(t *testing.T) {
+				t.Parallel()
+				a := newTestAgent(t, k.backend, rawserver.Answer{Text: text, AfterUpload: true})
+				for range requests {
+					request := k.request(a)
+					for range 2 { // a key that was sent before is answered from the record
+						got, err := a.send(t, request, 4)
+						if err == nil {
+							t.Errorf("status %d and %d bytes passed for an answer", got.status, len(got.body))
+						} else if got.status != 0 || got.body != "" {
+							t.Errorf("status %d and %d bytes were sent before the error %v", got.status, len(got.body), err)
+						}
+						if p := problem.Of(err); p.Outcome != problem.NotKnown || p.Status() != http.StatusBadGateway && p.Kind != problem.AnswerLost {
+							t.Errorf("the attempt ended with %v, want an unknown outcome and status 502", err)
+						}
+					}
+				}
+				if a.server.Connections() != a.server.Requests() {
+					t.Errorf("%d requests on %d connections, want one on each", a.server.Requests(), a.server.Connections())
+				}
+			})
+		}
+	}
+}
--- a/pkg/backendconn/exchange.go
+++ b/pkg/backendconn/exchange.go
@@ -14,6 +14,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/fescuehub/fescuehub/pkg/httphead"
 	"github.com/fescuehub/fescuehub/pkg/netconn"
 )
 
@@ -200,6 +201,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := httphead.Check(response); err != nil {
+			return nil, err
+		}
 		if response.StatusCode >= 200 {
 			c.bounded.beginBody()
 			return response, nil
--- a/pkg/httpclient/httpclient_test.go
+++ b/pkg/httpclient/httpclient_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/fescuehub/fescuehub/pkg/httpclient"
+	"github.com/fescuehub/fescuehub/pkg/httphead"
 	"github.com/fescuehub/fescuehub/pkg/standin/rawserver"
 )
 
@@ -32,3 +33,38 @@
 		}
 	}
 }
+
+// malformedHeads are responses whose heads are not valid. Their bodies are documents.
+var malformedHeads = map[string]string{
+	"status 000":     "HTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\n12",
+	"status +20":     "HTTP/1.1 +20 X\r\nContent-Length: 2\r\n\r\n12",
+	"other protocol": "HTTP/1.1 101 X\r\nConnection: upgrade\r\nUpgrade: x\r\nContent-Length: 2\r\n\r\n12",
+}
+
+// TestMalformedHeadIsAnError guards against documents, and statuses that refuse a call, in responses that are not valid,
+// and against the further use of their connections.
+func TestMalformedHeadIsAnError(t *testing.T) {
+	const calls = 4
+	for name, text := range malformedHeads {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			server, err := rawserver.Start(func(*http.Request) rawserver.Answer {
+				return rawserver.Answer{Text: text, AfterUpload: true}
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer server.Close()
+			client := httpclient.New()
+			for range calls {
+				var number int
+				if err := httpclient.Get(context.Background(), client, "http://"+server.Address(), 1<<20, &number); !httphead.IsMalformed(err) {
+					t.Errorf("the call returned %d and %v, want an error of a malformed response", number, err)
+				}
+			}
+			if server.Connections() != server.Requests() || server.Requests() != calls {
+				t.Errorf("%d calls, %d requests on %d connections, want one each", calls, server.Requests(), server.Connections())
+			}
+		})
+	}
+}
--- a/pkg/httpclient/transport.go
+++ b/pkg/httpclient/transport.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/fescuehub/fescuehub/pkg/httphead"
 	"github.com/fescuehub/fescuehub/pkg/netconn"
 )
 
@@ -22,8 +23,9 @@
 // DialFunc opens a connection, as in http.Transport.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
-// Transport is an http.Transport that returns the response of a server that does not read the whole request. net/http
-// alone discards the response if the rest of the request cannot be written.
+// Transport is an http.Transport that differs in two ways. It returns the response of a server that does not read the whole
+// request; net/http alone discards the response if the rest of the request cannot be written. And it refuses
+// responses whose heads are not valid.
 type Transport struct{ *http.Transport }
 
 // NewTransport returns a transport without a proxy. It opens its connections with dial, nil for that of net/http.
@@ -45,14 +47,27 @@
 	return &Transport{transport}
 }
 
-// RoundTrip implements http.RoundTripper.
+// RoundTrip implements http.RoundTripper. The error holds an *httphead.Error if the head of the response is not valid.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	var conn atomic.Pointer[requestConn]
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if c, ok := info.Conn.(*requestConn); ok {
 			c.begun.Store(false)
+			conn.Store(c)
 		}
 	}}
-	return t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	response, err := t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	if err != nil {
+		return nil, err
+	}
+	if err := httphead.Check(response); err != nil {
+		if c := conn.Load(); c != nil {
+			_ = c.Close() // net/http keeps it if the response has no body
+		}
+		_ = response.Body.Close()
+		return nil, err
+	}
+	return response, nil
 }
 
 // requestConn is a connection that reports a failure to the reader of the response alone, after the bytes that have
