Require the status of a final answer in the first frame and in records

What callers saw: in the half of pkg/entry and pkg/agent an answer whose first frame has no status was passed on, as a long document with status 0 or as the events of a stream, also as the rest of a stream that another attempt had begun. An unrepeatable call kept an answer with any status, and each later attempt got it again, or, if it was long, "ran, its answer was not kept".

Cause: a frame leaves out a status of 0, and pkg/answer took that for a frame that states none. Only the end of a short document was checked. The agent checked no status and pkg/writeonce none in what it records; statuses over 599, which entries refuse, were recorded as well.

Evidence: before the change TestFrameWithoutStatusIsNotAnAnswer fails for a long document, a stream and a resumed stream, TestAnswerWithoutStatusIsNotKept for each of six statuses, and the cases 600 and 999 of TestMalformedStatusIsNotAnAnswer in pkg/agent.

Change: the first frame of an answer that is no failure has to state a status from 200 to 599; the agent sends and records no other one, and a record of one counts as an answer that is lost, with an unknown outcome.

Why it works: the frames of an attempt arrive in order and without a gap, so that the first one decides before a byte reaches the caller.

--- a/pkg/agent/backend.go
+++ b/pkg/agent/backend.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 
 	"github.com/fescuehub/fescuehub/pkg/answer"
+	"github.com/fescuehub/fescuehub/pkg/frame"
 	"github.com/fescuehub/fescuehub/pkg/peer/agentlink"
 	"github.com/fescuehub/fescuehub/pkg/peer/engine"
 	"github.com/fescuehub/fescuehub/pkg/peer/plainservice"
@@ -22,6 +23,20 @@
 	Load(ctx context.Context) (routing.Load, error)
 }
 
+// sendTo sends the attempt to a backend server, once. A response without the status of a final answer is an error.
+func sendTo(ctx context.Context, b Backend, request agentlink.AttemptRequest, body []byte) (*http.Response, error) {
+	res, err := b.Send(ctx, request, body)
+	if err != nil {
+		return nil, err
+	}
+	if !frame.IsFinalStatus(res.StatusCode) {
+		_ = res.Body.Close()
+		return nil, problem.New(problem.BackendUnreachable, "check the backend server",
+			"%d is not the status code of a final answer", res.StatusCode).WithOutcome(problem.NotKnown)
+	}
+	return res, nil
+}
+
 // NewBackend returns the backend that the settings describe.
 func NewBackend(s settings.Agent) Backend {
 	if s.Backend.Kind == settings.ServiceBackend {
--- a/pkg/agent/broken_test.go
+++ b/pkg/agent/broken_test.go
@@ -168,7 +168,7 @@
 	}
 }
 
-// malformedStatuses are responses whose status is not a number from 200 to 999, nor one of an informational response.
+// malformedStatuses are responses whose status is not that of a final answer, nor of an informational one.
 var malformedStatuses = map[string]string{
 	"000":                   "HTTP/1.1 000 X\r\nContent-Length: 4\r\n\r\nwhat",
 	"000 without a body":    "HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n",
@@ -177,6 +177,8 @@
 	"099":                   "HTTP/1.1 099 X\r\nContent-Length: 4\r\n\r\nwhat",
 	"a sign":                "HTTP/1.1 +20 X\r\nContent-Length: 4\r\n\r\nwhat",
 	"other protocol":        "HTTP/1.1 101 X\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\nwhat",
+	"600":                   "HTTP/1.1 600 X\r\nContent-Length: 4\r\n\r\nwhat",
+	"999, long":             "HTTP/1.1 999 X\r\nContent-Length: 2097152\r\n\r\n" + strings.Repeat("x", 2<<20),
 	"letters":               "HTTP/1.1 2OO X\r\nContent-Length: 4\r\n\r\nwhat",
 }
 
--- a/pkg/answer/answer.go
+++ b/pkg/answer/answer.go
@@ -12,12 +12,6 @@
 	"github.com/fescuehub/fescuehub/pkg/problem"
 )
 
-// minStatus and maxStatus bound the status codes of final answers.
-const (
-	minStatus = 200
-	maxStatus = 599
-)
-
 // Head is the status and the header of an answer.
 type Head struct {
 	Status  int
@@ -94,7 +88,7 @@
 	if f.Failure != nil {
 		return Output{}, f.Failure
 	}
-	if f.Status != 0 && (f.Status < minStatus || f.Status > maxStatus) {
+	if (f.Seq == 0 || f.Status != 0) && !frame.IsFinalStatus(f.Status) {
 		return Output{}, problem.New(problem.BrokenFrame, "fix the backend server",
 			"%d is not the status code of a final answer", f.Status).WithOutcome(problem.NotKnown)
 	}
@@ -140,9 +134,6 @@
 	if f.Last && !a.committed {
 		a.head.Length = len(a.buffered)
 	}
-	if f.Last && a.head.Status == 0 {
-		return Output{}, truncatedError("the answer of the backend server has no status")
-	}
 	out := Output{Head: a.commit(), Data: a.buffered, Done: f.Last}
 	a.buffered = nil
 	return out, nil
--- a/pkg/answer/answer_test.go
+++ b/pkg/answer/answer_test.go
@@ -139,3 +139,43 @@
 		}
 	}
 }
+
+// TestFrameWithoutStatusIsNotAnAnswer guards against an answer without a status that reaches a caller: as a long document,
+// or as the rest of a stream that another attempt has begun.
+func TestFrameWithoutStatusIsNotAnAnswer(t *testing.T) {
+	for name, c := range map[string]struct {
+		stream bool
+		status int
+		data   []string
+	}{
+		"document":          {false, 0, []string{"what"}},
+		"long document":     {false, 0, []string{"0123456789", "x"}},
+		"empty document":    {false, 0, []string{""}},
+		"stream":            {true, 0, []string{event, done}},
+		"informational":     {false, 100, []string{"0123456789", "x"}},
+		"other protocol":    {false, 101, []string{"0123456789", "x"}},
+		"more than allowed": {false, 600, []string{"0123456789", "x"}},
+		"negative":          {false, -1, []string{"0123456789", "x"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a := answer.New(c.stream, 8)
+			a.BeginAttempt(first)
+			got, complete, err := feed(t, a, first, c.status, true, c.data...)
+			if got != "" || complete || err == nil {
+				t.Errorf("forwarded %q, complete %v, error %v; want nothing and an error", got, complete, err)
+			}
+			if next := a.AfterFailure(true); next != answer.Retry {
+				t.Errorf("next is %v, want %v", next, answer.Retry)
+			}
+		})
+	}
+	a := answer.New(true, 8)
+	a.BeginAttempt(first)
+	if _, _, err := feed(t, a, first, 200, false, event); err != nil {
+		t.Fatal(err)
+	}
+	a.BeginAttempt(second)
+	if got, complete, err := feed(t, a, second, 0, true, event, done); got != "" || complete || err == nil {
+		t.Errorf("resumed stream: forwarded %q, complete %v, error %v; want nothing and an error", got, complete, err)
+	}
+}
--- a/pkg/frame/frame.go
+++ b/pkg/frame/frame.go
@@ -10,6 +10,15 @@
 	"github.com/fescuehub/fescuehub/pkg/problem"
 )
 
+// minStatus and maxStatus bound the status codes of final answers.
+const (
+	minStatus = 200
+	maxStatus = 599
+)
+
+// IsFinalStatus reports whether a status code is that of a final answer.
+func IsFinalStatus(status int) bool { return status >= minStatus && status <= maxStatus }
+
 // Frame is one part of an answer. Frame 0 carries the status and the header, later frames carry
 // data, and Last marks the last frame.
 type Frame struct {
--- a/pkg/writeonce/ledger.go
+++ b/pkg/writeonce/ledger.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/fescuehub/fescuehub/pkg/frame"
 	"github.com/fescuehub/fescuehub/pkg/ident"
 	"github.com/fescuehub/fescuehub/pkg/problem"
 )
@@ -218,8 +219,12 @@
 }
 
 // RecordAnswer records the answer of a key that was executed. The answer is dropped if it is
-// larger than MaxKeptAnswerBytes.
+// larger than MaxKeptAnswerBytes. One without the status of a final answer is recorded as a failure.
 func (l *Ledger) RecordAnswer(k Key, a Answer) {
+	if !frame.IsFinalStatus(a.Status) {
+		l.RecordFailure(k, problem.NotKnown)
+		return
+	}
 	if l.disabled.ForgetRuns {
 		delete(l.keys, k.text)
 		return
--- a/pkg/writeonce/partition_test.go
+++ b/pkg/writeonce/partition_test.go
@@ -316,3 +316,18 @@
 		}
 	})
 }
+
+// TestAnswerWithoutStatusIsNotKept guards against a key that is answered with a status that is none: its call may have
+// run, and its answer is lost.
+func TestAnswerWithoutStatusIsNotKept(t *testing.T) {
+	for _, status := range []int{-1, 0, 100, 101, 199, 600} {
+		p := writeonce.NewPartition("a@0")
+		attempt := newAttempt(writeonce.NewPermit("a@0", 0, 7).String(), "hold")
+		p.Step(0, attempt)
+		p.RecordAnswer(attempt.Write.Key, writeonce.Answer{Status: status, Body: []byte("what")})
+		d := p.Step(0, attempt)
+		if d.Answer != nil || d.Problem == nil || d.Problem.Kind != problem.AnswerLost || d.Problem.Outcome != problem.NotKnown {
+			t.Errorf("status %d: %+v, want a lost answer with an unknown outcome", status, d)
+		}
+	}
+}
