Refuse responses with field names that are no tokens

What callers saw: a server in trouble sent a head with a blank in the name of a field or before its colon. Callers got it as an answer, in both halves; with "Content-Length : 5" the body ran on to the end of the connection, and with "Transfer-Encoding : chunked" it was the chunks as they are on the wire. A connection that such a server kept open held the request until its deadline.

Cause: net/http keeps a name with a blank in it as it is (go.dev/issue/34540), so that the field is neither an error nor known under its name, also where it frames the body.

Evidence: before the change TestMalformedNameIsNotAnAnswer fails in pkg/relay in seven of sixteen cases (the nine others, control bytes, tabs, bytes that are not ASCII, no name, no colon, are refused by net/http and stay as tests) and in pkg/agent in six of eight, for model requests, plain calls and unrepeatable writes alike.

Change: httphead.Check refuses each name that is not a token (RFC 9110, section 5.6.2), in final and informational heads, in backendconn and in httpclient.Transport.

Why it works: the check sees all names that the parser has kept, before anything of the response is used, and the framing that the parser chose is dropped with the connection. Allowed names pass: letters, digits and !#$%&'*+-.^_|~ and the backquote (TestUnusualFieldIsPartOfAnAnswer, with empty values and no blank after the colon).

--- a/pkg/agent/broken_test.go
+++ b/pkg/agent/broken_test.go
@@ -186,6 +186,22 @@
 // kept as the answer of an unrepeatable call.
 func TestMalformedStatusIsNotAnAnswer(t *testing.T) { requireMalformed(t, malformedStatuses) }
 
+// malformedNames are responses in whose heads the name of a field is not a token (RFC 9110, section 5.6.2).
+var malformedNames = map[string]string{
+	"blank before the colon":   "HTTP/1.1 200 X\r\nContent-Length : 5\r\n\r\nother and more",
+	"blank within":             "HTTP/1.1 200 X\r\nX Y: z\r\nContent-Length: 5\r\n\r\nother",
+	"blank within, no body":    "HTTP/1.1 204 X\r\nX Y: z\r\n\r\n",
+	"empty body":               "HTTP/1.1 200 X\r\nX Y: z\r\nContent-Length: 0\r\n\r\n",
+	"text in place of a field": "HTTP/1.1 404 X\r\nfailed to load: model\r\nContent-Length: 5\r\n\r\nother",
+	"informational":            "HTTP/1.1 103 X\r\nContent-Length : 5\r\n\r\nHTTP/1.1 200 X\r\nContent-Length: 5\r\n\r\nother",
+	"control byte":             "HTTP/1.1 200 X\r\nX\x01: z\r\nContent-Length: 5\r\n\r\nother",
+	"byte 0":                   "HTTP/1.1 200 X\r\nX\x00Y: z\r\nContent-Length: 5\r\n\r\nother",
+}
+
+// TestMalformedNameIsNotAnAnswer guards against an answer with another body than its server's, or with a line that is no
+// field.
+func TestMalformedNameIsNotAnAnswer(t *testing.T) { requireMalformed(t, malformedNames) }
+
 // requireMalformed checks that none of the responses is sent or kept as an answer, nor its connection used again.
 func requireMalformed(t *testing.T, responses map[string]string) {
 	const requests = 4
@@ -215,3 +231,15 @@
 		}
 	}
 }
+
+// TestUnusualFieldIsPartOfAnAnswer guards against allowed responses that count as malformed.
+func TestUnusualFieldIsPartOfAnAnswer(t *testing.T) {
+	const text = "HTTP/1.1 103 X\r\n\r\nHTTP/1.1 200\r\nx!#$%&'*+-.^_|~`9: odd\r\nEmpty:\r\ncontent-length:5\r\n\r\nwhole"
+	for kind, k := range requestKinds {
+		a := newTestAgent(t, k.backend, rawserver.Answer{Text: text, AfterUpload: true})
+		got, err := a.send(t, k.request(a), 4)
+		if err != nil || got.status != http.StatusOK || got.body != "whole" || !got.whole {
+			t.Errorf("%s: %+v, %v; want the whole answer", kind, got, err)
+		}
+	}
+}
--- a/pkg/httpclient/httpclient_test.go
+++ b/pkg/httpclient/httpclient_test.go
@@ -36,9 +36,13 @@
 
 // malformedHeads are responses whose heads are not valid. Their bodies are documents.
 var malformedHeads = map[string]string{
-	"status 000":     "HTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\n12",
-	"status +20":     "HTTP/1.1 +20 X\r\nContent-Length: 2\r\n\r\n12",
-	"other protocol": "HTTP/1.1 101 X\r\nConnection: upgrade\r\nUpgrade: x\r\nContent-Length: 2\r\n\r\n12",
+	"status 000":             "HTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\n12",
+	"status +20":             "HTTP/1.1 +20 X\r\nContent-Length: 2\r\n\r\n12",
+	"blank in a name":        "HTTP/1.1 200 X\r\nX Y: z\r\nContent-Length: 2\r\n\r\n12",
+	"blank before the colon": "HTTP/1.1 200 X\r\nContent-Length : 1\r\n\r\n12",
+	"blank, no body":         "HTTP/1.1 404 X\r\nX Y: z\r\nContent-Length: 0\r\n\r\n",
+	"blank, informational":   "HTTP/1.1 103 X\r\nX Y: z\r\n\r\nHTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\n12",
+	"other protocol":         "HTTP/1.1 101 X\r\nConnection: upgrade\r\nUpgrade: x\r\nContent-Length: 2\r\n\r\n12",
 }
 
 // TestMalformedHeadIsAnError guards against documents, and statuses that refuse a call, in responses that are not valid,
--- a/pkg/httpclient/transport.go
+++ b/pkg/httpclient/transport.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
@@ -50,12 +51,15 @@
 // RoundTrip implements http.RoundTripper. The error holds an *httphead.Error if the head of the response is not valid.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	var conn atomic.Pointer[requestConn]
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if c, ok := info.Conn.(*requestConn); ok {
-			c.begun.Store(false)
-			conn.Store(c)
-		}
-	}}
+	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			if c, ok := info.Conn.(*requestConn); ok {
+				c.begun.Store(false)
+				conn.Store(c)
+			}
+		},
+		Got1xxResponse: func(_ int, header textproto.MIMEHeader) error { return httphead.CheckNames(header) },
+	}
 	response, err := t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
 	if err != nil {
 		return nil, err
--- a/pkg/httphead/httphead.go
+++ b/pkg/httphead/httphead.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 )
@@ -23,7 +24,27 @@
 
 // Check checks the head of a response as net/http returns it, final or informational. The error is an *Error.
 func Check(r *http.Response) error {
-	return checkStatus(r.StatusCode, r.Status)
+	if err := checkStatus(r.StatusCode, r.Status); err != nil {
+		return err
+	}
+	return CheckNames(r.Header)
+}
+
+// CheckNames checks the names of the fields of a response. net/http accepts blanks in them. The error is an *Error.
+func CheckNames(fields map[string][]string) error {
+	for name := range fields {
+		if strings.ContainsFunc(name, isNoTokenCharacter) || name == "" {
+			return &Error{fmt.Sprintf("field name %s; want letters, digits and %s", quote(name), tokenMarks)}
+		}
+	}
+	return nil
+}
+
+// tokenMarks are the characters of a token (RFC 9110, section 5.6.2) besides letters and digits.
+const tokenMarks = "!#$%&'*+-.^_|~`"
+
+func isNoTokenCharacter(c rune) bool {
+	return !('a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || '0' <= c && c <= '9' || strings.ContainsRune(tokenMarks, c))
 }
 
 // checkStatus checks a status code. No client of this system asks for another protocol.
--- a/pkg/relay/malformed_test.go
+++ b/pkg/relay/malformed_test.go
@@ -32,6 +32,31 @@
 // TestMalformedStatusIsNotAnAnswer guards against an answer that is taken from the bytes that follow a status which is none.
 func TestMalformedStatusIsNotAnAnswer(t *testing.T) { requireMalformed(t, malformedStatuses) }
 
+// malformedNames are responses in whose heads the name of a field is not a token (RFC 9110, section 5.6.2). Some of them
+// state the length of their body under such a name.
+var malformedNames = map[string]string{
+	"blank before the colon":         "HTTP/1.1 200 X\r\nId: ID\r\nSeal: s\r\nContent-Length : 5\r\n\r\nother and more",
+	"chunks, blank before the colon": "HTTP/1.1 200 X\r\nId: ID\r\nSeal: s\r\nContent-Length: 15\r\nTransfer-Encoding : chunked\r\n\r\n5\r\nother\r\n0\r\n\r\n",
+	"blank within":                   "HTTP/1.1 200 X\r\nId: ID\r\nSeal: s\r\nX Y: z\r\nContent-Length: 5\r\n\r\nother",
+	"blank within, no body":          "HTTP/1.1 204 X\r\nId: ID\r\nSeal: s\r\nX Y: z\r\n\r\n",
+	"blank in a failure":             "HTTP/1.1 404 X\r\nId: ID\r\nSeal: s\r\nX Y: z\r\nContent-Length: 5\r\n\r\nother",
+	"text in place of a field":       "HTTP/1.1 200 X\r\nId: ID\r\nSeal: s\r\nfailed to load: model\r\nContent-Length: 5\r\n\r\nother",
+	"only blanks":                    "HTTP/1.1 200 X\r\nId: ID\r\nSeal: s\r\nX: y\r\n : z\r\n: z\r\nContent-Length: 5\r\n\r\nother",
+	"informational":                  "HTTP/1.1 103 X\r\nContent-Length : 5\r\n\r\n" + soundAnswer,
+	"tab":                            "HTTP/1.1 200 X\r\nId: ID\r\nSeal: s\r\nX\tY: z\r\nContent-Length: 5\r\n\r\nother",
+	"control byte":                   "HTTP/1.1 200 X\r\nId: ID\r\nSeal: s\r\nX\x01: z\r\nContent-Length: 5\r\n\r\nother",
+	"byte 0":                         "HTTP/1.1 200 X\r\nId: ID\r\nSeal: s\r\nX\x00Y: z\r\nContent-Length: 5\r\n\r\nother",
+	"carriage return":                "HTTP/1.1 200 X\r\nId: ID\r\nSeal: s\r\nX\rY: z\r\nContent-Length: 5\r\n\r\nother",
+	"delete":                         "HTTP/1.1 200 X\r\nId: ID\r\nSeal: s\r\nX\x7f: z\r\nContent-Length: 5\r\n\r\nother",
+	"not ASCII":                      "HTTP/1.1 200 X\r\nId: ID\r\nSeal: s\r\nXé: z\r\nContent-Length: 5\r\n\r\nother",
+	"parenthesis":                    "HTTP/1.1 200 X\r\nId: ID\r\nSeal: s\r\nX(: z\r\nContent-Length: 5\r\n\r\nother",
+	"no colon":                       "HTTP/1.1 200 X\r\nId: ID\r\nSeal: s\r\nwhat\r\nContent-Length: 5\r\n\r\nother",
+}
+
+// TestMalformedNameIsNotAnAnswer guards against an answer with another body than its server's, or with a line that is no
+// field.
+func TestMalformedNameIsNotAnAnswer(t *testing.T) { requireMalformed(t, malformedNames) }
+
 // requireMalformed checks that none of the responses reaches a caller: a repeatable request is answered by another
 // server, any other one gets 502, and the connection is not used again.
 func requireMalformed(t *testing.T, responses map[string]string) {
@@ -95,3 +120,19 @@
 		})
 	}
 }
+
+// TestUnusualFieldIsPartOfAnAnswer guards against allowed fields that count as malformed or are lost.
+func TestUnusualFieldIsPartOfAnAnswer(t *testing.T) {
+	const name = "x!#$%&'*+-.^_|~`9"
+	a := startServer(t, rawserver.Answer{Text: "HTTP/1.1 200 X\r\nId: ID\r\nSeal: s\r\n" + name + ": odd\r\nEmpty:\r\nBlank: \t \r\ncontent-length:5\r\n\r\nwhole", AfterUpload: true})
+	s := newTestRelay(t, route(fleet.Unsafe), fleet.Service{}, 1000, serverAt("a", a))
+	status, body, header, err := s.send(context.Background(), "1")
+	if err != nil || status != http.StatusOK || body != "whole" {
+		t.Errorf("status %d, %q, %v; want the whole answer", status, body, err)
+	}
+	for name, want := range map[string]string{name: "odd", "Empty": "", "Blank": ""} {
+		if values := header[http.CanonicalHeaderKey(name)]; len(values) != 1 || values[0] != want {
+			t.Errorf("field %s has the values %q, want %q", name, values, want)
+		}
+	}
+}
