Count and log malformed responses apart from other failures

What operators saw: nothing that told a server which sends malformed responses from one that is cut off. An error of net/http repeated the line of the head at its whole length, up to 64 KiB, in the log line of the request.

Cause: parse errors of net/http have no type, and were treated as failed connections.

Change: a head that was read without a failure of its connection and does not parse, or exceeds the limits, is an *httphead.Error, whose text is cut. Attempts in the log lines of entries have "Malformed":true, counted in responses_malformed by service. Agents give the new kind malformed-answer (502), count answers_malformed and log at most one line a second; entries count the kind with the others.

--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -57,6 +57,7 @@
 	started := time.Now()
 	incarnation := ident.NewIncarnation(s.Name)
 	scope := metrics.Scope.SubScope("agent")
+	backend = newCheckedBackend(backend, log, scope)
 	a := &Agent{
 		settings:    s,
 		log:         log,
--- a/pkg/agent/backend.go
+++ b/pkg/agent/backend.go
@@ -4,6 +4,11 @@
 	"context"
 	"net/http"
 	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"github.com/fescuehub/fescuehub/pkg/answer"
 	"github.com/fescuehub/fescuehub/pkg/frame"
@@ -13,6 +18,7 @@
 	"github.com/fescuehub/fescuehub/pkg/problem"
 	"github.com/fescuehub/fescuehub/pkg/routing"
 	"github.com/fescuehub/fescuehub/pkg/settings"
+	"github.com/fescuehub/fescuehub/pkg/telemetry"
 )
 
 // Backend is the backend server next to the agent.
@@ -23,17 +29,39 @@
 	Load(ctx context.Context) (routing.Load, error)
 }
 
-// sendTo sends the attempt to a backend server, once. A response without the status of a final answer is an error.
-func sendTo(ctx context.Context, b Backend, request agentlink.AttemptRequest, body []byte) (*http.Response, error) {
-	res, err := b.Send(ctx, request, body)
-	if err != nil {
-		return nil, err
-	}
-	if !frame.IsFinalStatus(res.StatusCode) {
+// malformedLogInterval is the shortest time between two log lines about malformed responses.
+const malformedLogInterval = time.Second
+
+// checkedBackend is a Backend whose responses have the status of a final answer. It counts and logs malformed ones.
+type checkedBackend struct {
+	Backend
+	log       *zap.Logger
+	malformed tally.Counter
+	logLimit  *rate.Sometimes
+}
+
+func newCheckedBackend(b Backend, log *zap.Logger, scope tally.Scope) checkedBackend {
+	return checkedBackend{b, log, scope.Counter("answers_malformed"), &rate.Sometimes{Interval: malformedLogInterval}}
+}
+
+// Send implements Backend. The error has the kind MalformedAnswer if the response is malformed.
+func (b checkedBackend) Send(ctx context.Context, request agentlink.AttemptRequest, body []byte) (*http.Response, error) {
+	res, err := b.Backend.Send(ctx, request, body)
+	if err == nil && !frame.IsFinalStatus(res.StatusCode) {
 		_ = res.Body.Close()
-		return nil, problem.New(problem.BackendUnreachable, "check the backend server",
+		err = problem.New(problem.MalformedAnswer, "check the backend server",
 			"%d is not the status code of a final answer", res.StatusCode).WithOutcome(problem.NotKnown)
 	}
+	if problem.Is(err, problem.MalformedAnswer) {
+		b.malformed.Inc(1)
+		b.logLimit.Do(func() {
+			b.log.Warn("malformed response of the backend server",
+				zap.String("attempt", string(request.Attempt)), zap.String("route", request.Route), telemetry.Err(err))
+		})
+	}
+	if err != nil {
+		return nil, err
+	}
 	return res, nil
 }
 
--- a/pkg/agent/broken_test.go
+++ b/pkg/agent/broken_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -9,7 +10,9 @@
 	"testing"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/fescuehub/fescuehub/pkg/answer"
 	"github.com/fescuehub/fescuehub/pkg/ident"
@@ -219,7 +222,8 @@
 						} else if got.status != 0 || got.body != "" {
 							t.Errorf("status %d and %d bytes were sent before the error %v", got.status, len(got.body), err)
 						}
-						if p := problem.Of(err); p.Outcome != problem.NotKnown || p.Status() != http.StatusBadGateway && p.Kind != problem.AnswerLost {
+						p := problem.Of(err)
+						if p.Outcome != problem.NotKnown || p.Status() != http.StatusBadGateway || p.Kind != problem.MalformedAnswer && p.Kind != problem.AnswerLost {
 							t.Errorf("the attempt ended with %v, want an unknown outcome and status 502", err)
 						}
 					}
@@ -243,3 +247,33 @@
 		}
 	}
 }
+
+// TestMalformedResponsesAreCountedAndLogged guards against servers in trouble of which operators see nothing.
+func TestMalformedResponsesAreCountedAndLogged(t *testing.T) {
+	const requests = 3
+	for _, kind := range []string{settings.EngineBackend, settings.ServiceBackend} {
+		server, err := rawserver.Start(func(*http.Request) rawserver.Answer {
+			return rawserver.Answer{Text: "HTTP/1.1 200 X\r\n" + strings.Repeat("x y", 1000) + "\x01: z\r\n\r\n", AfterUpload: true}
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(server.Close)
+		core, lines := observer.New(zap.InfoLevel)
+		scope := tally.NewTestScope("", nil)
+		backend := NewBackend(settings.Agent{Backend: settings.Backend{Kind: kind, URL: "http://" + server.Address()}})
+		checked := newCheckedBackend(backend, zap.New(core), scope)
+		for range requests {
+			if res, err := checked.Send(context.Background(), agentlink.AttemptRequest{Method: http.MethodPost, Path: "/p"}, nil); err == nil {
+				t.Errorf("%s: got status %d, want an error", kind, res.StatusCode)
+			}
+		}
+		if n := scope.Snapshot().Counters()["answers_malformed+"].Value(); n != requests {
+			t.Errorf("%s: %d malformed answers counted, want %d", kind, n, requests)
+		}
+		text := fmt.Sprint(lines.All()[0].ContextMap())
+		if lines.Len() != 1 || !strings.Contains(text, "malformed response") || len(text) > 600 || strings.Contains(text, "\x01") {
+			t.Errorf("%s: %d lines, the first: %q; want one that quotes the name, escaped and cut", kind, lines.Len(), text)
+		}
+	}
+}
--- a/pkg/agent/serve.go
+++ b/pkg/agent/serve.go
@@ -123,7 +123,7 @@
 
 // run sends the attempt to the backend server and relays the answer to the entry.
 func (a *Agent) run(ctx context.Context, out *agentlink.FrameWriter, request agentlink.AttemptRequest, body []byte) error {
-	res, err := sendTo(ctx, a.backend, request, body)
+	res, err := a.backend.Send(ctx, request, body)
 	if err != nil {
 		return contextErrorOr(ctx, err)
 	}
--- a/pkg/agent/writes.go
+++ b/pkg/agent/writes.go
@@ -311,7 +311,7 @@
 }
 
 func (w *writeExecutor) send(ctx context.Context, request agentlink.AttemptRequest, body []byte) (writeonce.Answer, error) {
-	res, err := sendTo(ctx, w.backend, request, body)
+	res, err := w.backend.Send(ctx, request, body)
 	if err != nil {
 		return writeonce.Answer{}, err
 	}
--- a/pkg/backendconn/exchange.go
+++ b/pkg/backendconn/exchange.go
@@ -198,6 +198,9 @@
 	for range maxInformational {
 		c.bounded.beginHead(c.br.Buffered())
 		response, err := http.ReadResponse(c.br, &http.Request{Method: method})
+		if err != nil && !c.bounded.failed {
+			return nil, httphead.ParseError(err)
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -209,7 +212,7 @@
 			return response, nil
 		}
 	}
-	return nil, errors.New("too many informational (1xx) responses")
+	return nil, httphead.ParseError(errors.Newf("%d informational (1xx) responses and no final one", maxInformational))
 }
 
 // Close releases the response without waiting. The connection is kept only if the body was read to its
--- a/pkg/backendconn/reader.go
+++ b/pkg/backendconn/reader.go
@@ -39,7 +39,9 @@
 	// wakeupGrace.
 	headEnd      time.Time
 	headExtended bool
-	part         responsePart
+	// failed is true if the connection has failed, or its time was over, within the current head.
+	failed bool
+	part   responsePart
 }
 
 // responsePart is the part of a response that is being read.
@@ -56,7 +58,7 @@
 
 // beginHead starts the bounds of a head, of which a number of bytes have been buffered.
 func (r *boundedReader) beginHead(buffered int) {
-	r.part, r.headLeft, r.headExtended = waiting, maxHeadBytes-buffered, false
+	r.part, r.headLeft, r.headExtended, r.failed = waiting, maxHeadBytes-buffered, false, false
 	if buffered > 0 {
 		r.part, r.headEnd = head, time.Now().Add(headTimeout)
 	}
@@ -81,6 +83,7 @@
 	}
 	n, err := r.nc.Read(p[:min(len(p), r.headLeft)])
 	r.headLeft -= n
+	r.failed = err != nil
 	r.part, r.headEnd = head, time.Now().Add(headTimeout)
 	return n, err
 }
@@ -100,6 +103,7 @@
 		err = errHeadTimeout
 	}
 	r.headLeft -= n
+	r.failed = err != nil
 	return n, err
 }
 
--- a/pkg/gateway/caller.go
+++ b/pkg/gateway/caller.go
@@ -204,6 +204,11 @@
 	}
 	g.scope.Tagged(map[string]string{"kind": string(q.Route.Kind), "outcome": outcome}).Counter("requests").Inc(1)
 	g.countShortOfSlots(q, report)
+	for _, a := range report.Attempts {
+		if a.Malformed {
+			g.scope.Tagged(map[string]string{"service": q.Service.Name}).Counter("responses_malformed").Inc(1)
+		}
+	}
 	g.log.Info("request", zap.String("request", q.ID), zap.String("route", q.Route.Name), zap.String("kind", string(q.Route.Kind)),
 		zap.String("organisation", q.Organisation), zap.String("outcome", outcome), zap.Int("status", report.Status),
 		zap.String("reason", report.Reason), zap.Int("events", report.Events), zap.String("waitedFor", report.WaitedFor), zap.Duration("waited", report.Waited),
--- a/pkg/httpclient/httpclient_test.go
+++ b/pkg/httpclient/httpclient_test.go
@@ -38,6 +38,10 @@
 var malformedHeads = map[string]string{
 	"status 000":             "HTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\n12",
 	"status +20":             "HTTP/1.1 +20 X\r\nContent-Length: 2\r\n\r\n12",
+	"control byte in a name": "HTTP/1.1 200 X\r\nX\x01: z\r\nContent-Length: 2\r\n\r\n12",
+	"status of letters":      "HTTP/1.1 2OO X\r\nContent-Length: 2\r\n\r\n12",
+	"no HTTP":                "failed\r\n\r\n",
+	"long name":              "HTTP/1.1 200 X\r\n" + strings.Repeat("x", 10<<10) + "\x01: z\r\nContent-Length: 2\r\n\r\n12",
 	"blank in a name":        "HTTP/1.1 200 X\r\nX Y: z\r\nContent-Length: 2\r\n\r\n12",
 	"blank before the colon": "HTTP/1.1 200 X\r\nContent-Length : 1\r\n\r\n12",
 	"blank, no body":         "HTTP/1.1 404 X\r\nX Y: z\r\nContent-Length: 0\r\n\r\n",
@@ -45,6 +49,35 @@
 	"other protocol":         "HTTP/1.1 101 X\r\nConnection: upgrade\r\nUpgrade: x\r\nContent-Length: 2\r\n\r\n12",
 }
 
+// TestOtherFailureIsNotMalformed guards against a count of malformed responses that holds servers which are cut off.
+func TestOtherFailureIsNotMalformed(t *testing.T) {
+	for name, a := range map[string]rawserver.Answer{
+		"no answer":          {AfterUpload: true, End: rawserver.Close},
+		"reset":              {AfterUpload: true, End: rawserver.Reset},
+		"part of the status": {Text: "HTTP/1.1 2", AfterUpload: true, End: rawserver.Close},
+		"part of a field":    {Text: "HTTP/1.1 200 X\r\nX: I", AfterUpload: true, End: rawserver.Close},
+		"part of the body":   {Text: "HTTP/1.1 200 X\r\nContent-Length: 9\r\n\r\n12", AfterUpload: true, End: rawserver.Close},
+		"refusal":            {Text: "HTTP/1.1 503 X\r\nContent-Length: 4\r\n\r\nfull", AfterUpload: true},
+		"no answer in time":  {AfterUpload: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			server, err := rawserver.Start(func(*http.Request) rawserver.Answer { return a })
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer server.Close()
+			ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+			defer cancel()
+			var number int
+			err = httpclient.Get(ctx, httpclient.New(), "http://"+server.Address(), 1<<20, &number)
+			if err == nil || httphead.IsMalformed(err) {
+				t.Errorf("the call returned %d and %v, want an error that is not one of a malformed response", number, err)
+			}
+		})
+	}
+}
+
 // TestMalformedHeadIsAnError guards against documents, and statuses that refuse a call, in responses that are not valid,
 // and against the further use of their connections.
 func TestMalformedHeadIsAnError(t *testing.T) {
--- a/pkg/httpclient/transport.go
+++ b/pkg/httpclient/transport.go
@@ -54,18 +54,22 @@
 	trace := &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			if c, ok := info.Conn.(*requestConn); ok {
-				c.begun.Store(false)
+				c.beginRequest()
 				conn.Store(c)
 			}
 		},
 		Got1xxResponse: func(_ int, header textproto.MIMEHeader) error { return httphead.CheckNames(header) },
 	}
 	response, err := t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	c := conn.Load()
+	if err != nil && c != nil && c.answered() && r.Context().Err() == nil && !httphead.IsMalformed(err) {
+		return nil, httphead.ParseError(err)
+	}
 	if err != nil {
 		return nil, err
 	}
 	if err := httphead.Check(response); err != nil {
-		if c := conn.Load(); c != nil {
+		if c != nil {
 			_ = c.Close() // net/http keeps it if the response has no body
 		}
 		_ = response.Body.Close()
@@ -78,8 +82,30 @@
 // arrived, once a part of the request has been written. The write of the rest seems to succeed.
 type requestConn struct {
 	net.Conn
-	// begun is true once a part of the current request has been written.
-	begun atomic.Bool
+	// begun is true once a part of the current request has been written, received once a part of a response has been
+	// read, and failed once a read has failed.
+	begun, received, failed atomic.Bool
+}
+
+func (c *requestConn) beginRequest() {
+	c.begun.Store(false)
+	c.received.Store(false)
+	c.failed.Store(false)
+}
+
+// answered reports whether the connection has brought a part of a response and has not failed.
+func (c *requestConn) answered() bool { return c.received.Load() && !c.failed.Load() }
+
+// Read implements net.Conn.
+func (c *requestConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.received.Store(true)
+	}
+	if err != nil {
+		c.failed.Store(true)
+	}
+	return n, err
 }
 
 // Write implements net.Conn.
--- a/pkg/httphead/httphead.go
+++ b/pkg/httphead/httphead.go
@@ -10,10 +10,14 @@
 	"github.com/cockroachdb/errors"
 )
 
-// maxQuotedBytes bounds the bytes of a response that an error quotes.
-const maxQuotedBytes = 80
+const (
+	// maxQuotedBytes bounds the bytes of a response that an error quotes.
+	maxQuotedBytes = 80
+	// maxErrorBytes bounds the text of an error of net/http.
+	maxErrorBytes = 160
+)
 
-// Error is the error of a response whose head is not valid. What it quotes of the response is cut and escaped.
+// Error is the error of a response whose head is not valid or exceeds a limit. What it quotes of the response is cut and escaped.
 type Error struct{ detail string }
 
 // Error implements the error interface.
@@ -22,6 +26,15 @@
 // IsMalformed reports whether err's chain holds an Error.
 func IsMalformed(err error) bool { return errors.HasType(err, (*Error)(nil)) }
 
+// ParseError returns the Error for the error with which net/http failed to parse a head.
+func ParseError(err error) error {
+	text := err.Error() // net/http quotes and escapes what it repeats of the response, at its whole length
+	if len(text) > maxErrorBytes {
+		text = strings.ToValidUTF8(text[:maxErrorBytes], "") + "..."
+	}
+	return &Error{text}
+}
+
 // Check checks the head of a response as net/http returns it, final or informational. The error is an *Error.
 func Check(r *http.Response) error {
 	if err := checkStatus(r.StatusCode, r.Status); err != nil {
--- a/pkg/peer/engine/engine.go
+++ b/pkg/peer/engine/engine.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/fescuehub/fescuehub/pkg/httpclient"
+	"github.com/fescuehub/fescuehub/pkg/httphead"
 	"github.com/fescuehub/fescuehub/pkg/problem"
 )
 
@@ -123,7 +124,8 @@
 }
 
 // Complete sends a chat completion request under the given request identifier. The caller must
-// close the body of the response. The error has the kind BackendUnreachable.
+// close the body of the response. The error has the kind MalformedAnswer if the response is not valid HTTP,
+// and BackendUnreachable otherwise.
 func (c *Client) Complete(ctx context.Context, id string, priority int, body []byte) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+"/v1/chat/completions", bytes.NewReader(body))
 	if err != nil {
@@ -156,6 +158,10 @@
 }
 
 func unreachable(cause error) error {
+	if httphead.IsMalformed(cause) {
+		return problem.New(problem.MalformedAnswer, "check the engine",
+			"the response of the engine is not valid HTTP: %v", cause).WithOutcome(problem.NotKnown)
+	}
 	return problem.New(problem.BackendUnreachable, "send the request again if it is idempotent",
 		"the request to the engine failed: %v", cause).WithOutcome(problem.NotKnown)
 }
--- a/pkg/peer/plainservice/plainservice.go
+++ b/pkg/peer/plainservice/plainservice.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/fescuehub/fescuehub/pkg/httpclient"
+	"github.com/fescuehub/fescuehub/pkg/httphead"
 	"github.com/fescuehub/fescuehub/pkg/problem"
 )
 
@@ -43,8 +44,8 @@
 }
 
 // Do sends the call once. The caller must close the body of the response. The error has the kind
-// BackendUnreachable, and the outcome NotRun only if no request could be made or no connection
-// could be opened.
+// MalformedAnswer if the response is not valid HTTP, and BackendUnreachable otherwise; the outcome is NotRun
+// only if no request could be made or no connection could be opened.
 func (c *Client) Do(ctx context.Context, call Call) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(ctx, call.Method, c.base+call.Path, bytes.NewReader(call.Body))
 	if err != nil {
@@ -66,6 +67,10 @@
 }
 
 func unreachable(cause error) *problem.Error {
+	if httphead.IsMalformed(cause) {
+		return problem.New(problem.MalformedAnswer, "check at the service whether the action was carried out, and the service itself",
+			"the response of the service is not valid HTTP: %v", cause).WithOutcome(problem.NotKnown)
+	}
 	return problem.New(problem.BackendUnreachable, "check at the service whether the action was carried out before sending it under a new key",
 		"the service did not answer: %v", cause).WithOutcome(problem.NotKnown)
 }
--- a/pkg/problem/problem.go
+++ b/pkg/problem/problem.go
@@ -26,6 +26,7 @@
 	WrongIncarnation    Kind = "wrong-incarnation"
 	BackendUnreachable  Kind = "backend-unreachable"
 	TruncatedAnswer     Kind = "truncated-answer"
+	MalformedAnswer     Kind = "malformed-answer"
 	CallerGone          Kind = "caller-gone"
 	BrokenFrame         Kind = "broken-frame"
 	DeadlineExceeded    Kind = "deadline-exceeded"
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -16,6 +16,7 @@
 	"github.com/fescuehub/fescuehub/pkg/balance"
 	"github.com/fescuehub/fescuehub/pkg/eventstream"
 	"github.com/fescuehub/fescuehub/pkg/fleet"
+	"github.com/fescuehub/fescuehub/pkg/httphead"
 	"github.com/fescuehub/fescuehub/pkg/membudget"
 	"github.com/fescuehub/fescuehub/pkg/ratelimit"
 )
@@ -64,7 +65,7 @@
 	var o outcome
 	if err != nil {
 		o = x.classifyError(s, err)
-		record.Error = err.Error()
+		record.Error, record.Malformed = err.Error(), httphead.IsMalformed(err)
 	} else {
 		x.sent++
 		responding.Store(true)
--- a/pkg/relay/malformed_test.go
+++ b/pkg/relay/malformed_test.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"unicode/utf8"
 
 	"github.com/fescuehub/fescuehub/pkg/fleet"
 	"github.com/fescuehub/fescuehub/pkg/standin/rawserver"
@@ -50,6 +51,9 @@
 	"delete":                         "HTTP/1.1 200 X\r\nId: ID\r\nSeal: s\r\nX\x7f: z\r\nContent-Length: 5\r\n\r\nother",
 	"not ASCII":                      "HTTP/1.1 200 X\r\nId: ID\r\nSeal: s\r\nXé: z\r\nContent-Length: 5\r\n\r\nother",
 	"parenthesis":                    "HTTP/1.1 200 X\r\nId: ID\r\nSeal: s\r\nX(: z\r\nContent-Length: 5\r\n\r\nother",
+	"long name":                      "HTTP/1.1 200 X\r\nId: ID\r\nSeal: s\r\n" + strings.Repeat("x \xff", 10<<10) + ": z\r\nContent-Length: 5\r\n\r\nother",
+	"long name, blank":               "HTTP/1.1 200 X\r\nId: ID\r\nSeal: s\r\n" + strings.Repeat("x y", 10<<10) + ": z\r\nContent-Length: 5\r\n\r\nother",
+	"longer than the limit":          "HTTP/1.1 200 X\r\nId: ID\r\nSeal: s\r\n" + strings.Repeat("X: y\r\n", 20<<10) + "\r\n",
 	"no colon":                       "HTTP/1.1 200 X\r\nId: ID\r\nSeal: s\r\nwhat\r\nContent-Length: 5\r\n\r\nother",
 }
 
@@ -74,6 +78,7 @@
 					}
 					s.balancer.SetServers([]fleet.Server{serverAt("a", broken)}) // the next request does not avoid it
 				}
+				s.requireLogged(t, true)
 				if broken.Connections() != broken.Requests() {
 					t.Errorf("%s requests: %d on %d connections, want one on each", kind, broken.Requests(), broken.Connections())
 				}
@@ -93,6 +98,44 @@
 	}
 }
 
+// requireLogged checks that all attempts are recorded as malformed or that none is, each with a short printable error.
+func (s *testRelay) requireLogged(t *testing.T, malformed bool) {
+	t.Helper()
+	const maxErrorBytes = 400
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, report := range s.reports {
+		for _, a := range report.Attempts {
+			printable := strings.IndexFunc(a.Error, func(c rune) bool { return !strconv.IsPrint(c) }) < 0 && utf8.ValidString(a.Error)
+			if a.Malformed != malformed || a.Error == "" || len(a.Error) > maxErrorBytes || !printable {
+				t.Errorf("recorded %q with Malformed %v; want %v and a printable error of at most %d bytes", a.Error, a.Malformed, malformed, maxErrorBytes)
+			}
+		}
+	}
+}
+
+// TestOtherFailureIsNotMalformed guards against a count of malformed responses that holds servers which are cut off.
+func TestOtherFailureIsNotMalformed(t *testing.T) {
+	for name, a := range map[string]rawserver.Answer{
+		"no answer":          {AfterUpload: true, End: rawserver.Close},
+		"reset":              {AfterUpload: true, End: rawserver.Reset},
+		"part of the status": {Text: "HTTP/1.1 2", AfterUpload: true, End: rawserver.Close},
+		"part of a field":    {Text: "HTTP/1.1 200 X\r\nId: I", AfterUpload: true, End: rawserver.Close},
+		"part of the body":   {Text: "HTTP/1.1 200 X\r\nId: ID\r\nSeal: s\r\nContent-Length: 9\r\n\r\npart", AfterUpload: true, End: rawserver.Close},
+		"no signature":       {Text: "HTTP/1.1 200 X\r\nId: ID\r\nContent-Length: 5\r\n\r\nwhole", AfterUpload: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newTestRelay(t, route(fleet.Unsafe), fleet.Service{}, 1000, serverAt("a", startServer(t, a)))
+			status, body, _, err := s.send(context.Background(), "1")
+			if err != nil || status != http.StatusBadGateway {
+				t.Errorf("status %d, %q, %v; want 502", status, body, err)
+			}
+			s.requireLogged(t, false)
+		})
+	}
+}
+
 // TestUnusualStatusIsAnAnswer guards against allowed responses that count as malformed.
 func TestUnusualStatusIsAnAnswer(t *testing.T) {
 	const rest = "Id: ID\r\nSeal: s\r\nContent-Length: 5\r\n\r\nwhole"
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -247,6 +247,8 @@
 	Error   string
 	// ServerEnded means that the server ended under the attempt.
 	ServerEnded bool
+	// Malformed means that the head of the response was not valid; Error says why.
+	Malformed bool `json:",omitempty"`
 	// RateLimit is the limit that the response states, as it states it.
 	RateLimit string `json:",omitempty"`
 }
