Send a request again whose kept connection had failed before it

What callers saw: under load, in the half of pkg/entry and pkg/agent, a request to an engine failed without having been sent, after an engine had answered the long upload before it and reset the connection.

Cause: since the write of the rest of a request seems to succeed once its connection has failed, net/http keeps that connection after the whole response. It closes it as soon as it reads from it, but a request that waits for a connection can get it before, and net/http repeats no POST after a failed read, although nothing has been written.

Change: httpclient.Transport sends a request again, with its body from its beginning, if net/http chose a connection that had failed before and no byte was written. It asks the kernel for the state of the connection before it takes a failed write for a failed connection.

Why it works: a connection that has failed takes no byte, so that the request cannot have been sent; each turn closes one such connection.

TestEarlyWholeAnswerToUpload in pkg/agent now has a client of its own for each upload. A request that has been written to a connection that its server closes may have run, and is not repeated; that holds on as well. What the test checks, that each whole answer arrives, is as before.

--- a/pkg/agent/broken_test.go
+++ b/pkg/agent/broken_test.go
@@ -159,8 +159,8 @@
 		for name, c := range answers {
 			t.Run(kind+"/"+name, func(t *testing.T) {
 				t.Parallel()
-				a := newTestAgent(t, k.backend, c)
 				for n := range uploads {
+					a := newTestAgent(t, k.backend, c) // with connections of its own: the server closes some after the answer
 					got, err := a.send(t, k.request(a), longUpload)
 					if err != nil || !got.whole || got.status != http.StatusOK || got.body != text {
 						t.Errorf("upload %d: status %d, %d bytes, %v; want the whole answer of %d bytes", n, got.status, len(got.body), err, len(text))
--- a/pkg/httpclient/httpclient_test.go
+++ b/pkg/httpclient/httpclient_test.go
@@ -1,9 +1,12 @@
 package httpclient_test
 
 import (
+	"bytes"
 	"context"
+	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -105,3 +108,41 @@
 		})
 	}
 }
+
+// TestConnectionThatFailedDuringUploadIsNotUsedAgain guards against requests that fail because they get a kept connection
+// which failed after the whole response to the request before, while that one was still being written.
+func TestConnectionThatFailedDuringUploadIsNotUsedAgain(t *testing.T) {
+	const (
+		callers = 16
+		calls   = 30
+	)
+	server, err := rawserver.Start(func(*http.Request) rawserver.Answer {
+		return rawserver.Answer{Text: "HTTP/1.1 200 X\r\nContent-Length: 3\r\n\r\n12 ", End: rawserver.Reset}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer server.Close()
+	client := httpclient.New()
+	body := make([]byte, 32<<20) // more than the buffers of a connection hold, so that each reset ends a write
+	var group sync.WaitGroup
+	for range callers {
+		group.Go(func() {
+			for range calls {
+				res, err := client.Post("http://"+server.Address(), "text/plain", bytes.NewReader(body))
+				if err != nil {
+					t.Errorf("the call returned %v, want a response", err)
+					continue
+				}
+				if text, err := io.ReadAll(res.Body); err != nil || string(text) != "12 " {
+					t.Errorf("read %q and %v, want the whole body", text, err)
+				}
+				_ = res.Body.Close()
+			}
+		})
+	}
+	group.Wait()
+	if server.Requests() != callers*calls {
+		t.Errorf("the server got %d requests, want each of %d once", server.Requests(), callers*calls)
+	}
+}
--- a/pkg/httpclient/transport.go
+++ b/pkg/httpclient/transport.go
@@ -24,9 +24,9 @@
 // DialFunc opens a connection, as in http.Transport.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
-// Transport is an http.Transport that differs in two ways. It returns the response of a server that does not read the whole
-// request; net/http alone discards the response if the rest of the request cannot be written. And it refuses
-// responses whose heads are not valid.
+// Transport is an http.Transport that returns the response of a server that does not read the whole request, and refuses a
+// response whose head is not valid. An http.Transport alone discards the former if the rest of the request cannot be
+// written, and accepts some of the latter.
 type Transport struct{ *http.Transport }
 
 // NewTransport returns a transport without a proxy. It opens its connections with dial, nil for that of net/http.
@@ -50,6 +50,39 @@
 
 // RoundTrip implements http.RoundTripper. The error holds an *httphead.Error if the head of the response is not valid.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	for {
+		response, conn, err := t.roundTrip(r)
+		if err == nil || conn == nil || !conn.unusable() {
+			return response, err
+		}
+		// net/http chose a kept connection that had failed during the request before. Nothing has been sent.
+		next, ok := rewind(r)
+		if !ok {
+			return nil, err
+		}
+		r = next
+	}
+}
+
+// rewind returns a request with its body at its beginning, false if the body cannot be read again.
+func rewind(r *http.Request) (*http.Request, bool) {
+	if r.Body == nil || r.Body == http.NoBody {
+		return r, true
+	}
+	if r.GetBody == nil {
+		return nil, false
+	}
+	body, err := r.GetBody()
+	if err != nil {
+		return nil, false
+	}
+	next := *r
+	next.Body = body
+	return &next, true
+}
+
+// roundTrip is RoundTrip on one connection, which it returns; nil if there was none.
+func (t *Transport) roundTrip(r *http.Request) (*http.Response, *requestConn, error) {
 	var conn atomic.Pointer[requestConn]
 	trace := &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
@@ -62,20 +95,20 @@
 	}
 	response, err := t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
 	c := conn.Load()
-	if err != nil && c != nil && c.answered() && r.Context().Err() == nil && !httphead.IsMalformed(err) {
-		return nil, httphead.ParseError(err)
-	}
 	if err != nil {
-		return nil, err
+		if c != nil && c.answered() && r.Context().Err() == nil && !httphead.IsMalformed(err) {
+			err = httphead.ParseError(err)
+		}
+		return nil, c, err
 	}
 	if err := httphead.Check(response); err != nil {
 		if c != nil {
 			_ = c.Close() // net/http keeps it if the response has no body
 		}
 		_ = response.Body.Close()
-		return nil, err
+		return nil, c, err
 	}
-	return response, nil
+	return response, c, nil
 }
 
 // requestConn is a connection that reports a failure to the reader of the response alone, after the bytes that have
@@ -85,6 +118,8 @@
 	// begun is true once a part of the current request has been written, received once a part of a response has been
 	// read, and failed once a read has failed.
 	begun, received, failed atomic.Bool
+	// broken is true once a write has failed that seemed to succeed. No byte can be written any more.
+	broken atomic.Bool
 }
 
 func (c *requestConn) beginRequest() {
@@ -93,6 +128,9 @@
 	c.failed.Store(false)
 }
 
+// unusable reports whether the connection had failed before the current request.
+func (c *requestConn) unusable() bool { return c.broken.Load() && !c.begun.Load() }
+
 // answered reports whether the connection has brought a part of a response and has not failed.
 func (c *requestConn) answered() bool { return c.received.Load() && !c.failed.Load() }
 
@@ -114,7 +152,8 @@
 	if n > 0 {
 		c.begun.Store(true)
 	}
-	if err != nil && c.begun.Load() && !errors.Is(err, net.ErrClosed) {
+	if err != nil && c.begun.Load() && !errors.Is(err, net.ErrClosed) && netconn.Failed(c.Conn) {
+		c.broken.Store(true)
 		return len(p), nil
 	}
 	return n, err
--- a/pkg/netconn/client.go
+++ b/pkg/netconn/client.go
@@ -63,15 +63,15 @@
 	c.mu.Lock()
 	err, writing := c.writeErr, c.writing > 0
 	c.mu.Unlock()
-	if err == nil && writing && closedByKernel(c.Conn) {
+	if err == nil && writing && Failed(c.Conn) {
 		return syscall.ECONNRESET
 	}
 	return err
 }
 
-// closedByKernel reports whether a TCP connection has been reset or has timed out. After the peer has closed its side
-// in order, the connection is still open for writes.
-func closedByKernel(nc net.Conn) bool {
+// Failed reports whether a TCP connection has been reset, has timed out or is closed on this side. After the peer has
+// closed its side in order, the connection is still open for writes and has not failed.
+func Failed(nc net.Conn) bool {
 	sc, ok := nc.(syscall.Conn)
 	if !ok {
 		return false
@@ -80,12 +80,12 @@
 	if err != nil {
 		return true
 	}
-	closed := false
+	failed := false
 	err = raw.Control(func(fd uintptr) {
 		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-		closed = err != nil || info.State == unix.BPF_TCP_CLOSE
+		failed = err != nil || info.State == unix.BPF_TCP_CLOSE
 	})
-	return err != nil || closed
+	return err != nil || failed
 }
 
 // SyscallConn implements syscall.Conn.
