Keep the kind of failed control calls to engines

The calls that read reports and install maps promise the kind BackendUnreachable; a malformed response gave them the new kind malformed-answer. Only completions, which callers get, have it. No caller of these calls looks at the kind; go test ./pkg/agent passes.

--- a/pkg/peer/engine/engine.go
+++ b/pkg/peer/engine/engine.go
@@ -135,6 +135,10 @@
 	req.Header.Set(RequestIDHeader, id)
 	req.Header.Set(PriorityHeader, fmt.Sprint(priority))
 	res, err := c.http.Do(req)
+	if httphead.IsMalformed(err) {
+		return nil, problem.New(problem.MalformedAnswer, "check the engine",
+			"the response of the engine is not valid HTTP: %v", err).WithOutcome(problem.NotKnown)
+	}
 	if err != nil {
 		return nil, unreachable(err)
 	}
@@ -158,10 +162,6 @@
 }
 
 func unreachable(cause error) error {
-	if httphead.IsMalformed(cause) {
-		return problem.New(problem.MalformedAnswer, "check the engine",
-			"the response of the engine is not valid HTTP: %v", cause).WithOutcome(problem.NotKnown)
-	}
 	return problem.New(problem.BackendUnreachable, "send the request again if it is idempotent",
 		"the request to the engine failed: %v", cause).WithOutcome(problem.NotKnown)
 }
