--- /dev/null
+++ b/review/standins3/main.go
@@ -0,0 +1,385 @@
+//go:build review3
+
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// The exit codes of a case.
+const (
+	held   = 0
+	broken = 1
+	notRun = 2
+)
+
+// clientCount clients send requests for trafficTime.
+const (
+	clientCount = 6
+	trafficTime = 15 * time.Second
+)
+
+// cases are the scripts by name. Each returns its exit code.
+var cases = map[string]func(j *journal, trouble bool) int{
+	"cut-failure":     cutFailure,
+	"stream-ids":      streamIDs,
+	"expect-version":  expectVersion,
+	"uncertified-503": uncertified503,
+}
+
+func main() {
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: standins3 CASE FOLDER")
+		os.Exit(notRun)
+	}
+	file, err := os.Create(filepath.Join(os.Args[2], "record.txt"))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(notRun)
+	}
+	trouble := os.Getenv("TROUBLE") != "0"
+	j := &journal{file: file, began: time.Now()}
+	j.conclude("case %s, disruption %v", os.Args[1], trouble)
+	code := cases[os.Args[1]](j, trouble)
+	_ = file.Close()
+	os.Exit(code)
+}
+
+// run starts a world, lets work run in it, and ends it.
+func run(j *journal, prepare func(*replica), work func(*world) int) int {
+	w, err := newWorld(j, prepare)
+	defer w.close()
+	if err != nil {
+		j.conclude("the case could not run: %v", err)
+		return notRun
+	}
+	return work(w)
+}
+
+// traffic lets each client do its work again and again until the time of the traffic is over.
+func (w *world) traffic(length time.Duration, work func(c *client)) {
+	var all sync.WaitGroup
+	end := time.Now().Add(length)
+	for n := range clientCount {
+		c := w.newClient(fmt.Sprintf("c%d", n))
+		all.Go(func() {
+			c.reconnect()
+			for time.Now().Before(end) {
+				work(c)
+				time.Sleep(20 * time.Millisecond)
+			}
+			c.disconnect()
+		})
+	}
+	all.Wait()
+}
+
+// counts are numbers by name, for all clients.
+type counts struct {
+	mu sync.Mutex
+	n  map[string]int
+}
+
+func (c *counts) add(name string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.n == nil {
+		c.n = make(map[string]int)
+	}
+	c.n[name]++
+	return c.n[name]
+}
+
+func (c *counts) get(name string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.n[name]
+}
+
+// everySeventh is the share of the safe requests that servers end with a failure: 0.143, where the site file has an
+// error_share of 0.14.
+const everySeventh = 7
+
+// The crowd are clients that send prompts of a length that the configuration allows, and longFailureBytes is the length of
+// a long failure.
+const (
+	crowdSize        = 36
+	promptBytes      = 4_000_000
+	longFailureBytes = 300 << 10
+)
+
+// cutFailure: servers answer a part of the safe requests with a failure. With the disruption, the body of the failure is
+// long in the first part, and many clients send long prompts meanwhile in the second one.
+func cutFailure(j *journal, trouble bool) int {
+	size, crowd := plainBytes, 0
+	if trouble {
+		size, crowd = longFailureBytes, crowdSize
+	}
+	j.conclude("part one: failures of %d bytes, no long prompts", size)
+	first := failures(j, size, 0)
+	j.conclude("part two: failures of %d bytes, %d clients with long prompts", plainBytes, crowd)
+	second := failures(j, plainBytes, crowd)
+	switch {
+	case first == notRun || second == notRun:
+		return notRun
+	case first == broken || second == broken:
+		return broken
+	}
+	return held
+}
+
+// failures lets servers answer a part of the safe requests with a failure of a number of bytes, while a crowd sends long
+// prompts. The rule is broken if a client gets an answer that looks complete and is not the server's whole one.
+func failures(j *journal, size, crowd int) int {
+	prepare := func(r *replica) {
+		if crowd > 0 {
+			r.pause = 120 * time.Millisecond // the longest pause of a stream that is on time
+		}
+		r.fail = func(w http.ResponseWriter, req *http.Request, id string) bool {
+			if req.Method != http.MethodGet || !fails(id) {
+				return false
+			}
+			w.Header().Set("X-Fescuehub-Response-Seal", "seal-"+id)
+			w.WriteHeader(http.StatusInternalServerError)
+			_, _ = w.Write([]byte(plainAnswer(r.id, id, size)))
+			r.printf("server %s has answered %s with 500 and %d bytes", r.id, id, size)
+			return true
+		}
+	}
+	return run(j, prepare, func(w *world) int {
+		var n counts
+		var all sync.WaitGroup
+		end := time.Now().Add(trafficTime)
+		prompt := strings.Repeat("p", promptBytes)
+		for i := range crowd {
+			c := w.newClient(fmt.Sprintf("crowd%d", i))
+			all.Go(func() {
+				c.reconnect()
+				for time.Now().Before(end) {
+					if c.conn == nil {
+						c.reconnect()
+					}
+					r := c.send(http.MethodPost, "/ask/2f", prompt, 8*time.Second, nil)
+					n.add("prompts")
+					if r.served() {
+						n.add("prompts served")
+					}
+				}
+				c.disconnect()
+			})
+		}
+		w.traffic(trafficTime, func(c *client) {
+			if c.conn == nil {
+				c.reconnect()
+			}
+			r := c.look()
+			n.add("sent")
+			switch {
+			case r.err != nil:
+				n.add("no whole answer")
+			case r.status == http.StatusOK:
+				n.add("200")
+			case r.status == http.StatusInternalServerError && r.header.Get("X-Fescuehub-Response-Seal") != "":
+				n.add("500 of a server")
+				if server := r.header.Get("X-Fescuehub-Replica-Id"); r.body != plainAnswer(server, r.id, size) {
+					n.add("cut")
+					c.printf("MIXED: %s got 500 with the signature of %s and %d bytes that look complete; the server's body has %d", r.id, server, len(r.body), size)
+				}
+			default:
+				n.add("other")
+			}
+		})
+		all.Wait()
+		j.conclude("sent %d; 200: %d; 500 of a server: %d; other answers: %d; no whole answer: %d; long prompts: %d, served %d", n.get("sent"), n.get("200"),
+			n.get("500 of a server"), n.get("other"), n.get("no whole answer"), n.get("prompts"), n.get("prompts served"))
+		if n.get("500 of a server")+n.get("no whole answer")+n.get("other") == 0 {
+			j.conclude("no request failed at both servers: nothing was tried")
+			return notRun
+		}
+		if n.get("cut") > 0 {
+			j.conclude("MIXED is broken: %d failures of servers reached clients cut, with a length that makes them look complete", n.get("cut"))
+			return broken
+		}
+		j.conclude("MIXED held")
+		return held
+	})
+}
+
+// fails reports whether a request is one of those that servers end with a failure: each seventh of a client.
+func fails(id string) bool {
+	_, number, _ := strings.Cut(id, "-")
+	n, err := strconv.Atoi(number)
+	return err == nil && n%everySeventh == 0
+}
+
+// streamIDs: the ids of the events of a stream increase, with the disruption by 5, the tokens of an event, instead of 1.
+// The rule is broken if more than three requests from kept connections are passed on to a sound server and their
+// connections end without an answer.
+func streamIDs(j *journal, trouble bool) int {
+	prepare := func(r *replica) {
+		if trouble {
+			r.idStep = 5
+		}
+	}
+	return run(j, prepare, func(w *world) int {
+		var n counts
+		w.traffic(trafficTime, func(c *client) {
+			if c.conn == nil {
+				c.reconnect()
+			}
+			if c.look().err != nil { // the connection is a kept one for what follows
+				return
+			}
+			r := c.ask(nil)
+			n.add("sent")
+			switch {
+			case r.served():
+				n.add("served")
+			case r.err != nil && r.kept && w.runs(r.id) > 0:
+				n.add("closed")
+				c.printf("LOST: %s was passed on %d times, and its kept connection ends without a whole answer (%v)", r.id, w.runs(r.id), r.err)
+			default:
+				n.add("other")
+			}
+		})
+		j.conclude("streams sent %d; served %d; passed on, and the connection closed: %d; other %d", n.get("sent"), n.get("served"), n.get("closed"), n.get("other"))
+		if n.get("sent") == 0 {
+			return notRun
+		}
+		if n.get("closed") > 3 {
+			j.conclude("LOST is broken: %d requests from kept connections were passed on to sound servers, and the connections closed without an answer", n.get("closed"))
+			return broken
+		}
+		j.conclude("LOST held")
+		return held
+	})
+}
+
+// expectVersion: with the disruption, the first request for the model expects a version of the weights that the servers do
+// not have yet, and its client tries again as it may. The rule is broken if a kind of request is served less than a
+// quarter as often as all.
+func expectVersion(j *journal, trouble bool) int {
+	prepare := func(r *replica) {
+		if r.service == "model" {
+			r.weights = 1
+		}
+	}
+	return run(j, prepare, func(w *world) int {
+		c := w.newClient("early")
+		var header map[string]string
+		if trouble {
+			header = map[string]string{"X-Fescuehub-Expect-Version": "2"}
+		}
+		for range 3 { // a first attempt and two retries, each on a new connection
+			c.reconnect()
+			r := c.ask(header)
+			if r.status != http.StatusServiceUnavailable {
+				break
+			}
+			wait, err := time.ParseDuration(r.header.Get("Retry-After") + "s")
+			if err != nil || wait > 2*time.Second {
+				wait = 2 * time.Second
+			}
+			time.Sleep(wait)
+		}
+		c.disconnect()
+		time.Sleep(time.Second)
+		var n counts
+		w.traffic(trafficTime, func(c *client) {
+			if c.conn == nil {
+				c.reconnect()
+			}
+			r := c.ask(nil)
+			n.add("ask")
+			n.add("all")
+			if r.served() {
+				n.add("ask served")
+				n.add("all served")
+			}
+			if c.conn == nil {
+				c.reconnect()
+			}
+			for name, send := range map[string]func() reply{"look": c.look, "book": c.book} {
+				r := send()
+				n.add(name)
+				n.add("all")
+				if r.err == nil && r.status == http.StatusOK {
+					n.add(name + " served")
+					n.add("all served")
+				}
+			}
+		})
+		share := func(name string) float64 { return float64(n.get(name+" served")) / float64(max(n.get(name), 1)) }
+		for _, name := range []string{"ask", "look", "book", "all"} {
+			j.conclude("%s: %d sent, %d served", name, n.get(name), n.get(name+" served"))
+		}
+		if n.get("ask") == 0 || n.get("all served") == 0 {
+			return notRun
+		}
+		if share("ask") < share("all")/4 {
+			j.conclude("Starved is broken: of the streams %.3f are served, of all requests %.3f, by sound servers without load", share("ask"), share("all"))
+			return broken
+		}
+		j.conclude("Starved held")
+		return held
+	})
+}
+
+// uncertified503: servers fail a part of the unsafe requests after they have run them, with the disruption with 503 and
+// otherwise with 500, and do not state that they have not run. The rule is broken if a client gets 503 for a request that
+// has run.
+func uncertified503(j *journal, trouble bool) int {
+	status := http.StatusInternalServerError
+	if trouble {
+		status = http.StatusServiceUnavailable
+	}
+	prepare := func(r *replica) {
+		r.fail = func(w http.ResponseWriter, req *http.Request, id string) bool {
+			if req.Method != http.MethodPost || !fails(id) {
+				return false
+			}
+			w.Header().Set("X-Fescuehub-Response-Seal", "seal-"+id)
+			w.WriteHeader(status)
+			_, _ = w.Write([]byte(plainAnswer(r.id, id, plainBytes)))
+			r.printf("server %s has run %s and answered it with %d", r.id, id, status)
+			return true
+		}
+	}
+	return run(j, prepare, func(w *world) int {
+		var n counts
+		w.traffic(trafficTime, func(c *client) {
+			if c.conn == nil {
+				c.reconnect()
+			}
+			r := c.book()
+			n.add("sent")
+			n.add(fmt.Sprint("status ", r.status))
+			if r.status == http.StatusServiceUnavailable && w.runs(r.id) > 0 {
+				n.add("false")
+				c.printf("REFUSED: %s is answered 503, and has run %d times", r.id, w.runs(r.id))
+				c.reconnect()
+				if again := c.book(); again.status == http.StatusOK { // the client retries after the promise
+					n.add("again")
+					c.printf("the client's retry %s has run as well: its deposit is posted twice", again.id)
+				}
+			}
+		})
+		j.conclude("sent %d; 200: %d; 500: %d; 503: %d", n.get("sent"), n.get("status 200"), n.get("status 500"), n.get("status 503"))
+		if n.get("sent") == 0 {
+			return notRun
+		}
+		if n.get("false") > 0 {
+			j.conclude("REFUSED is broken: %d unsafe requests were answered 503 and have run; %d retries ran as well", n.get("false"), n.get("again"))
+			return broken
+		}
+		j.conclude("REFUSED held")
+		return held
+	})
+}
