--- a/review/standins3/main.go
+++ b/review/standins3/main.go
@@ -32,6 +32,7 @@
 	"stream-ids":      streamIDs,
 	"expect-version":  expectVersion,
 	"uncertified-503": uncertified503,
+	"forged-entry":    forgedEntry,
 }
 
 func main() {
@@ -262,8 +263,30 @@
 	})
 }
 
-// expectVersion: with the disruption, the first request for the model expects a version of the weights that the servers do
-// not have yet, and its client tries again as it may. The rule is broken if a kind of request is served less than a
+// earlyRequests is the number of requests of the client that expects a later version of the weights.
+const earlyRequests = 6
+
+// askAgain sends a stream and, after a refusal, once more on a new connection to another address, as the sheet has it for
+// the clients of streams.
+func (c *client) askAgain(header map[string]string) reply {
+	if c.conn == nil {
+		c.reconnect()
+	}
+	r := c.ask(header)
+	if r.status != http.StatusServiceUnavailable {
+		return r
+	}
+	wait, err := time.ParseDuration(r.header.Get("Retry-After") + "s")
+	if err != nil || wait > 2*time.Second {
+		wait = 2 * time.Second
+	}
+	time.Sleep(wait)
+	c.reconnect()
+	return c.ask(header)
+}
+
+// expectVersion: with the disruption, the first requests for the model expect a version of the weights that the servers do
+// not have yet; one client sends them, and tries each again as it may. The rule is broken if a kind of request is served less than a
 // quarter as often as all.
 func expectVersion(j *journal, trouble bool) int {
 	prepare := func(r *replica) {
@@ -277,17 +300,8 @@
 		if trouble {
 			header = map[string]string{"X-Fescuehub-Expect-Version": "2"}
 		}
-		for range 3 { // a first attempt and two retries, each on a new connection
-			c.reconnect()
-			r := c.ask(header)
-			if r.status != http.StatusServiceUnavailable {
-				break
-			}
-			wait, err := time.ParseDuration(r.header.Get("Retry-After") + "s")
-			if err != nil || wait > 2*time.Second {
-				wait = 2 * time.Second
-			}
-			time.Sleep(wait)
+		for range earlyRequests {
+			c.askAgain(header)
 		}
 		c.disconnect()
 		time.Sleep(time.Second)
@@ -296,7 +310,7 @@
 			if c.conn == nil {
 				c.reconnect()
 			}
-			r := c.ask(nil)
+			r := c.askAgain(nil)
 			n.add("ask")
 			n.add("all")
 			if r.served() {
@@ -383,3 +397,59 @@
 		return held
 	})
 }
+
+// forgedInterval is the time between two entries of the other writer. The replica writes its own entry every 1.2 s.
+const forgedInterval = 3 * time.Second
+
+// forgedEntry: with the disruption, another writer writes an entry under the id of a server of the model. It lacks most
+// fields, and names the other service. The rule is broken if a request is run by a server of a service to which its route
+// does not lead.
+func forgedEntry(j *journal, trouble bool) int {
+	return run(j, func(*replica) {}, func(w *world) int {
+		stop := make(chan struct{})
+		var writer sync.WaitGroup
+		if trouble {
+			writer.Go(func() {
+				for {
+					r := w.replicas[0]
+					entry := fmt.Sprintf(`{"service":"desk","address":"%s","state":"ready"}`, r.address)
+					w.printf("another writer writes servers/%s: %s", r.id, entry)
+					w.store.Put("keyed.servers", r.id, []byte(entry))
+					select {
+					case <-stop:
+						return
+					case <-time.After(forgedInterval):
+					}
+				}
+			})
+		}
+		var n counts
+		w.traffic(trafficTime, func(c *client) {
+			for name, send := range map[string]func() reply{"look": c.look, "book": c.book, "ask": func() reply { return c.ask(nil) }} {
+				if c.conn == nil {
+					c.reconnect()
+				}
+				r := send()
+				n.add("sent")
+				for _, server := range w.replicas {
+					if server.ran(r.id) > 0 && (server.service == "model") != (name == "ask") {
+						n.add("wrong")
+						c.printf("ROUTE: %s, a request of the kind %s, was run by %s of the service %s; the client gets %d, %.60q", r.id, name, server.id, server.service, r.status, r.body)
+					}
+				}
+			}
+		})
+		close(stop)
+		writer.Wait()
+		j.conclude("sent %d; run by a server of another service: %d", n.get("sent"), n.get("wrong"))
+		switch {
+		case n.get("sent") == 0:
+			return notRun
+		case n.get("wrong") > 0:
+			j.conclude("ROUTE is broken: %d requests were run by a service to which no configuration lets them go", n.get("wrong"))
+			return broken
+		}
+		j.conclude("ROUTE held")
+		return held
+	})
+}
