--- a/review/standins3/main.go
+++ b/review/standins3/main.go
@@ -6,10 +6,12 @@
 	"fmt"
 	"net/http"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -58,13 +60,26 @@
 }
 
 func runWith(j *journal, configuration string, prepare func(*replica), work func(*world) int) int {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	w, err := newWorld(j, configuration, prepare)
 	defer w.close()
+	go func() {
+		s := <-signals
+		j.conclude("ended by %v", s)
+		w.close()
+		os.Exit(notRun)
+	}()
 	if err != nil {
 		j.conclude("the case could not run: %v", err)
 		return notRun
 	}
-	return work(w)
+	code := work(w)
+	if name := w.ended(); name != "" {
+		j.conclude("the case could not run: %s has ended by itself", name)
+		return notRun
+	}
+	return code
 }
 
 // traffic lets each client do its work again and again until the time of the traffic is over.
--- a/review/standins3/world.go
+++ b/review/standins3/world.go
@@ -73,6 +73,13 @@
 	fmt.Printf(format+"\n", args...)
 }
 
+// process is a running program of the deploy file.
+type process struct {
+	name   string
+	cmd    *exec.Cmd
+	exited chan struct{}
+}
+
 // world is a small deployment on loopback.
 type world struct {
 	*journal
@@ -80,9 +87,10 @@
 	store       *standin.Store
 	group       *standin.Group
 	replicas    []*replica
-	processes   []*exec.Cmd
+	processes   []*process
 	servers     []*http.Server
 	stopBeats   chan struct{}
+	closing     sync.Once
 }
 
 // newWorld starts the stand-ins and the programs, and waits until all entries are ready. prepare sets what the replicas
@@ -225,10 +233,27 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
-	w.processes = append(w.processes, cmd)
+	p := &process{name: name, cmd: cmd, exited: make(chan struct{})}
+	w.processes = append(w.processes, p)
+	go func() {
+		_ = cmd.Wait() // how it ended does not matter: none may end during a case
+		close(p.exited)
+	}()
 	return nil
 }
 
+// ended returns the name of a program that has ended by itself, empty if there is none.
+func (w *world) ended() string {
+	for _, p := range w.processes {
+		select {
+		case <-p.exited:
+			return p.name
+		default:
+		}
+	}
+	return ""
+}
+
 func (w *world) awaitReady() error {
 	for deadline := time.Now().Add(startTimeout); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
 		ready := 0
@@ -268,22 +293,21 @@
 
 // close ends all processes that the world has started and removes its folder.
 func (w *world) close() {
-	if w == nil {
-		return
+	if w != nil {
+		w.closing.Do(w.end)
 	}
+}
+
+func (w *world) end() {
 	close(w.stopBeats)
 	for _, p := range w.processes {
-		_ = p.Process.Kill()
+		_ = p.cmd.Process.Kill() // it may have ended
 	}
 	for _, p := range w.processes {
-		_ = p.Wait()
+		<-p.exited
 	}
 	for _, s := range w.servers {
 		_ = s.Close()
 	}
-	if os.Getenv("KEEP_LOGS") == "" {
-		_ = os.RemoveAll(w.dir)
-	} else {
-		fmt.Println("logs:", w.dir)
-	}
+	_ = os.RemoveAll(w.dir)
 }
