Case 15: long requests that a server reads late are cut

Rule: CONFIG, requests on a route that was added later are served less than a quarter as often as those on the first ones.

Run: the case once, and once with TROUBLE=0. Seen: 0 of 42 long requests are served, each gets 502 after 2.3 s of 8 s; held without the disruption. TCP_USER_TIMEOUT of 2 s ends connections to servers whose window is full.

--- a/review/standins3/main.go
+++ b/review/standins3/main.go
@@ -34,6 +34,7 @@
 	"expect-version":  expectVersion,
 	"uncertified-503": uncertified503,
 	"forged-entry":    forgedEntry,
+	"slow-upload":     slowUpload,
 }
 
 func main() {
@@ -362,3 +363,51 @@
 		return held
 	})
 }
+
+// A long request has uploadBytes, and waits for queueTime at a server before its body is read.
+const (
+	uploadBytes = 1_000_000
+	queueTime   = 2500 * time.Millisecond
+)
+
+// slowUpload: the route of long requests is added later than the others. With the disruption, servers read their bodies
+// late, as those that wait for a slot. The rule is broken if 20 requests or more on the later route are served less than a
+// quarter as often as those on the first routes.
+func slowUpload(j *journal, trouble bool) int {
+	prepare := func(r *replica) {
+		if trouble {
+			r.queueTime = queueTime
+		}
+	}
+	return runWith(j, configuration(7, firstRoutes+","+laterRoute), prepare, func(w *world) int {
+		w.store.Put("keyed.op", "config", []byte(configuration(9, firstRoutes+","+laterRoute+","+uploadRoute)))
+		w.printf("the operator adds the route r-upload")
+		time.Sleep(5 * time.Second) // configApplyMs and stableWindowMs
+		upload := strings.Repeat("u", uploadBytes)
+		var n counts
+		w.traffic(trafficTime, func(c *client) {
+			for name, send := range map[string]func() reply{"first": c.look, "later": func() reply { return c.send(http.MethodPost, "/upload/2f", upload, 8*time.Second, nil) }} {
+				if c.conn == nil {
+					c.reconnect()
+				}
+				r := send()
+				n.add(name)
+				n.add(fmt.Sprint(name, " ", r.status))
+				if r.err == nil && r.status == http.StatusOK {
+					n.add(name + " served")
+				}
+			}
+		})
+		share := func(name string) float64 { return float64(n.get(name+" served")) / float64(max(n.get(name), 1)) }
+		j.conclude("on the first routes %d sent, %d served; on the later route %d sent, %d served, %d answered 502", n.get("first"), n.get("first served"), n.get("later"), n.get("later served"), n.get("later 502"))
+		if n.get("later") < 20 || n.get("first served") == 0 {
+			return notRun
+		}
+		if share("later") < share("first")/4 {
+			j.conclude("CONFIG is broken: of the requests on the later route %.3f are served, of those on the first routes %.3f", share("later"), share("first"))
+			return broken
+		}
+		j.conclude("CONFIG held")
+		return held
+	})
+}
--- a/review/standins3/replica.go
+++ b/review/standins3/replica.go
@@ -32,6 +32,8 @@
 	idStep int
 	// weights is the version of the weights; 0 for a server without weights.
 	weights int
+	// queueTime is how long a long request waits for a slot before its body is read.
+	queueTime time.Duration
 	// fail, if set, answers a plain request that has run, and reports whether it did.
 	fail func(w http.ResponseWriter, req *http.Request, id string) bool
 
@@ -71,7 +73,11 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if _, err := io.Copy(io.Discard, req.Body); err != nil {
+	if strings.HasPrefix(req.URL.Path, "/upload/") {
+		time.Sleep(r.queueTime)
+	}
+	if n, err := io.Copy(io.Discard, req.Body); err != nil {
+		r.printf("server %s: the connection of %s ended after %d of %d bytes of its body: %v", r.id, id, n, req.ContentLength, err)
 		return
 	}
 	r.mu.Lock()
--- a/review/standins3/world.go
+++ b/review/standins3/world.go
@@ -42,6 +42,8 @@
 	firstRoutes = `{"name":"r-look","host":"ficu95.example","pathPrefix":"/look/","kind":"safe","timeoutMs":800,"targetLatencyMs":300,"priority":2,"service":"desk","maxAttempts":2,"allowAnonymous":false},
 {"name":"r-book","host":"ficu95.example","pathPrefix":"/book/","kind":"unsafe","timeoutMs":800,"targetLatencyMs":300,"priority":2,"service":"desk","maxAttempts":1,"allowAnonymous":false}`
 	laterRoute = `{"name":"r-ask","host":"ficu95.example","pathPrefix":"/ask/","kind":"streaming","timeoutMs":8000,"targetLatencyMs":400,"priority":1,"service":"model","maxAttempts":2,"allowAnonymous":false,"sessionAffinity":true,"resumeStreams":true,"gapAimMs":120}`
+	// uploadRoute is a route of long requests to the till.
+	uploadRoute = `{"name":"r-upload","host":"ficu95.example","pathPrefix":"/upload/","kind":"unsafe","timeoutMs":8000,"targetLatencyMs":400,"priority":2,"service":"desk","maxAttempts":1,"allowAnonymous":false}`
 )
 
 // configuration is what the operator has accepted: routes to two services, and the limits and times of the small
