--- a/review/standins3/replica.go
+++ b/review/standins3/replica.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -42,6 +43,21 @@
 	runs map[string]int
 }
 
+// announcement returns the replica's entry: that of the project's stand-in, and the fields that it leaves out.
+func (r *replica) announcement() []byte {
+	var entry map[string]any
+	_ = json.Unmarshal(r.control.Announcement(r.service, r.address, "ready"), &entry) // the stand-in writes an object
+	entry["version"] = "v1"
+	if r.service == "model" {
+		entry["stage"], entry["models"] = "both", []any{map[string]any{"name": "m", "version": max(r.weights, 1), "adapters": []any{}}}
+	} else {
+		delete(entry, "group")
+		delete(entry, "size")
+	}
+	data, _ := json.Marshal(entry) // plain values always encode
+	return data
+}
+
 // ran returns how often the replica has run a request.
 func (r *replica) ran(id string) int {
 	r.mu.Lock()
