Answer 502 for a refusal that its server has not certified

What callers saw: an unsafe request that a server had run and failed with 503 was answered 503, which promises that it has not run.

Cause: the relay counted the attempt as one that may have run, but passed on the server's status whatever it was. 408 and 429 likewise, for unsafe requests and streams that may not be resumed. Counted as answered, the server also kept its share of the requests.

Ruled out: that a status alone counts as "not run" (only X-Fescuehub-Not-Executed or 421 does), that a certificate is kept for a later attempt, and that the entry's own refusals after a run promise anything (finish looks at possibleRuns): the logs show one attempt, "answered", 503.

Change: such an attempt ends as one that may have run. Where the request must not be repeated, the caller gets 502 at once, with the server's status in the text and without its signature and body. A Retry-After pauses a server only if it refuses.

--- a/pkg/gateway/caller.go
+++ b/pkg/gateway/caller.go
@@ -208,6 +208,9 @@
 		if a.Malformed {
 			g.scope.Tagged(map[string]string{"service": q.Service.Name}).Counter("responses_malformed").Inc(1)
 		}
+		if a.Uncertified {
+			g.scope.Tagged(map[string]string{"service": q.Service.Name}).Counter("refusals_uncertified").Inc(1)
+		}
 	}
 	g.log.Info("request", zap.String("request", q.ID), zap.String("route", q.Route.Name), zap.String("kind", string(q.Route.Kind)),
 		zap.String("organisation", q.Organisation), zap.String("outcome", outcome), zap.Int("status", report.Status),
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -169,6 +169,7 @@
 		return notRun, nil
 	}
 	x.possibleRuns++
+	record.Uncertified = isRefusalStatus(response.Status)
 	success := response.Status >= 200 && response.Status < 300
 	if success && !head.Sealed {
 		x.exclude(s.ID)
@@ -182,6 +183,11 @@
 		x.exclude(s.ID)
 		return brokenOff, errors.Newf("resumed stream got a response with status %d and type %q instead of events", response.Status, mediaType(response.Header))
 	}
+	if record.Uncertified && !x.repeatable {
+		// Passed on, the status would tell the caller that the request may be sent again.
+		x.exclude(s.ID)
+		return notKnown, errors.Newf("status %d without a certificate that the request did not run", response.Status)
+	}
 	if success && x.q.Route.Kind == fleet.Streaming {
 		return x.relayStream(ctx, s, response)
 	}
@@ -198,7 +204,8 @@
 	if head.Leaving {
 		x.observer.Leaving(s.ID, s.Incarnation)
 	}
-	if status != http.StatusServiceUnavailable || head.RetryAfter == "" {
+	// Only a server that refuses requests is overloaded. The Retry-After of a failure is for its caller.
+	if !head.NotRun || status != http.StatusServiceUnavailable || head.RetryAfter == "" {
 		return
 	}
 	pause, ok := serverPause(head.RetryAfter)
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -249,6 +249,8 @@
 	ServerEnded bool
 	// Malformed means that the head of the response was not valid; Error says why.
 	Malformed bool `json:",omitempty"`
+	// Uncertified means that the status says that the request did not run, and nothing else in the response does.
+	Uncertified bool `json:",omitempty"`
 	// RateLimit is the limit that the response states, as it states it.
 	RateLimit string `json:",omitempty"`
 }
--- a/pkg/relay/retry.go
+++ b/pkg/relay/retry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 
@@ -24,7 +25,7 @@
 		return x.mayRepeat(ctx)
 	case ran, notKnown:
 		if !x.repeatable || x.possibleRuns >= x.q.Route.MaxAttempts {
-			x.finish(ctx, "the request may have run and must not be retried")
+			x.finish(ctx, x.mayHaveRunReason())
 			return false
 		}
 		return x.mayRepeat(ctx)
@@ -39,6 +40,16 @@
 	return true
 }
 
+// mayHaveRunReason says why the request is not retried after an attempt that may have run.
+func (x *exchange) mayHaveRunReason() string {
+	const reason = "the request may have run and must not be retried"
+	last := x.report.Attempts[len(x.report.Attempts)-1]
+	if !last.Uncertified {
+		return reason
+	}
+	return fmt.Sprintf("the backend server answered with status %d, but did not certify that it has not run the request: %s", last.Status, reason)
+}
+
 // serversFull reports whether servers have refused the request so often that a slot in time is
 // unlikely. The request is then refused while its caller has time to retry.
 func (x *exchange) serversFull() bool {
