Accept event ids that increase by any steps

Cause: isNextEvent took the last id plus 1 for the only successor, within the answer of one server and where another continues it. PROTOCOL.md says "increasing ids" and no more. Ids that are no 64-bit numbers were not compared at all, so that repeated ones passed.

Ruled out: the parse of ids with leading zeros (cut by the same comparison), a check of the first id (any was accepted), and readers of ids other than the relay (pkg/answer resumes by text, logs count events).

Change: pkg/eventstream.Order accepts increasing integers of any size. Where another server continues the response, ids that count the events, or that have had equal steps, must continue at the next one; what the ids do not show is trusted (docs/design/event-ids.md). TestResumedStreamWithGapIsAborted stays as it is.

--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -52,6 +52,9 @@
 	tokens := x.q.tokens()
 	x.balancer.Begin(began, s.ID, tokens)
 	x.attemptEvents, x.resumed = 0, x.started
+	if x.resumed {
+		x.order.Resume()
+	}
 	record := Attempt{Server: s.ID}
 	latency := time.Duration(0)
 	attemptCtx, cancel := context.WithCancelCause(ctx)
@@ -124,7 +127,7 @@
 		Organisation: x.q.Organisation, Priority: x.priority(time.Now()),
 	}
 	if x.started {
-		attempt.LastEventID = x.lastEventID
+		attempt.LastEventID = x.order.Last()
 	}
 	x.codec.EncodeAttempt(header, attempt)
 	return &backendconn.Request{
@@ -319,9 +322,9 @@
 			}
 			return x.brokenOffOr(notKnown), errors.Wrap(err, "read the event stream")
 		}
-		if !x.isNextEvent(e) {
+		if err := x.order.Accept(e); err != nil {
 			x.exclude(s.ID)
-			return x.brokenOffOr(notKnown), errors.Newf("event stream has a gap: event %q does not follow event %q", e.ID, x.lastEventID)
+			return x.brokenOffOr(notKnown), err
 		}
 		if !e.Comment {
 			stall.reset()
@@ -338,17 +341,6 @@
 	}
 }
 
-// isNextEvent reports whether an event is the successor of the last one. Events without a numeric ID are
-// accepted only from the server that began the stream: others can be an error of the server that continues it.
-func (x *exchange) isNextEvent(e eventstream.Event) bool {
-	last, errLast := strconv.ParseInt(x.lastEventID, 10, 64)
-	id, errID := strconv.ParseInt(e.ID, 10, 64)
-	if errLast == nil && errID != nil && x.resumed {
-		return e.Comment
-	}
-	return errLast != nil || errID != nil || id == last+1
-}
-
 // continuesStream reports whether a response can continue the stream that another one has started. One that
 // states no media type can.
 func (x *exchange) continuesStream(response *backendconn.Response) bool {
@@ -375,9 +367,6 @@
 	if f, ok := x.w.(http.Flusher); ok {
 		f.Flush()
 	}
-	if e.ID != "" {
-		x.lastEventID = e.ID
-	}
 	if !e.Comment {
 		x.report.Events++
 		x.lastProgress = time.Now()
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -14,6 +14,7 @@
 
 	"github.com/fescuehub/fescuehub/pkg/backendconn"
 	"github.com/fescuehub/fescuehub/pkg/balance"
+	"github.com/fescuehub/fescuehub/pkg/eventstream"
 	"github.com/fescuehub/fescuehub/pkg/fleet"
 	"github.com/fescuehub/fescuehub/pkg/quarantine"
 	"github.com/fescuehub/fescuehub/pkg/ratelimit"
@@ -278,7 +279,7 @@
 func (r *Relay) Serve(ctx context.Context, w http.ResponseWriter, q *Request) Report {
 	ctx, cancel := context.WithDeadlineCause(ctx, q.Deadline(), errDeadline)
 	defer cancel()
-	x := &exchange{Relay: r, q: q, w: w, fingerprint: q.Fingerprint(), repeatable: q.Route.Repeatable(), lastEventID: q.LastEventID, lastProgress: q.Arrived}
+	x := &exchange{Relay: r, q: q, w: w, fingerprint: q.Fingerprint(), repeatable: q.Route.Repeatable(), order: eventstream.NewOrder(q.LastEventID), lastProgress: q.Arrived}
 	x.suspects = SuspectIDs(q.SharedParts, x.fingerprint)
 	now := time.Now()
 	r.budget.RecordRequest(now, q.Service.Name)
@@ -310,8 +311,9 @@
 	possibleRuns int
 	refusals     int
 	// started is true once the response headers have been sent to the caller.
-	started     bool
-	lastEventID string
+	started bool
+	// order is the order of the events that have been passed on.
+	order eventstream.Order
 	// streamType is the media type of the response that has been started.
 	streamType string
 	// resumed is true if the current attempt continues a response that another one has started.
