Do not resume a stream whose last event has no id

A stream whose events have none, or whose last event has none, was continued by another server from its start or from an earlier event, and passed for whole.

Cause: the relay resumed after the last id that it had passed on, whatever had followed it; without any id the second attempt carried no Last-Event-Id.

Change: Order knows whether the last event has an id. If it has none, the connection is broken off and the log line says so. Comments need no id.

Before: TestStreamWithoutIDsIsNotResumed failed for "no ids" and "none after the ids" (two runs joined, no error). After: it passes, as do the other tests of streams.

--- a/pkg/eventstream/order.go
+++ b/pkg/eventstream/order.go
@@ -28,6 +28,8 @@
 	step   integer
 	steps  int
 	uneven bool
+	// unnamed is true if an event without an id followed the last id.
+	unnamed bool
 	// continued is true from the first time on that another server continues the response, and resuming until its first event.
 	continued, resuming bool
 }
@@ -43,6 +45,9 @@
 // Last returns the id after which the response can be continued; empty if no event had one.
 func (o *Order) Last() string { return o.last }
 
+// Resumable reports whether Last names the last event, so that another server can continue after it.
+func (o *Order) Resumable() bool { return !o.unnamed }
+
 // Resume is called before the events of another server that continues the response.
 func (o *Order) Resume() { o.continued, o.resuming = true, true }
 
@@ -56,6 +61,7 @@
 		if o.continued && o.last != "" {
 			return errors.Newf("an event without an id cannot be told from an error of the server that continues the stream after event %q", o.last)
 		}
+		o.unnamed = true
 		return nil
 	}
 	n, numbered := parseInteger(e.ID)
@@ -66,7 +72,7 @@
 	if o.first == "" {
 		o.first = e.ID
 	}
-	o.last, o.resuming = e.ID, false
+	o.last, o.unnamed, o.resuming = e.ID, false, false
 	if numbered {
 		o.number, o.numbered = n, true
 	}
--- a/pkg/relay/eventids_test.go
+++ b/pkg/relay/eventids_test.go
@@ -246,3 +246,39 @@
 		})
 	}
 }
+
+// TestStreamWithoutIDsIsNotResumed guards against two runs that are joined: no id says after which event another server has
+// to continue, so it would send the stream from its start, or from an earlier event.
+func TestStreamWithoutIDsIsNotResumed(t *testing.T) {
+	const unnamed = "data: x\n\n"
+	for name, c := range map[string]struct {
+		sent    string
+		resumed bool
+	}{
+		"no ids":             {unnamed + unnamed, false},
+		"none after the ids": {events("1", "2") + unnamed, false},
+		"ids after one":      {unnamed + events("1", "2"), true},
+		"comments only":      {": wait\n\n", true},
+		"comment after ids":  {events("1", "2") + ": wait\n\n", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			rest := func(conn *net.TCPConn, r *http.Request, n int) bool {
+				text := events("1", "2", "3")
+				if r.Header.Get("Last") != "" {
+					text = events("3")
+				}
+				return respondWith(200, "Seal: s\r\nContent-Type: text/event-stream\r\n", text)(conn, r, n)
+			}
+			a, b := failFirst(t, func(*backend) reply {
+				return writeRaw(streamHead("Transfer-Encoding: chunked\r\n")+chunk(c.sent+"da"), resetConn)
+			}, rest)
+			s := newTestRelay(t, eventRoute(true), fleet.Service{}, 1000, a.server("a"), b.server("b"))
+			_, body, _, err := s.send(context.Background(), "1")
+			whole := err == nil && strings.HasSuffix(body, events("1", "2", "3")) || err == nil && strings.HasSuffix(body, events("3"))
+			if whole != c.resumed || !c.resumed && body != c.sent && body != "" {
+				t.Errorf("%q, %v; want the stream to be resumed: %v", body, err, c.resumed)
+			}
+		})
+	}
+}
--- a/pkg/relay/retry.go
+++ b/pkg/relay/retry.go
@@ -22,6 +22,10 @@
 			x.abort("response truncated: the backend server failed after part of it was sent")
 			return false
 		}
+		if !x.order.Resumable() {
+			x.abort("response truncated: its last event has no id after which another backend server could continue")
+			return false
+		}
 		return x.mayRepeat(ctx)
 	case ran, notKnown:
 		if !x.repeatable || x.possibleRuns >= x.q.Route.MaxAttempts {
