Let operators set the largest event of a stream

What callers saw: a stream with an event over 256 KiB was broken off.

Cause: a fixed bound, since an event is held until it is complete.

Before: no setting.

--- a/pkg/cli/site.go
+++ b/pkg/cli/site.go
@@ -10,6 +10,7 @@
 	"github.com/spf13/cobra"
 	"go.uber.org/zap"
 
+	"github.com/fescuehub/fescuehub/pkg/eventstream"
 	"github.com/fescuehub/fescuehub/pkg/gateway"
 	"github.com/fescuehub/fescuehub/pkg/rankagent"
 	"github.com/fescuehub/fescuehub/pkg/rankcontrol"
@@ -35,18 +36,38 @@
 	return cmd
 }
 
+// minEventBytes is the least value of --max-event-bytes.
+const minEventBytes = 1 << 10
+
+// loadEntry loads the settings of an entry that relays events of up to maxEventBytes.
+func loadEntry(maxEventBytes int) (settings.Instance, error) {
+	s, err := platform.LoadEntry()
+	if err != nil {
+		return s, err
+	}
+	if most := s.RequestMemory(); maxEventBytes < minEventBytes || int64(maxEventBytes) > most {
+		return s, usageErrorf("--max-event-bytes is %d; write a number from %d to %d, the memory that this entry has for requests", maxEventBytes, minEventBytes, most)
+	}
+	s.MaxEventBytes = maxEventBytes
+	return s, nil
+}
+
 func (a *app) siteEntryCommand() *cobra.Command {
-	return &cobra.Command{
+	maxEventBytes := 0
+	cmd := &cobra.Command{
 		Use:     "entry",
 		Short:   "Run an entry: it accepts requests from callers and sends them directly to backend servers",
 		Example: "  " + platform.SettingsPathEnv + "=/etc/fescuehub/local.json fescuehub site entry",
 		Args:    noArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			return a.runSite(cmd.Context(), "entry", platform.LoadEntry, func(s settings.Instance, log *zap.Logger) siteProcess {
+			load := func() (settings.Instance, error) { return loadEntry(maxEventBytes) }
+			return a.runSite(cmd.Context(), "entry", load, func(s settings.Instance, log *zap.Logger) siteProcess {
 				return gateway.New(s, platform.Codec{}, platform.NewStoreClient(s.SharedLogAddress), log, telemetry.NewMetrics())
 			})
 		},
 	}
+	cmd.Flags().IntVar(&maxEventBytes, "max-event-bytes", eventstream.DefaultMaxEventBytes, "the largest event of a stream; each stream may hold one, and a larger one ends it")
+	return cmd
 }
 
 func (a *app) siteAgentCommand() *cobra.Command {
--- a/pkg/eventstream/eventstream.go
+++ b/pkg/eventstream/eventstream.go
@@ -9,9 +9,9 @@
 	"github.com/cockroachdb/errors"
 )
 
-// MaxEventBytes is the maximum size of one event. An entry relays some hundred streams at a time, each
-// of which may buffer an event.
-const MaxEventBytes = 256 << 10
+// DefaultMaxEventBytes is the size of the largest event unless another one is set. An entry relays some hundred streams at a
+// time, each of which may buffer an event.
+const DefaultMaxEventBytes = 256 << 10
 
 // ErrTruncated means that the stream ended within an event.
 var ErrTruncated = errors.New("event stream truncated: it ended within an event")
@@ -30,12 +30,15 @@
 
 // Reader reads events from a stream.
 type Reader struct {
-	br  *bufio.Reader
-	buf []byte
+	br       *bufio.Reader
+	buf      []byte
+	maxBytes int
 }
 
-// NewReader returns a reader of the events in r.
-func NewReader(r io.Reader) *Reader { return &Reader{br: bufio.NewReader(r)} }
+// NewReader returns a reader of the events in r, none of which may be larger than maxBytes.
+func NewReader(r io.Reader, maxBytes int) *Reader {
+	return &Reader{br: bufio.NewReader(r), maxBytes: maxBytes}
+}
 
 // Next returns the next event. It returns io.EOF after the last complete event, ErrTruncated if the
 // stream ends within an event, and otherwise the error of the stream.
@@ -66,8 +69,8 @@
 	for {
 		part, err := r.br.ReadSlice('\n')
 		r.buf = append(r.buf, part...)
-		if len(r.buf) > MaxEventBytes {
-			return errors.Newf("server-sent event exceeds the limit of %d bytes", MaxEventBytes)
+		if len(r.buf) > r.maxBytes {
+			return errors.Newf("server-sent event exceeds the limit of %d bytes, which is set by --max-event-bytes", r.maxBytes)
 		}
 		if err != bufio.ErrBufferFull {
 			return err
--- a/pkg/eventstream/eventstream_test.go
+++ b/pkg/eventstream/eventstream_test.go
@@ -13,7 +13,7 @@
 func TestReaderSplitsEvents(t *testing.T) {
 	text := "id: 1\ndata: a\n\nweights: 4\nid:2\r\ndata: b\r\n\r\n: comment\n\n"
 	for name, r := range map[string]io.Reader{"whole": strings.NewReader(text), "bytes": iotest.OneByteReader(strings.NewReader(text))} {
-		events := eventstream.NewReader(r)
+		events := eventstream.NewReader(r, eventstream.DefaultMaxEventBytes)
 		var ids, raw []string
 		for {
 			e, err := events.Next()
@@ -34,7 +34,7 @@
 func TestReaderReportsTruncatedEvents(t *testing.T) {
 	streamErr := errors.New("reset")
 	for text, want := range map[string]error{"": io.EOF, "id: 1\ndata: a\n\n": io.EOF, "id: 1\nda": eventstream.ErrTruncated, "id: 1\n": eventstream.ErrTruncated} {
-		events := eventstream.NewReader(strings.NewReader(text))
+		events := eventstream.NewReader(strings.NewReader(text), eventstream.DefaultMaxEventBytes)
 		var err error
 		for err == nil {
 			_, err = events.Next()
@@ -43,7 +43,7 @@
 			t.Errorf("%q ends with %v, want %v", text, err, want)
 		}
 	}
-	events := eventstream.NewReader(io.MultiReader(strings.NewReader("id: 1\nda"), iotest.ErrReader(streamErr)))
+	events := eventstream.NewReader(io.MultiReader(strings.NewReader("id: 1\nda"), iotest.ErrReader(streamErr)), eventstream.DefaultMaxEventBytes)
 	if _, err := events.Next(); !errors.Is(err, streamErr) {
 		t.Error(err)
 	}
@@ -53,7 +53,7 @@
 func FuzzEvents(f *testing.F) {
 	f.Add("id: 1\ndata: a\n\nid")
 	f.Fuzz(func(t *testing.T, text string) {
-		events := eventstream.NewReader(strings.NewReader(text))
+		events := eventstream.NewReader(strings.NewReader(text), eventstream.DefaultMaxEventBytes)
 		var all strings.Builder
 		for {
 			e, err := events.Next()
@@ -67,3 +67,17 @@
 		}
 	})
 }
+
+// TestLargestEventIsSet guards against sound events that end a stream because of a bound that cannot be raised.
+func TestLargestEventIsSet(t *testing.T) {
+	text := "id: 1\ndata: " + strings.Repeat("x", 300<<10) + "\n\n"
+	for maxBytes, want := range map[int]bool{eventstream.DefaultMaxEventBytes: false, len(text) - 1: false, len(text): true, 1 << 20: true} {
+		e, err := eventstream.NewReader(strings.NewReader(text), maxBytes).Next()
+		if (err == nil) != want || want && string(e.Raw) != text {
+			t.Errorf("an event of %d bytes with a bound of %d: %v, want it whole: %v", len(text), maxBytes, err, want)
+		}
+		if !want && !strings.Contains(err.Error(), "--max-event-bytes") {
+			t.Errorf("%v does not name the setting", err)
+		}
+	}
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -3,6 +3,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"math/rand/v2"
@@ -23,6 +24,7 @@
 	"github.com/fescuehub/fescuehub/pkg/coldstart"
 	"github.com/fescuehub/fescuehub/pkg/directory"
 	"github.com/fescuehub/fescuehub/pkg/evacuation"
+	"github.com/fescuehub/fescuehub/pkg/eventstream"
 	"github.com/fescuehub/fescuehub/pkg/fleet"
 	"github.com/fescuehub/fescuehub/pkg/follow"
 	"github.com/fescuehub/fescuehub/pkg/gossip"
@@ -205,7 +207,7 @@
 	g.addressLifetimeNanos.Store(int64(s.Bounds.AddressLifetime))
 	g.directory = directory.New(directory.Entry{Name: s.Name, Address: s.CallerAddress, FailureDomain: s.FailureDomain})
 	g.requestsCtx, g.abortRequests = context.WithCancelCause(context.Background())
-	g.relay = relay.New(codec, g.pools, g.balancer, g.budget, g.prompts, g.rateLimits, g.drain, g)
+	g.relay = relay.New(codec, g.pools, g.balancer, g.budget, g.prompts, g.rateLimits, g.drain, g, cmp.Or(s.MaxEventBytes, eventstream.DefaultMaxEventBytes))
 	buckets := tally.MustMakeExponentialDurationBuckets(2*time.Millisecond, 1.6, 20)
 	for _, kind := range []fleet.Kind{fleet.Safe, fleet.Unsafe, fleet.Streaming} {
 		g.latency[kind] = metrics.Scope.Tagged(map[string]string{"kind": string(kind)}).Histogram("request_seconds", buckets)
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -286,7 +286,7 @@
 
 // relayStream passes on complete events as they arrive.
 func (x *exchange) relayStream(ctx context.Context, s fleet.Server, response *backendconn.Response) (outcome, error) {
-	events := eventstream.NewReader(response.Body)
+	events := eventstream.NewReader(response.Body, x.maxEventBytes)
 	stall := newStallTimer(x.stallTimeout(), x.cancelAttempt)
 	defer stall.stop()
 	for {
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -210,12 +210,14 @@
 	admission Admission
 	observer  ServerObserver
 	shortage  shortageQueues
+	// maxEventBytes bounds one event of a stream, of which each request may hold one.
+	maxEventBytes int
 }
 
 // New returns a relay. It refuses requests that prompts has in quarantine, and those that admission does not
-// admit.
-func New(codec Codec, t Transport, b *balance.Balancer, budget *retrybudget.Budget, prompts *quarantine.Tracker, limits *ratelimit.Limiter, a Admission, o ServerObserver) *Relay {
-	return &Relay{codec: codec, transport: t, balancer: b, budget: budget, prompts: prompts, limits: limits, admission: a, observer: o}
+// admit. It breaks off streams with an event of more than maxEventBytes.
+func New(codec Codec, t Transport, b *balance.Balancer, budget *retrybudget.Budget, prompts *quarantine.Tracker, limits *ratelimit.Limiter, a Admission, o ServerObserver, maxEventBytes int) *Relay {
+	return &Relay{codec: codec, transport: t, balancer: b, budget: budget, prompts: prompts, limits: limits, admission: a, observer: o, maxEventBytes: maxEventBytes}
 }
 
 // outcome is what is certain about an ended attempt.
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -196,6 +196,9 @@
 	s.ignored = append(s.ignored, err.Error())
 }
 
+// testMaxEventBytes is the largest event that a test relay passes on.
+const testMaxEventBytes = 256 << 10
+
 func newTestRelay(t testing.TB, route fleet.Route, service fleet.Service, floor float64, servers ...fleet.Server) *testRelay {
 	t.Helper()
 	limits := ratelimit.New("")
@@ -203,7 +206,7 @@
 	s.balancer.SetServers(servers)
 	budget := retrybudget.New(retrybudget.Limits{Ratio: 0.2, Floor: floor, Window: 10 * time.Second}, time.Now())
 	s.prompts = quarantine.New(rand.Float64)
-	r := relay.New(testCodec{}, backendconn.NewPools(), s.balancer, budget, s.prompts, limits, &s.admission, s)
+	r := relay.New(testCodec{}, backendconn.NewPools(), s.balancer, budget, s.prompts, limits, &s.admission, s, testMaxEventBytes)
 	s.relay = r
 	service.Name = "s"
 	s.front = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
--- a/pkg/settings/instance.go
+++ b/pkg/settings/instance.go
@@ -33,7 +33,9 @@
 	// MaxDescriptors bounds the open descriptors of the process, of which ReservedDescriptors are not for its
 	// connections; 0 if there is no bound.
 	MaxDescriptors int
-	Bounds         Bounds
+	// MaxEventBytes bounds one event of a stream; 0 stands for eventstream.DefaultMaxEventBytes.
+	MaxEventBytes int
+	Bounds        Bounds
 }
 
 // Bounds are the limits that the operators guarantee to their users.
