--- a/pkg/eventstream/order.go
+++ b/pkg/eventstream/order.go
@@ -13,6 +13,8 @@
 	minEqualSteps = 2
 	// maxDigits bounds the ids that are compared as numbers.
 	maxDigits = 1000
+	// maxQuotedBytes bounds the bytes of an id that an error quotes.
+	maxQuotedBytes = 80
 )
 
 // Order checks that the ids of the events of one response increase, also where another server continues it. Ids are integers
@@ -59,7 +61,7 @@
 	}
 	if e.ID == "" {
 		if o.continued && o.last != "" {
-			return errors.Newf("an event without an id cannot be told from an error of the server that continues the stream after event %q", o.last)
+			return errors.Newf("an event without an id cannot be told from an error of the server that continues the stream after event %s", quote(o.last))
 		}
 		o.unnamed = true
 		return nil
@@ -82,19 +84,22 @@
 func (o *Order) check(id string, n integer, numbered bool) error {
 	switch {
 	case id == o.last:
-		return errors.Newf("event %q is repeated", id)
+		return errors.Newf("event %s is repeated", quote(id))
 	case numbered && o.numbered && n.compare(o.number) <= 0:
-		return errors.Newf("the ids of the events do not increase: %q comes after %q", id, o.last)
+		return errors.Newf("the ids of the events do not increase: %s comes after %s", quote(id), quote(o.last))
 	case o.continued && o.numbered && !numbered:
-		return errors.Newf("event %q of the server that continues the stream after event %q has no number", id, o.last)
+		return errors.Newf("event %s of the server that continues the stream after event %s has no number", quote(id), quote(o.last))
 	case o.resuming && id == o.first:
-		return errors.Newf("the stream begins again with event %q after event %q", id, o.last)
+		return errors.Newf("the stream begins again with event %s after event %s", quote(id), quote(o.last))
 	case o.resuming && numbered && o.skips(n):
-		return errors.Newf("event stream has a gap: event %q does not follow event %q, while its ids increase by %s", id, o.last, o.step)
+		return errors.Newf("event stream has a gap: event %s does not follow event %s, as its ids count the events or increase by equal steps", quote(id), quote(o.last))
 	}
 	return nil
 }
 
+// quote quotes the beginning of an id.
+func quote(id string) string { return strconv.Quote(id[:min(len(id), maxQuotedBytes)]) }
+
 // skips reports whether an event lies beyond the next one of a stream whose ids increase by equal steps. One that has begun
 // with 1 counts its events.
 func (o *Order) skips(n integer) bool {
@@ -136,6 +141,9 @@
 // parseInteger parses decimal digits, which may follow a sign. It returns false for anything else and for more than
 // maxDigits.
 func parseInteger(text string) (integer, bool) {
+	if text == "" {
+		return integer{}, false
+	}
 	n, err := strconv.ParseInt(text, 10, 64)
 	if err == nil {
 		return integer{small: n}, true
@@ -154,9 +162,6 @@
 	return big.NewInt(i.small)
 }
 
-// String implements fmt.Stringer.
-func (i integer) String() string { return i.value().String() }
-
 // compare returns a negative number if i is less than j, 0 if they are equal, and a positive number otherwise.
 func (i integer) compare(j integer) int {
 	if i.big == nil && j.big == nil {
--- a/pkg/eventstream/order_test.go
+++ b/pkg/eventstream/order_test.go
@@ -81,8 +81,8 @@
 			t.Error(err)
 		}
 	}
-	if err := order.Accept(eventstream.Event{ID: long}); err == nil {
-		t.Error("a repeated id was accepted")
+	if err := order.Accept(eventstream.Event{ID: long}); err == nil || len(err.Error()) > 500 {
+		t.Errorf("a repeated id: %.500v; want an error that quotes a part of it", err)
 	}
 }
 
